--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+.PHONY: build test demo lint
+
+build:
+	go build -o bin/ ./cmd/woodworks ./cmd/woodworks-lab
+
+# All tests; the race detector on the packages without processes.
+test: build
+	go test -race -timeout 20m ./...
+
+lint:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+# A floor of separate processes on loopback, once through its paces.
+demo: build
+	./bin/woodworks-lab demo
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,246 @@
+// Package cli is the command line of woodworks.
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"woodworks/internal/client"
+)
+
+// Exit codes of every command.
+const (
+	ExitDone = 0
+	// ExitFailed: the command did not do what was asked.
+	ExitFailed = 1
+	// ExitUsage: the arguments, a settings file or a policy are wrong.
+	ExitUsage = 2
+	// ExitConflict: another change or request came first.
+	ExitConflict = 3
+	// ExitUnknown: it is not known whether it was done.
+	ExitUnknown = 4
+)
+
+// Version is the release, set at build time with -ldflags.
+var Version = "0.1.0-dev"
+
+// exitError carries an exit code with its cause.
+type exitError struct {
+	code  int
+	cause error
+}
+
+// Error implements error.
+func (exit *exitError) Error() string { return exit.cause.Error() }
+
+func usagef(format string, arguments ...any) error {
+	return &exitError{code: ExitUsage, cause: errors.Errorf(format, arguments...)}
+}
+
+func withCode(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{code: code, cause: err}
+}
+
+// options are the values of all flags.
+type options struct {
+	config       string
+	checkOnly    bool
+	name         string
+	zone         string
+	region       string
+	listenPublic string
+	listenIntern string
+	listenPeer   string
+	logLevel     string
+	server       string
+	key          string
+	output       string
+	file         string
+	documentName string
+	replaces     string
+	trainer      string
+	batch        string
+	version      uint64
+	machine      string
+	undo         bool
+	stdout       io.Writer
+	stderr       io.Writer
+}
+
+// command is one leaf of the command tree.
+type command struct {
+	node *flaggy.Subcommand
+	run  func(options *options) error
+}
+
+const (
+	defaultServer = "http://127.0.0.1:7181"
+	keyVariable   = "WOODWORKS_KEY"
+)
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	chosen := &options{server: defaultServer, output: "text", key: os.Getenv(keyVariable), stdout: stdout, stderr: stderr}
+	parser := flaggy.NewParser("woodworks")
+	parser.Description = "a rollout service for reinforcement learning"
+	parser.Version = Version
+	parser.ShowHelpOnUnexpected = false
+	parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed, 2 wrong arguments, settings or policy, 3 conflict, 4 outcome unknown.\n" +
+		"The bearer key is taken from --key or " + keyVariable + ".\n" +
+		"Example: woodworks serve -c examples/operator/bern-a.yaml"
+	commands := attachCommands(parser, chosen)
+	if err := parser.ParseArgs(arguments); err != nil {
+		return report(stderr, usagef("%v", err))
+	}
+	if chosen.output != "text" && chosen.output != "json" {
+		return report(stderr, usagef("--output: %q is not text or json", chosen.output))
+	}
+	for _, candidate := range commands {
+		if candidate.node.Used {
+			return report(stderr, candidate.run(chosen))
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+// report prints an error as one line and returns its exit code.
+func report(stderr io.Writer, err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	_, _ = fmt.Fprintf(stderr, "woodworks: %v\n", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	if problem, found := client.AsProblem(err); found {
+		return codeOf(problem)
+	}
+	if errors.Is(err, client.ErrNoAnswer) {
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+func codeOf(problem *client.ProblemError) int {
+	switch {
+	case problem.Status == 409:
+		return ExitConflict
+	case problem.Status == 400 || problem.Status == 422:
+		return ExitUsage
+	case problem.Problem.Outcome == "unknown":
+		return ExitUnknown
+	default:
+		return ExitFailed
+	}
+}
+
+// leaf makes a command that runs.
+func leaf(name, description, example string) *flaggy.Subcommand {
+	node := flaggy.NewSubcommand(name)
+	node.Description = description
+	if example != "" {
+		node.AdditionalHelpAppend = "\nExample: " + example
+	}
+	return node
+}
+
+func attachCommands(parser *flaggy.Parser, chosen *options) []command {
+	serve := leaf("serve", "run a daemon", "woodworks serve -c settings.yaml --zone bern-a")
+	serve.String(&chosen.config, "c", "config", "settings file (YAML)")
+	serve.Bool(&chosen.checkOnly, "", "check", "only check the settings")
+	serve.String(&chosen.name, "", "name", "daemon name, over the file")
+	serve.String(&chosen.zone, "", "zone", "zone, over the file")
+	serve.String(&chosen.region, "", "region", "region, over the file")
+	serve.String(&chosen.listenPublic, "", "listen-public", "public IP:port, over the file")
+	serve.String(&chosen.listenIntern, "", "listen-internal", "internal IP:port, over the file")
+	serve.String(&chosen.listenPeer, "", "listen-peer", "peer IP:port, over the file")
+	serve.String(&chosen.logLevel, "", "log-level", "debug, info, warn or error, over the file")
+	parser.AttachSubcommand(serve, 1)
+
+	commands := []command{{serve, runServe}}
+	commands = append(commands, attachPolicy(parser, chosen)...)
+	commands = append(commands, attachRollout(parser, chosen)...)
+
+	status := leaf("status", "show one daemon's view", "woodworks status --server http://127.0.0.1:7181")
+	remoteFlags(status, chosen)
+	parser.AttachSubcommand(status, 1)
+
+	drain := leaf("drain", "give a back end no new work", "woodworks drain engine-3; woodworks drain engine-3 --undo")
+	drain.AddPositionalValue(&chosen.machine, "machine", 1, true, "name in the machine list")
+	drain.Bool(&chosen.undo, "", "undo", "take the order back")
+	remoteFlags(drain, chosen)
+	parser.AttachSubcommand(drain, 1)
+
+	version := leaf("version", "print the release", "")
+	parser.AttachSubcommand(version, 1)
+	return append(commands, command{status, runStatus}, command{drain, runDrain}, command{version, runVersion})
+}
+
+func attachPolicy(parser *flaggy.Parser, chosen *options) []command {
+	group := leaf("policy", "check, test and publish policies", "woodworks policy publish assessor.star --name assessor")
+	check := leaf("check", "compile a policy and say what is wrong", "woodworks policy check assessor.star")
+	test := leaf("test", "run a policy's test_* functions offline", "woodworks policy test assessor.star")
+	publish := leaf("publish", "publish a policy on the log", "woodworks policy publish assessor.star --name assessor --replaces 12")
+	history := leaf("history", "show what became of published policies", "woodworks policy history")
+	diff := leaf("diff", "compare a file with the policy in force", "woodworks policy diff assessor.star --name assessor")
+	for _, node := range []*flaggy.Subcommand{check, test, publish, diff} {
+		node.AddPositionalValue(&chosen.file, "file", 1, true, "policy source (Starlark)")
+	}
+	for _, node := range []*flaggy.Subcommand{publish, diff} {
+		node.String(&chosen.documentName, "", "name", "document name; by default the file's name without .star")
+		remoteFlags(node, chosen)
+	}
+	publish.String(&chosen.replaces, "", "replaces", "offset of the version this replaces; by default the one in force")
+	remoteFlags(history, chosen)
+	test.String(&chosen.output, "o", "output", "text or json")
+	for _, node := range []*flaggy.Subcommand{check, test, publish, history, diff} {
+		group.AttachSubcommand(node, 1)
+	}
+	parser.AttachSubcommand(group, 1)
+	return []command{{check, runPolicyCheck}, {test, runPolicyTest}, {publish, runPolicyPublish}, {history, runPolicyHistory}, {diff, runPolicyDiff}}
+}
+
+func attachRollout(parser *flaggy.Parser, chosen *options) []command {
+	group := leaf("rollout", "submit and follow batches", "woodworks rollout submit batch.json")
+	submit := leaf("submit", "submit a batch from a JSON file", "woodworks rollout submit batch.json")
+	submit.AddPositionalValue(&chosen.file, "file", 1, true, "request (JSON)")
+	remoteFlags(submit, chosen)
+	follow := leaf("follow", "print samples as they complete", "woodworks rollout follow assessor step-12 --training-version 7")
+	follow.AddPositionalValue(&chosen.trainer, "trainer", 1, true, "trainer")
+	follow.AddPositionalValue(&chosen.batch, "name", 2, true, "batch")
+	follow.UInt64(&chosen.version, "", "training-version", "weight version that the trainer now trains")
+	remoteFlags(follow, chosen)
+	group.AttachSubcommand(submit, 1)
+	group.AttachSubcommand(follow, 1)
+	parser.AttachSubcommand(group, 1)
+	return []command{{submit, runRolloutSubmit}, {follow, runRolloutFollow}}
+}
+
+func remoteFlags(node *flaggy.Subcommand, chosen *options) {
+	node.String(&chosen.server, "s", "server", "a daemon's internal listener")
+	node.String(&chosen.key, "", "key", "bearer key")
+	node.String(&chosen.output, "o", "output", "text or json")
+}
+
+func (chosen *options) client() *client.Client { return client.New(chosen.server, chosen.key) }
+
+// print writes a value as JSON, or as text by the given function.
+func (chosen *options) print(value any, text func(io.Writer)) error {
+	if chosen.output == "json" {
+		encoder := json.NewEncoder(chosen.stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	text(chosen.stdout)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/remote.go
@@ -0,0 +1,281 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/catalog"
+	"woodworks/internal/client"
+	"woodworks/internal/daemon"
+	"woodworks/internal/operator"
+	"woodworks/internal/policy"
+	"woodworks/internal/rollout"
+)
+
+const (
+	remoteTimeout = 20 * time.Second
+	followWait    = 10 * time.Second
+	followLimit   = 256
+	// followRetries bounds the tries in a row that get no answer.
+	followRetries = 30
+)
+
+func (chosen *options) nameOfDocument() string {
+	if chosen.documentName != "" {
+		return chosen.documentName
+	}
+	return strings.TrimSuffix(filepath.Base(chosen.file), ".star")
+}
+
+func (chosen *options) readFile() (string, error) {
+	content, err := os.ReadFile(chosen.file)
+	if err != nil {
+		return "", withCode(ExitUsage, errors.Wrap(err, "cannot read file"))
+	}
+	return string(content), nil
+}
+
+func runPolicyCheck(chosen *options) error {
+	source, err := chosen.readFile()
+	if err != nil {
+		return err
+	}
+	if err := policy.Validate(map[string]string{chosen.nameOfDocument(): source}); err != nil {
+		return withCode(ExitUsage, err)
+	}
+	_, err = fmt.Fprintln(chosen.stdout, "policy is valid")
+	return err
+}
+
+func runPolicyTest(chosen *options) error {
+	source, err := chosen.readFile()
+	if err != nil {
+		return err
+	}
+	results, err := policy.RunCases(chosen.nameOfDocument(), source)
+	if err != nil {
+		return withCode(ExitUsage, err)
+	}
+	failed := 0
+	for _, result := range results {
+		if result.Fault != "" {
+			failed++
+		}
+	}
+	if err := chosen.print(results, func(writer io.Writer) {
+		for _, result := range results {
+			if result.Fault == "" {
+				_, _ = fmt.Fprintf(writer, "ok   %s\n", result.Name)
+			} else {
+				_, _ = fmt.Fprintf(writer, "FAIL %s: %s\n", result.Name, result.Fault)
+			}
+		}
+		_, _ = fmt.Fprintf(writer, "%d passed, %d failed\n", len(results)-failed, failed)
+	}); err != nil {
+		return err
+	}
+	if failed > 0 {
+		return errors.Errorf("%d of %d cases failed", failed, len(results))
+	}
+	return nil
+}
+
+func runPolicyPublish(chosen *options) error {
+	source, err := chosen.readFile()
+	if err != nil {
+		return err
+	}
+	body := struct {
+		Name     string  `json:"name"`
+		Source   string  `json:"source"`
+		Replaces *uint64 `json:"replaces,omitempty"`
+	}{Name: chosen.nameOfDocument(), Source: source}
+	if chosen.replaces != "" {
+		offset, err := strconv.ParseUint(chosen.replaces, 10, 64)
+		if err != nil {
+			return usagef("--replaces: %q is not an offset", chosen.replaces)
+		}
+		body.Replaces = &offset
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
+	defer cancel()
+	var publication operator.Publication
+	if err := chosen.client().JSON(ctx, http.MethodPost, "/v1/policies", body, &publication); err != nil {
+		return err
+	}
+	return chosen.print(publication, func(writer io.Writer) {
+		_, _ = fmt.Fprintf(writer, "policy %s is in force at offset %d\n", body.Name, publication.Offset)
+	})
+}
+
+// policies is the answer to GET /v1/policies.
+type policies struct {
+	Offset    uint64 `json:"offset"`
+	Documents []struct {
+		Name   string `json:"name"`
+		Offset uint64 `json:"offset"`
+		Source string `json:"source"`
+	} `json:"documents"`
+	History []catalog.HistoryEntry `json:"history"`
+}
+
+func (chosen *options) fetchPolicies() (policies, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
+	defer cancel()
+	var fetched policies
+	err := chosen.client().JSON(ctx, http.MethodGet, "/v1/policies", nil, &fetched)
+	return fetched, err
+}
+
+func runPolicyHistory(chosen *options) error {
+	fetched, err := chosen.fetchPolicies()
+	if err != nil {
+		return err
+	}
+	return chosen.print(fetched.History, func(writer io.Writer) {
+		table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+		_, _ = fmt.Fprintln(table, "OFFSET\tNAME\tAUTHOR\tREPLACES\tVERDICT\tREASON")
+		for _, entry := range fetched.History {
+			_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%s\t%s\n", entry.Offset, entry.Name, entry.Author, entry.Replaces, entry.Verdict, entry.Reason)
+		}
+		_ = table.Flush()
+	})
+}
+
+func runPolicyDiff(chosen *options) error {
+	source, err := chosen.readFile()
+	if err != nil {
+		return err
+	}
+	fetched, err := chosen.fetchPolicies()
+	if err != nil {
+		return err
+	}
+	inForce := ""
+	for _, document := range fetched.Documents {
+		if document.Name == chosen.nameOfDocument() {
+			inForce = document.Source
+		}
+	}
+	lines := diffLines(inForce, source)
+	for _, line := range lines {
+		_, _ = fmt.Fprintln(chosen.stdout, line)
+	}
+	if len(lines) > 0 {
+		return &exitError{code: ExitFailed, cause: errors.Errorf("%s differs from the policy in force", chosen.file)}
+	}
+	return nil
+}
+
+func runStatus(chosen *options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
+	defer cancel()
+	var status daemon.Status
+	if err := chosen.client().JSON(ctx, http.MethodGet, "/v1/status", nil, &status); err != nil {
+		return err
+	}
+	return chosen.print(status, func(writer io.Writer) { printStatus(writer, status) })
+}
+
+func printStatus(writer io.Writer, status daemon.Status) {
+	table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "daemon\t%s\tzone %s\tregion %s\n", status.ID, status.Zone, status.Region)
+	_, _ = fmt.Fprintf(table, "configuration\toffset %d\tconfirmed %s ago\tepoch %d\n", status.ConfigOffset, status.ConfirmedAgo, status.Epoch)
+	_, _ = fmt.Fprintf(table, "work\t%d in flight\t%d chunks, %d generated here\t%d records\n", status.InFlight, status.Chunks, status.ActiveChunks, status.Records)
+	for _, trainer := range status.Trainers {
+		_, _ = fmt.Fprintf(table, "trainer\t%s\tversion %d\t\n", trainer.Name, trainer.Version)
+	}
+	for _, member := range status.Members {
+		_, _ = fmt.Fprintf(table, "member\t%s\t%s\t%s leaving=%t gone=%t\n", member.ID, member.Zone, member.Health, member.Leaving, member.Gone)
+	}
+	for _, replica := range status.Replicas {
+		_, _ = fmt.Fprintf(table, "replica\t%s\t%s\tusable=%t leaving=%t version=%d load=%d/%d\n",
+			replica.Machine, replica.Service, replica.Usable, replica.Leaving, replica.Version, replica.Load, replica.Slots)
+	}
+	_ = table.Flush()
+}
+
+func runDrain(chosen *options) error {
+	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
+	defer cancel()
+	body := struct {
+		Machine string `json:"machine"`
+		Undo    bool   `json:"undo,omitempty"`
+	}{chosen.machine, chosen.undo}
+	if err := chosen.client().JSON(ctx, http.MethodPost, "/v1/drains", body, nil); err != nil {
+		return err
+	}
+	return chosen.print(body, func(writer io.Writer) {
+		word := "gets no new work"
+		if chosen.undo {
+			word = "is back in service"
+		}
+		_, _ = fmt.Fprintf(writer, "%s %s\n", chosen.machine, word)
+	})
+}
+
+func runRolloutSubmit(chosen *options) error {
+	source, err := chosen.readFile()
+	if err != nil {
+		return err
+	}
+	var request rollout.Request
+	if err := json.Unmarshal([]byte(source), &request); err != nil {
+		return withCode(ExitUsage, errors.Wrap(err, chosen.file))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
+	defer cancel()
+	submitted, err := chosen.client().Submit(ctx, request)
+	if err != nil {
+		return err
+	}
+	return chosen.print(submitted, func(writer io.Writer) {
+		_, _ = fmt.Fprintf(writer, "batch %s of %s has %d samples\n", submitted.Name, submitted.Trainer, submitted.Samples)
+	})
+}
+
+// runRolloutFollow prints one sample a line as JSON until the batch is done.
+func runRolloutFollow(chosen *options) error {
+	encoder := json.NewEncoder(chosen.stdout)
+	cursor := ""
+	failures := 0
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), followWait+remoteTimeout)
+		pulled, err := chosen.client().Pull(ctx, chosen.trainer, chosen.batch, cursor, chosen.version, followLimit, followWait)
+		cancel()
+		problem, answered := client.AsProblem(err)
+		switch {
+		case err == nil:
+			failures = 0
+		case answered && problem.Problem.RetryAfterMillis == 0:
+			return err
+		default:
+			failures++
+			if failures > followRetries {
+				return err
+			}
+			time.Sleep(time.Second)
+			continue
+		}
+		for _, sample := range pulled.Samples {
+			if err := encoder.Encode(sample); err != nil {
+				return err
+			}
+		}
+		cursor = pulled.Cursor
+		if pulled.Done {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,185 @@
+// Package client speaks to a daemon's HTTP interface, for the command line and
+// the lab.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"woodworks/internal/calls"
+	"woodworks/internal/gateway"
+	"woodworks/internal/rollout"
+)
+
+// ErrNoAnswer means that no whole answer came. The request may have run.
+var ErrNoAnswer = errors.New("client: no whole answer")
+
+// ProblemError is a daemon's final answer that is not a success.
+type ProblemError struct {
+	Status  int
+	Problem gateway.Problem
+}
+
+// Error implements error.
+func (problem *ProblemError) Error() string {
+	return problem.Problem.Code + ": " + problem.Problem.Message
+}
+
+// Client speaks to one listener of one daemon as one caller.
+type Client struct {
+	base    string
+	key     string
+	service httpc.Service
+}
+
+// New returns a client for a base URL with a bearer key.
+func New(base, key string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
+	httpClient := &http.Client{Transport: transport}
+	return &Client{base: base, key: key, service: httpc.NewServiceWithClient("woodworks", httpClient)}
+}
+
+// Answer is one whole HTTP answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends a request and reads the whole answer. It returns ErrNoAnswer if
+// none came, and the answer whatever its status otherwise.
+func (client *Client) Do(ctx context.Context, method, path string, header http.Header, body []byte) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, client.base+path, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "client")
+	}
+	// A body that cannot be rewound keeps net/http from replaying a request.
+	request.GetBody = nil
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+client.key)
+	response, err := client.service.DoRequest(request)
+	if err != nil {
+		return Answer{}, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Answer{}, errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: content}, nil
+}
+
+// JSON sends a JSON body (nil for none) and decodes a 2xx answer. Any other
+// answer is a *ProblemError.
+func (client *Client) JSON(ctx context.Context, method, path string, body, answer any) error {
+	var encoded []byte
+	header := http.Header{}
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return errors.Wrap(err, "client: encode")
+		}
+		header.Set("Content-Type", "application/json")
+	}
+	received, err := client.Do(ctx, method, path, header, encoded)
+	if err != nil {
+		return err
+	}
+	if received.Status/100 != 2 {
+		return problemOf(received)
+	}
+	if answer == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(received.Body, answer), "client: decode")
+}
+
+func problemOf(received Answer) error {
+	var body struct {
+		Error gateway.Problem `json:"error"`
+	}
+	if json.Unmarshal(received.Body, &body) != nil || body.Error.Code == "" {
+		body.Error.Code = "http_" + strconv.Itoa(received.Status)
+		body.Error.Message = string(bytes.TrimSpace(received.Body))
+	}
+	return &ProblemError{Status: received.Status, Problem: body.Error}
+}
+
+// AsProblem returns the daemon's problem in an error, if there is one.
+func AsProblem(err error) (*ProblemError, bool) {
+	var problem *ProblemError
+	found := errors.As(err, &problem)
+	return problem, found
+}
+
+// Submitted is the answer to a submitted batch.
+type Submitted struct {
+	Trainer string `json:"trainer"`
+	Name    string `json:"name"`
+	Samples int    `json:"samples"`
+	Cursor  string `json:"cursor"`
+}
+
+// Submit submits a batch.
+func (client *Client) Submit(ctx context.Context, request rollout.Request) (Submitted, error) {
+	var answer Submitted
+	err := client.JSON(ctx, http.MethodPost, "/v1/rollouts", request, &answer)
+	return answer, err
+}
+
+// Pulled is the answer to a pull.
+type Pulled struct {
+	Samples []rollout.Result `json:"samples"`
+	Cursor  string           `json:"cursor"`
+	Open    int              `json:"open"`
+	Done    bool             `json:"done"`
+}
+
+// Pull asks for samples after a cursor.
+func (client *Client) Pull(ctx context.Context, trainer, name, cursor string, version uint64, limit int, wait time.Duration) (Pulled, error) {
+	query := url.Values{}
+	query.Set("cursor", cursor)
+	query.Set("training_version", strconv.FormatUint(version, 10))
+	query.Set("max", strconv.Itoa(limit))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var answer Pulled
+	path := "/v1/rollouts/" + url.PathEscape(trainer) + "/" + url.PathEscape(name) + "/samples?" + query.Encode()
+	err := client.JSON(ctx, http.MethodGet, path, nil, &answer)
+	return answer, err
+}
+
+// Announce tells of a new weight version.
+func (client *Client) Announce(ctx context.Context, trainer string, version uint64, artifact string) error {
+	body := struct {
+		Version  uint64 `json:"version"`
+		Artifact string `json:"artifact"`
+	}{version, artifact}
+	return client.JSON(ctx, http.MethodPost, "/v1/trainers/"+url.PathEscape(trainer)+"/versions", body, nil)
+}
+
+// Call calls an operation of a plain service. The result says what became of
+// it; with ErrNoAnswer that is not known.
+func (client *Client) Call(ctx context.Context, service, operation, requestKey string, body []byte) (Answer, calls.Result, error) {
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	if requestKey != "" {
+		header.Set(gateway.KeyHeader, requestKey)
+	}
+	path := "/v1/services/" + url.PathEscape(service) + "/" + url.PathEscape(operation)
+	answer, err := client.Do(ctx, http.MethodPost, path, header, body)
+	if err != nil {
+		return Answer{}, calls.Unknown, err
+	}
+	return answer, calls.Result(answer.Header.Get(gateway.OutcomeHeader)), nil
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,393 @@
+// Package gossip drives the membership machine and the announcement board over
+// the network: it probes peers, spreads news and repairs gaps by digests.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodworks/internal/announce"
+	"woodworks/internal/membership"
+	"woodworks/internal/peer"
+)
+
+// RPCName is the name under which Service answers peers.
+const RPCName = "Gossip"
+
+const (
+	// ProbeInterval is the time between two rounds of probes.
+	ProbeInterval = time.Second
+	probeTimeout  = 600 * time.Millisecond
+	// indirectTimeout bounds a probe through another member.
+	indirectTimeout = time.Second
+	indirectRelays  = 2
+	updateLimit     = 16
+	newsFanout      = 3
+	// newsDelay gathers news that arrive together into one exchange.
+	newsDelay = 10 * time.Millisecond
+)
+
+// Exchange is what two daemons tell each other.
+type Exchange struct {
+	From          membership.Member
+	Updates       []membership.Member
+	Digest        membership.Digest
+	Announcements []announce.Announcement
+	BoardDigest   uint64
+	// CatalogOffset lets the receiver see that it is behind.
+	CatalogOffset uint64
+}
+
+// ProbeRequest asks for a probe of another member on the sender's behalf.
+type ProbeRequest struct {
+	Target  membership.NodeID
+	Address string
+}
+
+// ProbeReply says whether the target answered.
+type ProbeReply struct{ Answered bool }
+
+// Catalog is what gossip needs of the configuration.
+type Catalog interface {
+	// Offset returns the offset in force here.
+	Offset() uint64
+	// Behind is called when a peer has a higher offset. It must not block.
+	Behind(address string, offset uint64)
+}
+
+// Service is one daemon's part in the gossip. It is safe for concurrent use.
+type Service struct {
+	mutex   sync.Mutex
+	machine *membership.Machine
+	board   *announce.Board
+	pool    *peer.Pool
+	catalog Catalog
+	seeds   []string
+	logger  *zap.Logger
+	changed chan struct{}
+	news    chan struct{}
+}
+
+// New returns a service that knows only the daemon itself.
+func New(self membership.Member, board *announce.Board, pool *peer.Pool, catalog Catalog, seeds []string, logger *zap.Logger) *Service {
+	return &Service{
+		machine: membership.NewMachine(membership.DefaultConfig(), self, time.Now(), self.Generation),
+		board:   board,
+		pool:    pool,
+		catalog: catalog,
+		seeds:   seeds,
+		logger:  logger,
+		changed: make(chan struct{}),
+		news:    make(chan struct{}, 1),
+	}
+}
+
+// Self returns this daemon's own description.
+func (service *Service) Self() membership.Member {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.machine.Self()
+}
+
+// Members returns every known member, ordered by ID.
+func (service *Service) Members() []membership.Member {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.machine.Members()
+}
+
+// Serving returns the members that may be given new work, ordered by ID.
+func (service *Service) Serving() []membership.Member {
+	var serving []membership.Member
+	for _, member := range service.Members() {
+		if member.Serving() {
+			serving = append(serving, member)
+		}
+	}
+	return serving
+}
+
+// Lookup returns a member by its identity.
+func (service *Service) Lookup(id membership.NodeID) (membership.Member, bool) {
+	for _, member := range service.Members() {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// ProvedGone reports whether the run of a daemon is known to be over: it said
+// so, or another run answers at its address.
+func (service *Service) ProvedGone(id, address string) bool {
+	for _, member := range service.Members() {
+		if string(member.ID) == id {
+			return member.Gone
+		}
+	}
+	for _, member := range service.Members() {
+		if member.Address == address && member.Reachable() {
+			return true
+		}
+	}
+	return false
+}
+
+// Changed returns a channel that is closed at the next change of the table.
+func (service *Service) Changed() <-chan struct{} {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.changed
+}
+
+// Announce puts announcements on the board and spreads them.
+func (service *Service) Announce(announcements ...announce.Announcement) {
+	if len(service.board.Merge(time.Now(), announcements...)) > 0 {
+		service.Spread()
+	}
+}
+
+// Spread starts an exchange with a few peers soon, for news of any kind.
+func (service *Service) Spread() {
+	select {
+	case service.news <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells peers that this daemon takes no new work.
+func (service *Service) Leave() {
+	service.mutex.Lock()
+	service.machine.Leave(time.Now())
+	service.signal()
+	service.mutex.Unlock()
+	service.Spread()
+}
+
+// Finish tells peers that this run is over. It is the last call before exit.
+func (service *Service) Finish(ctx context.Context) {
+	service.mutex.Lock()
+	service.machine.Finish(time.Now())
+	service.mutex.Unlock()
+	service.spreadNews(ctx)
+}
+
+// signal wakes those who wait on Changed. The mutex must be held.
+func (service *Service) signal() {
+	close(service.changed)
+	service.changed = make(chan struct{})
+}
+
+// Run probes and spreads until the context ends.
+func (service *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(ProbeInterval)
+	defer ticker.Stop()
+	service.joinIfAlone(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			service.round(ctx)
+		case <-service.news:
+			time.Sleep(newsDelay)
+			go service.spreadNews(ctx)
+		}
+	}
+}
+
+func (service *Service) round(ctx context.Context) {
+	service.mutex.Lock()
+	before := service.machine.Digest()
+	targets := service.machine.Tick(time.Now())
+	if service.machine.Digest() != before {
+		service.signal()
+	}
+	service.mutex.Unlock()
+	for _, target := range targets {
+		go service.probe(ctx, target)
+	}
+	service.joinIfAlone(ctx)
+}
+
+// joinIfAlone contacts the seeds while no peer is known to be reachable.
+func (service *Service) joinIfAlone(ctx context.Context) {
+	self := service.Self()
+	for _, member := range service.Members() {
+		if member.ID != self.ID && member.Reachable() {
+			return
+		}
+	}
+	for _, seed := range service.seeds {
+		if seed != self.Address {
+			go func() { _ = service.exchange(ctx, seed) }()
+		}
+	}
+}
+
+// probe exchanges with a member; if it does not answer, others are asked to
+// try before it is suspected.
+func (service *Service) probe(ctx context.Context, target membership.Member) {
+	sentAt := time.Now()
+	if service.exchange(ctx, target.Address) == nil {
+		return
+	}
+	if service.probeIndirectly(ctx, target) {
+		return
+	}
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	before := service.machine.Digest()
+	service.machine.ProbeFailed(time.Now(), sentAt, target.ID)
+	if service.machine.Digest() != before {
+		service.logger.Info("member suspected", zap.String("member", string(target.ID)))
+		service.signal()
+	}
+}
+
+func (service *Service) probeIndirectly(ctx context.Context, target membership.Member) bool {
+	service.mutex.Lock()
+	relays := service.machine.Relays(target.ID, indirectRelays)
+	service.mutex.Unlock()
+	answers := make(chan bool, len(relays))
+	for _, relay := range relays {
+		go func() {
+			callContext, cancel := context.WithTimeout(ctx, indirectTimeout)
+			defer cancel()
+			reply := &ProbeReply{}
+			request := ProbeRequest{Target: target.ID, Address: target.Address}
+			err := service.pool.Call(callContext, relay.Address, peer.Control, RPCName+".Probe", request, reply)
+			answers <- err == nil && reply.Answered
+		}()
+	}
+	for range relays {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange tells a peer the news and takes in its own.
+func (service *Service) exchange(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply := &Exchange{}
+	if err := service.pool.Call(ctx, address, peer.Control, RPCName+".Exchange", service.compose(nil, nil), reply); err != nil {
+		return err
+	}
+	service.absorb(*reply)
+	return service.repair(ctx, address, *reply)
+}
+
+// repair sends the peer what its digests show it to lack.
+func (service *Service) repair(ctx context.Context, address string, told Exchange) error {
+	service.mutex.Lock()
+	differing := service.machine.Differing(told.Digest)
+	service.mutex.Unlock()
+	var board []announce.Announcement
+	if service.board.Digest() != told.BoardDigest {
+		board = service.board.All()
+	}
+	if len(differing) == 0 && len(board) == 0 {
+		return nil
+	}
+	reply := &Exchange{}
+	if err := service.pool.Call(ctx, address, peer.Control, RPCName+".Exchange", service.compose(differing, board), reply); err != nil {
+		return err
+	}
+	service.absorb(*reply)
+	return nil
+}
+
+// compose builds an exchange of fresh news and the given repairs.
+func (service *Service) compose(repairs []membership.Member, board []announce.Announcement) Exchange {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return Exchange{
+		From:          service.machine.Self(),
+		Updates:       append(service.machine.Updates(updateLimit), repairs...),
+		Digest:        service.machine.Digest(),
+		Announcements: append(service.board.Fresh(updateLimit), board...),
+		BoardDigest:   service.board.Digest(),
+		CatalogOffset: service.catalog.Offset(),
+	}
+}
+
+// absorb takes in what a peer told and passes on what was news.
+func (service *Service) absorb(told Exchange) {
+	now := time.Now()
+	service.mutex.Lock()
+	changed := service.machine.Merge(now, append(told.Updates, told.From))
+	if len(changed) > 0 {
+		service.signal()
+	}
+	service.mutex.Unlock()
+	news := service.board.Merge(now, told.Announcements...)
+	if told.CatalogOffset > service.catalog.Offset() {
+		service.catalog.Behind(told.From.Address, told.CatalogOffset)
+	}
+	if len(changed) > 0 || len(news) > 0 {
+		service.Spread()
+	}
+}
+
+func (service *Service) spreadNews(ctx context.Context) {
+	self := service.Self()
+	var others []membership.Member
+	for _, member := range service.Members() {
+		if member.ID != self.ID && member.Reachable() {
+			others = append(others, member)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var exchanges sync.WaitGroup
+	for _, member := range others[:min(newsFanout, len(others))] {
+		exchanges.Add(1)
+		go func() {
+			defer exchanges.Done()
+			_ = service.exchange(ctx, member.Address)
+		}()
+	}
+	exchanges.Wait()
+}
+
+// Handler answers peers' calls.
+type Handler struct{ service *Service }
+
+// Handler returns the receiver to register under RPCName.
+func (service *Service) Handler() *Handler { return &Handler{service: service} }
+
+// Exchange takes in a peer's news and answers with this daemon's, with what
+// the digests show the peer to lack.
+func (handler *Handler) Exchange(told Exchange, reply *Exchange) error {
+	service := handler.service
+	service.absorb(told)
+	service.mutex.Lock()
+	differing := service.machine.Differing(told.Digest)
+	service.mutex.Unlock()
+	var board []announce.Announcement
+	if service.board.Digest() != told.BoardDigest {
+		board = service.board.All()
+	}
+	*reply = service.compose(differing, board)
+	return nil
+}
+
+// Probe tries to reach another member for a peer.
+func (handler *Handler) Probe(request ProbeRequest, reply *ProbeReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	answer := &Exchange{}
+	err := handler.service.pool.Call(ctx, request.Address, peer.Control, RPCName+".Exchange", handler.service.compose(nil, nil), answer)
+	if err != nil {
+		return nil
+	}
+	handler.service.absorb(*answer)
+	reply.Answered = answer.From.ID == request.Target
+	return nil
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,99 @@
+// Package logging writes one line of key=value pairs an event through zap and
+// sends go-zero's own log lines the same way.
+package logging
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// New returns a logger that writes to standard error at the given level
+// (debug, info, warn or error) and takes over go-zero's logs.
+func New(level, node string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "logging: level")
+	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.TimeKey = "time"
+	encoding.MessageKey = "event"
+	encoding.EncodeTime = func(at time.Time, encoder zapcore.PrimitiveArrayEncoder) {
+		encoder.AppendString(at.UTC().Format("2006-01-02T15:04:05.000Z"))
+	}
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(os.Stderr), parsed)
+	logger := zap.New(core).With(zap.String("node", node))
+	TakeOver(logger)
+	return logger, nil
+}
+
+// TakeOver sends go-zero's logs to the logger. go-zero installs a writer of
+// its own whenever a server is made, so this is called again after that.
+func TakeOver(logger *zap.Logger) {
+	logx.SetWriter(frameworkWriter{logger: logger.With(zap.String("source", "go-zero"))})
+}
+
+// frameworkWriter turns go-zero's log calls into zap events.
+type frameworkWriter struct{ logger *zap.Logger }
+
+func (writer frameworkWriter) fields(fields []logx.LogField) []zap.Field {
+	converted := make([]zap.Field, 0, len(fields))
+	for _, field := range fields {
+		converted = append(converted, zap.String(field.Key, fmt.Sprint(field.Value)))
+	}
+	return converted
+}
+
+// Alert implements logx.Writer.
+func (writer frameworkWriter) Alert(value any) { writer.logger.Error(fmt.Sprint(value)) }
+
+// Close implements logx.Writer.
+func (writer frameworkWriter) Close() error { return nil }
+
+// Debug implements logx.Writer.
+func (writer frameworkWriter) Debug(value any, fields ...logx.LogField) {
+	writer.logger.Debug(fmt.Sprint(value), writer.fields(fields)...)
+}
+
+// requestPrefix starts httpc's line on each outbound request.
+const requestPrefix = "[HTTP]"
+
+// Error implements logx.Writer. Lines on single outbound requests go out at
+// debug level: the layers above log what a failure means.
+func (writer frameworkWriter) Error(value any, fields ...logx.LogField) {
+	text := fmt.Sprint(value)
+	if strings.HasPrefix(text, requestPrefix) {
+		writer.logger.Debug(text, writer.fields(fields)...)
+		return
+	}
+	writer.logger.Error(text, writer.fields(fields)...)
+}
+
+// Info implements logx.Writer. What go-zero says at this level is detail here.
+func (writer frameworkWriter) Info(value any, fields ...logx.LogField) {
+	writer.logger.Debug(fmt.Sprint(value), writer.fields(fields)...)
+}
+
+// Severe implements logx.Writer.
+func (writer frameworkWriter) Severe(value any) { writer.logger.Error(fmt.Sprint(value)) }
+
+// Slow implements logx.Writer.
+func (writer frameworkWriter) Slow(value any, fields ...logx.LogField) {
+	writer.logger.Warn(fmt.Sprint(value), writer.fields(fields)...)
+}
+
+// Stack implements logx.Writer.
+func (writer frameworkWriter) Stack(value any) { writer.logger.Error(fmt.Sprint(value)) }
+
+// Stat implements logx.Writer. go-zero's periodic statistics repeat what
+// /metrics says, so they go out at debug level.
+func (writer frameworkWriter) Stat(value any, fields ...logx.LogField) {
+	writer.logger.Debug(fmt.Sprint(value), writer.fields(fields)...)
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,70 @@
+// Package metrics holds the daemon's metrics in the Prometheus format.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const namespace = "woodworks"
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30, 60}
+
+// Metrics is one daemon's registry. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	samples  *prometheus.CounterVec
+}
+
+// New returns a registry with the counters that the gateway feeds.
+func New() *Metrics {
+	metrics := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total",
+			Help: "Final answers by route, HTTP status and outcome.",
+		}, []string{"route", "status", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds",
+			Help: "Time from a request's arrival to the end of its answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		samples: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "samples_delivered_total",
+			Help: "Samples handed to trainers, a repeated pull counted again.",
+		}, []string{"trainer"}),
+	}
+	metrics.registry.MustRegister(metrics.requests, metrics.latency, metrics.samples)
+	return metrics
+}
+
+// Request counts a final answer.
+func (metrics *Metrics) Request(route, status, outcome string, took time.Duration) {
+	metrics.requests.WithLabelValues(route, status, outcome).Inc()
+	metrics.latency.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// Delivered counts samples handed to a trainer.
+func (metrics *Metrics) Delivered(trainer string, samples int) {
+	metrics.samples.WithLabelValues(trainer).Add(float64(samples))
+}
+
+// Gauge registers a value that is read when the metrics are.
+func (metrics *Metrics) Gauge(name, help string, read func() float64) {
+	metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Counter registers a total that is read when the metrics are.
+func (metrics *Metrics) Counter(name, help string, read func() float64) {
+	metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Handler answers with all metrics.
+func (metrics *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(metrics.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/records/records.go
@@ -0,0 +1,418 @@
+// Package records serves the write-once records of package register over the
+// network: it answers as an acceptor, drives decisions, and carries records
+// over from one placement epoch to the next.
+package records
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/catalog"
+	"woodworks/internal/membership"
+	"woodworks/internal/peer"
+	"woodworks/internal/placement"
+	"woodworks/internal/register"
+)
+
+// RPCName is the name under which Handler answers peers.
+const RPCName = "Records"
+
+const (
+	callTimeout    = 700 * time.Millisecond
+	importRetry    = 200 * time.Millisecond
+	expireInterval = 10 * time.Second
+	// firstBackoff and maxBackoff bound the random wait after a round lost to
+	// another proposer.
+	firstBackoff = 5 * time.Millisecond
+	maxBackoff   = 200 * time.Millisecond
+)
+
+// Errors of this layer.
+var (
+	// ErrNoMajority means that too few keepers of the key answered in time.
+	// The record may or may not have been decided.
+	ErrNoMajority = errors.New("records: no majority of the keepers answered")
+	// ErrKeyUnusable means that an earlier decision on the key may have been
+	// dropped or lost: whether the request ran is not known.
+	ErrKeyUnusable = errors.New("records: key can no longer be used")
+	// ErrFull means that the keepers hold as many records as they may.
+	ErrFull = errors.New("records: keepers are full")
+)
+
+// Peers is what this package needs of the membership.
+type Peers interface {
+	Self() membership.Member
+	ProvedGone(id, address string) bool
+}
+
+// Catalog is what this package needs of the configuration.
+type Catalog interface {
+	State() catalog.State
+	Changed() <-chan struct{}
+	// ConfirmationAge bounds how long a cut-off keeper goes on serving.
+	ConfirmationAge() (time.Duration, bool)
+}
+
+// Service keeps and decides records. It is safe for concurrent use.
+type Service struct {
+	mutex        sync.Mutex
+	acceptor     *register.Acceptor
+	peers        Peers
+	catalog      Catalog
+	pool         *peer.Pool
+	logger       *zap.Logger
+	bounds       register.Bounds
+	confirmBound time.Duration
+	seenEpoch    uint64
+}
+
+// New returns a service that keeps nothing yet.
+func New(bounds register.Bounds, confirmBound time.Duration, peers Peers, catalog Catalog, pool *peer.Pool, logger *zap.Logger) *Service {
+	return &Service{
+		acceptor:     register.NewAcceptor(bounds),
+		peers:        peers,
+		catalog:      catalog,
+		pool:         pool,
+		logger:       logger,
+		bounds:       bounds,
+		confirmBound: confirmBound,
+	}
+}
+
+// Count returns how many records this daemon keeps.
+func (service *Service) Count() int {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.acceptor.Records()
+}
+
+// Run follows the placement epochs until the context ends.
+func (service *Service) Run(ctx context.Context) {
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		changed := service.catalog.Changed()
+		service.followEpoch(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-expire.C:
+			service.mutex.Lock()
+			service.acceptor.Expire(time.Now())
+			service.mutex.Unlock()
+		}
+	}
+}
+
+// followEpoch enters a new placement epoch: shards that this daemon keeps are
+// carried over, the others are no longer served.
+func (service *Service) followEpoch(ctx context.Context) {
+	state := service.catalog.State()
+	if state.Placement.Number <= service.seenEpoch {
+		return
+	}
+	service.seenEpoch = state.Placement.Number
+	self := string(service.peers.Self().ID)
+	var imports sync.WaitGroup
+	for index := range placement.ShardCount {
+		keeper := placement.Contains(placement.Group(state.Placement, index), self)
+		switch {
+		case !keeper:
+			service.leave(index, state.Placement.Number)
+		case state.Previous.Number == 0:
+			service.start(index, state.Placement.Number)
+		default:
+			imports.Add(1)
+			go func() {
+				defer imports.Done()
+				service.importShard(ctx, index, state.Previous, state.Placement)
+			}()
+		}
+	}
+	// Epochs are followed one after another: a shard that skipped an epoch
+	// could not be sealed in it, and its records would be stuck.
+	imports.Wait()
+}
+
+func (service *Service) start(index int, epoch uint64) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.acceptor.Start(index, epoch)
+}
+
+func (service *Service) leave(index int, nextEpoch uint64) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.acceptor.Leave(index, nextEpoch)
+}
+
+// importShard seals a majority of the earlier group and takes its records.
+func (service *Service) importShard(ctx context.Context, index int, previous, next catalog.Epoch) {
+	service.mutex.Lock()
+	service.acceptor.BeginImport(index, next.Number)
+	service.mutex.Unlock()
+	group := placement.Group(previous, index)
+	collected := map[string][]register.Record{}
+	var keysFrom time.Time
+	for ctx.Err() == nil {
+		service.sealMissing(ctx, index, previous, group, collected, &keysFrom)
+		enough := len(collected) >= placement.Majority(len(group))
+		lost := service.majorityLost(group, collected)
+		if enough || lost {
+			if lost && !enough {
+				keysFrom = time.Now().Add(service.bounds.ClockSkew)
+				service.logger.Warn("records lost", zap.Int("shard", index), zap.Uint64("epoch", next.Number))
+			}
+			service.finishImport(index, next.Number, collected, keysFrom)
+			return
+		}
+		sleep(ctx, importRetry)
+	}
+}
+
+func (service *Service) finishImport(index int, epoch uint64, collected map[string][]register.Record, keysFrom time.Time) {
+	var records []register.Record
+	for _, part := range collected {
+		records = append(records, part...)
+	}
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.acceptor.FinishImport(index, epoch, records, keysFrom)
+}
+
+// majorityLost reports whether so many of a group are proved gone that no
+// majority can ever be sealed, and everyone else has been.
+func (service *Service) majorityLost(group []catalog.PlacementMember, collected map[string][]register.Record) bool {
+	gone := 0
+	for _, member := range group {
+		_, have := collected[member.ID]
+		if !have && service.peers.ProvedGone(member.ID, member.Address) {
+			gone++
+		}
+	}
+	return len(group)-gone < placement.Majority(len(group)) && gone+len(collected) == len(group)
+}
+
+func (service *Service) sealMissing(ctx context.Context, index int, previous catalog.Epoch, group []catalog.PlacementMember, collected map[string][]register.Record, keysFrom *time.Time) {
+	type sealed struct {
+		id    string
+		reply SealReply
+		err   error
+	}
+	answers := make(chan sealed, len(group))
+	asked := 0
+	for _, member := range group {
+		if _, have := collected[member.ID]; have {
+			continue
+		}
+		asked++
+		go func() {
+			reply, err := service.seal(ctx, member, SealRequest{To: member.ID, Shard: index, Epoch: previous.Number})
+			answers <- sealed{id: member.ID, reply: reply, err: err}
+		}()
+	}
+	for range asked {
+		answer := <-answers
+		if answer.err != nil || answer.reply.Refusal != "" {
+			continue
+		}
+		collected[answer.id] = answer.reply.Records
+		if answer.reply.KeysFrom.After(*keysFrom) {
+			*keysFrom = answer.reply.KeysFrom
+		}
+	}
+}
+
+func (service *Service) seal(ctx context.Context, member catalog.PlacementMember, request SealRequest) (SealReply, error) {
+	reply := &SealReply{}
+	if member.ID == string(service.peers.Self().ID) {
+		err := service.Handler().Seal(request, reply)
+		return *reply, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := service.pool.Call(ctx, member.Address, peer.Control, RPCName+".Seal", request, reply); err != nil {
+		return SealReply{}, err
+	}
+	return *reply, nil
+}
+
+// Ready returns the epoch that this daemon follows and the shards that it
+// serves in it.
+func (service *Service) Ready() (epoch uint64, shards []int) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	for index := range placement.ShardCount {
+		shardEpoch, serving := service.acceptor.Epoch(index)
+		if !serving {
+			continue
+		}
+		if shardEpoch > epoch {
+			epoch = shardEpoch
+			shards = nil
+		}
+		if shardEpoch == epoch {
+			shards = append(shards, index)
+		}
+	}
+	return epoch, shards
+}
+
+// Decide decides the value of a key: the returned value is the given one only
+// if no other was decided before. It tries until the context ends.
+func (service *Service) Decide(ctx context.Context, key register.Key, value register.Value) (register.Value, error) {
+	self := string(service.peers.Self().ID)
+	backoff := firstBackoff
+	lastRefusal := ""
+	for {
+		epoch := service.catalog.State().Placement
+		group := placement.Group(epoch, placement.ShardOf(key.Name))
+		if len(group) > 0 {
+			outcome, refusal, decided := service.decideOnce(ctx, group, register.NewProposer(key, value, len(group), epoch.Number, self+"/"+value.Attempt))
+			if decided {
+				return outcome, nil
+			}
+			lastRefusal = refusal
+			if err := finalError(refusal); err != nil {
+				return register.Value{}, err
+			}
+		}
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+		if ctx.Err() != nil {
+			return register.Value{}, errors.Wrap(ErrNoMajority, lastRefusal)
+		}
+	}
+}
+
+// finalError returns the error for a refusal where trying again cannot help.
+func finalError(refusal string) error {
+	switch refusal {
+	case register.ErrExpired.Error(), register.ErrRecordsLost.Error():
+		return errors.Wrap(ErrKeyUnusable, refusal)
+	case register.ErrFull.Error():
+		return errors.Wrap(ErrFull, refusal)
+	default:
+		return nil
+	}
+}
+
+// decideOnce runs rounds of one proposer until it decides or is stuck.
+func (service *Service) decideOnce(ctx context.Context, group []catalog.PlacementMember, proposer *register.Proposer) (register.Value, string, bool) {
+	refusal := ""
+	for ctx.Err() == nil {
+		switch proposer.Phase() {
+		case register.Preparing:
+			refusal = service.prepareAll(ctx, group, proposer)
+			if proposer.Phase() == register.Preparing {
+				return register.Value{}, refusal, false
+			}
+		case register.Accepting:
+			refusal = service.acceptAll(ctx, group, proposer)
+			if proposer.Phase() == register.Accepting {
+				return register.Value{}, refusal, false
+			}
+		case register.Preempted:
+			sleep(ctx, rand.N(firstBackoff*4))
+			proposer.Retry()
+		case register.Decided:
+			return proposer.Outcome(), "", true
+		}
+	}
+	return register.Value{}, refusal, false
+}
+
+func (service *Service) prepareAll(ctx context.Context, group []catalog.PlacementMember, proposer *register.Proposer) string {
+	message := proposer.Prepare()
+	return broadcast(ctx, group,
+		func(member catalog.PlacementMember) (PrepareReply, error) {
+			request := PrepareRequest{To: member.ID, Message: message}
+			reply := &PrepareReply{}
+			err := service.send(ctx, member, "Prepare", request, reply, func() error { return service.Handler().Prepare(request, reply) })
+			return *reply, err
+		},
+		func(member catalog.PlacementMember, reply PrepareReply) (string, bool) {
+			if reply.Refusal == "" {
+				proposer.OnPromise(member.ID, reply.Promise)
+			}
+			return reply.Refusal, proposer.Phase() != register.Preparing
+		})
+}
+
+func (service *Service) acceptAll(ctx context.Context, group []catalog.PlacementMember, proposer *register.Proposer) string {
+	message := proposer.Accept()
+	return broadcast(ctx, group,
+		func(member catalog.PlacementMember) (AcceptReply, error) {
+			request := AcceptRequest{To: member.ID, Message: message}
+			reply := &AcceptReply{}
+			err := service.send(ctx, member, "Accept", request, reply, func() error { return service.Handler().Accept(request, reply) })
+			return *reply, err
+		},
+		func(member catalog.PlacementMember, reply AcceptReply) (string, bool) {
+			if reply.Refusal == "" {
+				proposer.OnAccepted(member.ID, reply.Accepted)
+			}
+			return reply.Refusal, proposer.Phase() != register.Accepting
+		})
+}
+
+// send calls a keeper, or this daemon itself without the network.
+func (service *Service) send(ctx context.Context, member catalog.PlacementMember, method string, request, reply any, local func() error) error {
+	if member.ID == string(service.peers.Self().ID) {
+		return local()
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return service.pool.Call(ctx, member.Address, peer.Control, RPCName+"."+method, request, reply)
+}
+
+// broadcast sends to every member at once and hands the answers over one by
+// one, until handle says that it is done. It returns the last refusal.
+func broadcast[Reply any](ctx context.Context, group []catalog.PlacementMember, call func(catalog.PlacementMember) (Reply, error), handle func(catalog.PlacementMember, Reply) (string, bool)) string {
+	type answer struct {
+		member catalog.PlacementMember
+		reply  Reply
+		err    error
+	}
+	answers := make(chan answer, len(group))
+	for _, member := range group {
+		go func() {
+			reply, err := call(member)
+			answers <- answer{member: member, reply: reply, err: err}
+		}()
+	}
+	refusal := ""
+	for range group {
+		select {
+		case <-ctx.Done():
+			return refusal
+		case received := <-answers:
+			if received.err != nil {
+				continue
+			}
+			text, done := handle(received.member, received.reply)
+			if text != "" {
+				refusal = text
+			}
+			if done {
+				return refusal
+			}
+		}
+	}
+	return refusal
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/rollout/batch.go
@@ -0,0 +1,218 @@
+// Package rollout holds batches of samples: their identity, their parts
+// (chunks) and the cursor by which each sample is delivered exactly once.
+//
+// Everything here is pure; the daemon package moves it over the network.
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxSamples bounds the samples of one batch.
+	MaxSamples = 65_536
+	// MaxPromptBytes bounds one prompt.
+	MaxPromptBytes = 1 << 20
+	// MaxTokensLimit bounds the tokens of one sample.
+	MaxTokensLimit = 1 << 20
+	// maxNameBytes bounds a batch's name.
+	maxNameBytes = 128
+)
+
+// FieldError is a fault in one field of a request.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (fault *FieldError) Error() string { return fault.Field + ": " + fault.Reason }
+
+func fieldError(field, format string, arguments ...any) error {
+	return &FieldError{Field: field, Reason: fmt.Sprintf(format, arguments...)}
+}
+
+// Prompt is one prompt of a batch.
+type Prompt struct {
+	ID   string `json:"id"`
+	Text string `json:"text"`
+	// ExpectedTokens is the caller's guess of a sample's length, 0 for none.
+	// Prompts that are expected to run longest start first.
+	ExpectedTokens int `json:"expected_tokens,omitempty"`
+}
+
+// Request is what a trainer asks for.
+type Request struct {
+	Trainer          string   `json:"trainer"`
+	Name             string   `json:"name"`
+	Prompts          []Prompt `json:"prompts"`
+	SamplesPerPrompt int      `json:"samples_per_prompt"`
+	MaxTokens        int      `json:"max_tokens"`
+	Seed             uint64   `json:"seed"`
+	// MinVersion is the oldest weight version accepted at all, 0 for any.
+	MinVersion uint64 `json:"min_version,omitempty"`
+}
+
+// Check returns a *FieldError for the first fault.
+func (request Request) Check() error {
+	switch {
+	case request.Trainer == "":
+		return fieldError("trainer", "is required")
+	case request.Name == "":
+		return fieldError("name", "is required")
+	case len(request.Name) > maxNameBytes:
+		return fieldError("name", "has %d bytes, over the limit of %d", len(request.Name), maxNameBytes)
+	case len(request.Prompts) == 0:
+		return fieldError("prompts", "at least one is required")
+	case request.SamplesPerPrompt < 1:
+		return fieldError("samples_per_prompt", "%d is below 1", request.SamplesPerPrompt)
+	case request.SamplesPerPrompt > MaxSamples || len(request.Prompts) > MaxSamples/request.SamplesPerPrompt:
+		return fieldError("samples_per_prompt", "the batch has more than %d samples", MaxSamples)
+	case request.MaxTokens < 1 || request.MaxTokens > MaxTokensLimit:
+		return fieldError("max_tokens", "%d is not between 1 and %d", request.MaxTokens, MaxTokensLimit)
+	}
+	for _, character := range request.Name {
+		if character < '!' || character > '~' || character == '/' {
+			return fieldError("name", "must be printable ASCII without spaces and /")
+		}
+	}
+	return checkPrompts(request.Prompts)
+}
+
+func checkPrompts(prompts []Prompt) error {
+	seen := make(map[string]bool, len(prompts))
+	for i, prompt := range prompts {
+		field := fmt.Sprintf("prompts[%d]", i)
+		switch {
+		case prompt.ID == "":
+			return fieldError(field+".id", "is required")
+		case seen[prompt.ID]:
+			return fieldError(field+".id", "%q stands twice", prompt.ID)
+		case prompt.Text == "":
+			return fieldError(field+".text", "is required")
+		case len(prompt.Text) > MaxPromptBytes:
+			return fieldError(field+".text", "has %d bytes, over the limit of %d", len(prompt.Text), MaxPromptBytes)
+		case prompt.ExpectedTokens < 0:
+			return fieldError(field+".expected_tokens", "%d is negative", prompt.ExpectedTokens)
+		}
+		seen[prompt.ID] = true
+	}
+	return nil
+}
+
+// Header describes a batch without its prompts. It travels in the cursor, so
+// that any daemon can go on with a delivery.
+type Header struct {
+	Trainer string
+	Name    string
+	// Digest is a hash of the request: another content under the same name has
+	// another digest.
+	Digest       uint64
+	Samples      int
+	ChunkSamples int
+}
+
+// HeaderOf returns the header of a checked request. The daemon that first
+// takes in a batch chooses the chunk size, and the header carries it on.
+func HeaderOf(request Request, chunkSamples int) Header {
+	return Header{
+		Trainer:      request.Trainer,
+		Name:         request.Name,
+		Digest:       digestOf(request),
+		Samples:      len(request.Prompts) * request.SamplesPerPrompt,
+		ChunkSamples: chunkSamples,
+	}
+}
+
+func digestOf(request Request) uint64 {
+	encoded, err := json.Marshal(request)
+	if err != nil {
+		panic(errors.Wrap(err, "rollout: a request is always encodable"))
+	}
+	return xxhash.Sum64(encoded)
+}
+
+// Chunks returns the number of chunks.
+func (header Header) Chunks() int {
+	return (header.Samples + header.ChunkSamples - 1) / header.ChunkSamples
+}
+
+// ChunkID names a chunk of this batch.
+func (header Header) ChunkID(index int) ChunkID {
+	return ChunkID{Trainer: header.Trainer, Name: header.Name, Digest: header.Digest, Index: index}
+}
+
+// ChunkRange returns the sample indices [first, end) of a chunk.
+func (header Header) ChunkRange(index int) (first, end int) {
+	first = index * header.ChunkSamples
+	end = min(first+header.ChunkSamples, header.Samples)
+	return first, end
+}
+
+// ChunkID names one chunk of one batch.
+type ChunkID struct {
+	Trainer string
+	Name    string
+	Digest  uint64
+	Index   int
+}
+
+// PlacementKey ranks the daemons for a chunk. It leaves the digest out, so
+// that two contents under one name meet at the same daemon.
+func (id ChunkID) PlacementKey() string {
+	return fmt.Sprintf("chunk/%s/%s/%d", id.Trainer, id.Name, id.Index)
+}
+
+// String implements fmt.Stringer.
+func (id ChunkID) String() string {
+	return fmt.Sprintf("%s/%s/%d@%x", id.Trainer, id.Name, id.Index, id.Digest)
+}
+
+// SampleSpec is all that is needed to generate one sample.
+type SampleSpec struct {
+	Index    int
+	PromptID string
+	Prompt   string
+	Seed     uint64
+	Expected int
+}
+
+// ChunkSpec is all that is needed to generate a chunk.
+type ChunkSpec struct {
+	ID         ChunkID
+	Header     Header
+	MaxTokens  int
+	MinVersion uint64
+	Samples    []SampleSpec
+}
+
+// SpecOf returns the specification of one chunk of a request.
+func SpecOf(request Request, header Header, index int) ChunkSpec {
+	first, end := header.ChunkRange(index)
+	spec := ChunkSpec{
+		ID:         header.ChunkID(index),
+		Header:     header,
+		MaxTokens:  request.MaxTokens,
+		MinVersion: request.MinVersion,
+	}
+	for sample := first; sample < end; sample++ {
+		prompt := request.Prompts[sample/request.SamplesPerPrompt]
+		spec.Samples = append(spec.Samples, SampleSpec{
+			Index:    sample,
+			PromptID: prompt.ID,
+			Prompt:   prompt.Text,
+			Seed:     SampleSeed(request.Seed, sample),
+			Expected: prompt.ExpectedTokens,
+		})
+	}
+	return spec
+}
+
+// SampleSeed derives a sample's seed from the batch's.
+func SampleSeed(seed uint64, index int) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%d/%d", seed, index))
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,265 @@
+// Package settings reads and checks the settings of one daemon.
+//
+// Precedence is flags over file over defaults. A file is checked as a whole
+// before anything starts: Load returns every fault it finds, each naming its
+// key, and refuses keys it does not know.
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// Settings is the whole configuration of one daemon process. Policies are not
+// part of it: they come from the log service and are the same everywhere.
+type Settings struct {
+	// Name is the daemon's stable name, used in logs and as a prefix of its node identity.
+	Name string `yaml:"name"`
+	// Zone and Region place the daemon; they never change while it runs.
+	Zone   string `yaml:"zone"`
+	Region string `yaml:"region"`
+
+	Listen   Listen   `yaml:"listen"`
+	Platform Platform `yaml:"platform"`
+	// Seeds are peer addresses (IP:port) of other daemons, tried at start and
+	// again whenever the daemon knows no live peer.
+	Seeds []string `yaml:"seeds"`
+	// Operators may publish policies on the internal listener, also before
+	// the first policy is in force.
+	Operators []OperatorKey `yaml:"operators"`
+
+	Limits Limits `yaml:"limits"`
+	Timing Timing `yaml:"timing"`
+	Log    Log    `yaml:"log"`
+}
+
+// OperatorKey names an operator and the digest of the operator's key.
+type OperatorKey struct {
+	Name string `yaml:"name"`
+	// KeySHA256 is the lower-case hexadecimal SHA-256 of the bearer key.
+	KeySHA256 string `yaml:"key_sha256"`
+}
+
+// Listen holds the daemon's own addresses, each IP:port.
+type Listen struct {
+	Public   string `yaml:"public"`
+	Internal string `yaml:"internal"`
+	// Peer is also the source address of all connections to other daemons and
+	// to the platform.
+	Peer string `yaml:"peer"`
+	// AdvertisePeer is the address that other daemons should use, if it is not
+	// Peer itself.
+	AdvertisePeer string `yaml:"advertise_peer"`
+}
+
+// PeerAddress returns the address that other daemons use.
+func (listen Listen) PeerAddress() string {
+	if listen.AdvertisePeer != "" {
+		return listen.AdvertisePeer
+	}
+	return listen.Peer
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	LogURL         string `yaml:"log_url"`
+	MachineListURL string `yaml:"machine_list_url"`
+}
+
+// Limits bounds what one daemon holds at a time.
+type Limits struct {
+	// MaxBodyBytes is the largest request body accepted, in bytes.
+	MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	// MaxQueued is the most requests and samples waiting for a replica.
+	MaxQueued int `yaml:"max_queued"`
+	// MaxChunks is the most chunks of batches homed or backed up here.
+	MaxChunks int `yaml:"max_chunks"`
+	// MaxRecords is the most write-once records kept.
+	MaxRecords int `yaml:"max_records"`
+	// ChunkSamples is how many samples of a batch share one home daemon.
+	ChunkSamples int `yaml:"chunk_samples"`
+}
+
+// Timing holds the daemon's bounds in time.
+type Timing struct {
+	// ConfirmBound is how old the last confirmation of the policy may be
+	// before the daemon stops admitting new work.
+	ConfirmBound Duration `yaml:"confirm_bound"`
+	// StopGrace is the longest a planned stop waits for requests in flight.
+	StopGrace Duration `yaml:"stop_grace"`
+	// RecordRetention is how long a request key is remembered; a key older
+	// than this is refused.
+	RecordRetention Duration `yaml:"record_retention"`
+	// BatchRetention is how long a finished or unread batch is kept after its last pull.
+	BatchRetention Duration `yaml:"batch_retention"`
+	// PollInterval is how often an owned replica is asked for its state.
+	PollInterval Duration `yaml:"poll_interval"`
+}
+
+// Log holds logging settings.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `yaml:"level"`
+}
+
+// Duration is a time.Duration written as text ("1.5s") in YAML.
+type Duration time.Duration
+
+// UnmarshalYAML implements yaml.Unmarshaler.
+func (duration *Duration) UnmarshalYAML(node *yaml.Node) error {
+	parsed, err := time.ParseDuration(node.Value)
+	if err != nil {
+		return errors.Errorf("line %d: %q is not a duration such as 5s", node.Line, node.Value)
+	}
+	*duration = Duration(parsed)
+	return nil
+}
+
+// MarshalYAML implements yaml.Marshaler.
+func (duration Duration) MarshalYAML() (any, error) {
+	return time.Duration(duration).String(), nil
+}
+
+// Std returns the value as a time.Duration.
+func (duration Duration) Std() time.Duration { return time.Duration(duration) }
+
+// Defaults returns the settings used where the file and the flags say nothing.
+func Defaults() Settings {
+	return Settings{
+		Limits: Limits{
+			MaxBodyBytes: 8 << 20,
+			MaxQueued:    4096,
+			MaxChunks:    4096,
+			MaxRecords:   200_000,
+			ChunkSamples: 16,
+		},
+		Timing: Timing{
+			ConfirmBound:    Duration(4 * time.Second),
+			StopGrace:       Duration(2 * time.Minute),
+			RecordRetention: Duration(10 * time.Minute),
+			BatchRetention:  Duration(30 * time.Minute),
+			PollInterval:    Duration(200 * time.Millisecond),
+		},
+		Log: Log{Level: "info"},
+	}
+}
+
+// Fault is one wrong setting.
+type Fault struct {
+	Key    string
+	Reason string
+}
+
+// Error implements error.
+func (fault Fault) Error() string { return fmt.Sprintf("%s: %s", fault.Key, fault.Reason) }
+
+// Faults is every fault found in one settings file. It is the error that Load
+// and Check return when a value is wrong.
+type Faults []Fault
+
+// Error implements error with all faults on one line.
+func (faults Faults) Error() string {
+	texts := make([]string, len(faults))
+	for i, fault := range faults {
+		texts[i] = fault.Error()
+	}
+	return "settings: " + strings.Join(texts, "; ")
+}
+
+// Load reads the file at path over the defaults. It does not check values, so
+// that flags can still replace them; call Check afterwards.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings: cannot read file")
+	}
+	return Parse(content)
+}
+
+// Parse decodes YAML content over the defaults. Unknown keys and wrong types
+// are refused, all of them in one error.
+func Parse(content []byte) (Settings, error) {
+	loaded := Defaults()
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	err := decoder.Decode(&loaded)
+	if err == nil || errors.Is(err, io.EOF) {
+		return loaded, nil
+	}
+	var typeError *yaml.TypeError
+	if errors.As(err, &typeError) {
+		return Settings{}, errors.Errorf("settings: %s", strings.Join(typeError.Errors, "; "))
+	}
+	return Settings{}, errors.Errorf("settings: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+}
+
+var digestPattern = regexp.MustCompile("^[0-9a-f]{64}$")
+
+// Check returns nil or a Faults value with every wrong setting.
+func (loaded Settings) Check() error {
+	var faults Faults
+	require := func(holds bool, key, reason string) {
+		if !holds {
+			faults = append(faults, Fault{Key: key, Reason: reason})
+		}
+	}
+	require(loaded.Name != "", "name", "is required")
+	require(!strings.ContainsAny(loaded.Name, " /#"), "name", "must not contain a space, / or #")
+	require(loaded.Zone != "", "zone", "is required")
+	require(loaded.Region != "", "region", "is required")
+	checkAddress := func(address, key string) {
+		parsed, err := netip.ParseAddrPort(address)
+		require(err == nil, key, fmt.Sprintf("%q is not an IP address with a port", address))
+		require(err != nil || parsed.Port() != 0, key, "port must not be 0")
+	}
+	checkAddress(loaded.Listen.Public, "listen.public")
+	checkAddress(loaded.Listen.Internal, "listen.internal")
+	checkAddress(loaded.Listen.Peer, "listen.peer")
+	if loaded.Listen.AdvertisePeer != "" {
+		checkAddress(loaded.Listen.AdvertisePeer, "listen.advertise_peer")
+	}
+	for i, seed := range loaded.Seeds {
+		checkAddress(seed, fmt.Sprintf("seeds[%d]", i))
+	}
+	for i, operator := range loaded.Operators {
+		require(operator.Name != "", fmt.Sprintf("operators[%d].name", i), "is required")
+		require(digestPattern.MatchString(operator.KeySHA256), fmt.Sprintf("operators[%d].key_sha256", i), "must be 64 lower-case hexadecimal digits")
+	}
+	checkURL := func(url, key string) {
+		holds := strings.HasPrefix(url, "http://") || strings.HasPrefix(url, "https://")
+		require(holds, key, fmt.Sprintf("%q must start with http:// or https://", url))
+	}
+	checkURL(loaded.Platform.LogURL, "platform.log_url")
+	checkURL(loaded.Platform.MachineListURL, "platform.machine_list_url")
+	require(loaded.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "must be above 0")
+	require(loaded.Limits.MaxQueued > 0, "limits.max_queued", "must be above 0")
+	require(loaded.Limits.MaxChunks > 0, "limits.max_chunks", "must be above 0")
+	require(loaded.Limits.MaxRecords > 0, "limits.max_records", "must be above 0")
+	require(loaded.Limits.ChunkSamples > 0, "limits.chunk_samples", "must be above 0")
+	checkPositive := func(duration Duration, key string) {
+		require(duration > 0, key, "must be above 0s")
+	}
+	checkPositive(loaded.Timing.ConfirmBound, "timing.confirm_bound")
+	checkPositive(loaded.Timing.StopGrace, "timing.stop_grace")
+	checkPositive(loaded.Timing.RecordRetention, "timing.record_retention")
+	checkPositive(loaded.Timing.BatchRetention, "timing.batch_retention")
+	checkPositive(loaded.Timing.PollInterval, "timing.poll_interval")
+	switch loaded.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		require(false, "log.level", fmt.Sprintf("%q is not debug, info, warn or error", loaded.Log.Level))
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/swaps/swaps.go
@@ -0,0 +1,139 @@
+// Package swaps makes the engines that this daemon owns load the weight
+// versions that the trainers announced, in waves.
+package swaps
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/announce"
+	"woodworks/internal/backend/engine"
+	"woodworks/internal/fleet"
+	"woodworks/internal/policy"
+	"woodworks/internal/weights"
+)
+
+const (
+	checkInterval = 100 * time.Millisecond
+	// wavePercent is the share of a service's replicas that swap at a time.
+	wavePercent = 34
+	// reorderAfter is how long an order is given to show in the engine's late
+	// report before it is sent again.
+	reorderAfter = 2 * time.Second
+)
+
+// Policies gives the policies in force.
+type Policies interface{ Policy() *policy.Set }
+
+// Swapper is driven by one goroutine.
+type Swapper struct {
+	fleet    *fleet.Fleet
+	board    *announce.Board
+	policies Policies
+	logger   *zap.Logger
+	ordered  map[string]order
+}
+
+type order struct {
+	target weights.Target
+	at     time.Time
+}
+
+// New returns a swapper.
+func New(owned *fleet.Fleet, board *announce.Board, policies Policies, logger *zap.Logger) *Swapper {
+	return &Swapper{fleet: owned, board: board, policies: policies, logger: logger, ordered: map[string]order{}}
+}
+
+// Run orders swaps until the context ends.
+func (swapper *Swapper) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			swapper.check(ctx)
+		}
+	}
+}
+
+func (swapper *Swapper) check(ctx context.Context) {
+	ownedByService := map[string]map[string]bool{}
+	for _, machine := range swapper.fleet.Owned() {
+		if ownedByService[machine.Service] == nil {
+			ownedByService[machine.Service] = map[string]bool{}
+		}
+		ownedByService[machine.Service][machine.Name] = true
+	}
+	set := swapper.policies.Policy()
+	for service, owned := range ownedByService {
+		if set.Services[service].Kind == policy.EngineService {
+			swapper.checkService(ctx, set, service, owned)
+		}
+	}
+}
+
+// checkService plans for all replicas of a service and orders the owned ones.
+func (swapper *Swapper) checkService(ctx context.Context, set *policy.Set, service string, owned map[string]bool) {
+	replicas := swapper.fleet.Table.Replicas(time.Now(), service)
+	planned := make([]weights.Replica, len(replicas))
+	for i, replica := range replicas {
+		planned[i] = weights.Replica{
+			Name:    replica.Machine.Name,
+			Model:   replica.State.Model,
+			Version: replica.State.Version,
+			Loading: replica.State.Loading,
+			Usable:  replica.Usable && !replica.Leaving,
+		}
+	}
+	targets := weights.Assign(planned, swapper.demands(set, service))
+	limit := weights.WaveLimit(len(targets), wavePercent)
+	for i, replica := range planned {
+		target, assigned := targets[replica.Name]
+		if !assigned || !owned[replica.Name] || !weights.NeedsSwap(replica, target) {
+			continue
+		}
+		if weights.MaySwap(replica.Name, planned, targets, limit) {
+			swapper.order(ctx, replicas[i], target)
+		}
+	}
+}
+
+// demands returns the trainers of a service that have announced weights.
+func (swapper *Swapper) demands(set *policy.Set, service string) []weights.Demand {
+	var demands []weights.Demand
+	for _, trainer := range set.TrainersOf(service) {
+		version, artifact := swapper.board.TrainerVersionOf(trainer.Name)
+		if version == 0 {
+			continue
+		}
+		demands = append(demands, weights.Demand{Trainer: trainer.Name, Share: trainer.Share, Version: version, Artifact: artifact})
+	}
+	return demands
+}
+
+// order sends a load order, unless the same one was sent a moment ago.
+func (swapper *Swapper) order(ctx context.Context, replica fleet.Replica, target weights.Target) {
+	name := replica.Machine.Name
+	last := swapper.ordered[name]
+	if last.target == target && time.Since(last.at) < reorderAfter {
+		return
+	}
+	fence, err := swapper.fleet.Claim(ctx, replica)
+	client := swapper.fleet.Table.Client(name)
+	if err != nil || client == nil {
+		return
+	}
+	_, err = client.Load(ctx, engine.LoadRequest{Fence: fence, Model: target.Trainer, Version: target.Version, Artifact: target.Artifact})
+	if errors.Is(err, engine.ErrFenced) {
+		swapper.fleet.Forget(name)
+		return
+	}
+	swapper.ordered[name] = order{target: target, at: time.Now()}
+	swapper.logger.Info("swap ordered", zap.String("machine", name), zap.String("trainer", target.Trainer),
+		zap.Uint64("version", target.Version), zap.Bool("answered", err == nil))
+}
