Tell the truth about keyed requests refused before their permit

The third try could not reach a majority of the record keepers and was refused as not executed. That was true of the third try only; the key's first try had run. Ruled out: a doubled or late send (the back end's ledger shows one execution, by the first holder).

A refusal before the permit now says unknown, with this_try = not_sent, for any request that carries a key, also at admission. Not executed is said only where the record shows a try that was given up.

Ruled out: the daemon joining frames twice (tokens were true at every position). The stand-in now ends at once, and a daemon finishes a sample that has reached its token limit by itself.

Records lost with a majority of their keepers are now named as such, not as expired keys.

Conclusion: the key names the request, so outcomes speak about all its tries.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo lint
+.PHONY: build test lint demo chaos
 
 build:
 	go build -o bin/ ./cmd/woodworks ./cmd/woodworks-lab
@@ -15,3 +15,10 @@
 # A floor of separate processes on loopback, once through its paces.
 demo: build
 	./bin/woodworks-lab demo
+
+# The same floor under a seeded schedule of faults.
+SEED ?= 1
+DURATION ?= 40s
+SITE ?= operator
+chaos: build
+	./bin/woodworks-lab chaos --seed $(SEED) --duration $(DURATION) --site $(SITE)
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -233,11 +233,11 @@
 		return failed(Unknown, CodeKeyExpired, 0, "the request key is older than %s; whether it ran is no longer known", sender.bounds.Retention)
 	}
 	if request.Key.IssuedAt.Sub(now) > sender.bounds.ClockSkew {
-		return failed(NotExecuted, CodeKeyMalformed, 0, "the request key's time is in the future")
+		return failed(NotExecuted, CodeKeyMalformed, 0, "the request key's time is in the future").forKey()
 	}
 	open, outcome := sender.reach(ctx, request, nil)
 	if outcome != nil {
-		return *outcome
+		return outcome.forKey()
 	}
 	attemptID := sender.newAttemptID()
 	sender.kept.open(attemptID)
@@ -270,16 +270,23 @@
 	return outcome
 }
 
-// giveUpPermit ends an attempt whose permit could not be decided. It may still
-// be decided in this daemon's favour, but the daemon will never use it: the
-// request is not executed.
+// giveUpPermit ends an attempt whose permit could not be decided. Should it
+// still be decided in this daemon's favour, the daemon will never use it, so
+// whoever finds that decision may say that the request was not executed. Until
+// then an earlier try may hold the permit, and nothing is certain.
 func (sender *Sender) giveUpPermit(attemptID string, err error) Outcome {
-	outcome := failed(NotExecuted, CodeRecordsBusy, defaultRetryAfter, "the permit to send could not be decided: %v", err)
-	if errors.Is(err, records.ErrKeyUnusable) {
-		outcome = failed(Unknown, CodeKeyExpired, 0, "the request key cannot be used: %v", err)
+	abandoned := failed(NotExecuted, CodeRecordsBusy, defaultRetryAfter, "the permit to send could not be decided: %v", err)
+	sender.kept.close(attemptID, abandoned)
+	switch {
+	case errors.Is(err, records.ErrKeyExpired):
+		return failed(Unknown, CodeKeyExpired, 0, "the request key is too old: %v", err)
+	case errors.Is(err, records.ErrRecordsLost):
+		outcome := failed(Unknown, CodeRecordsLost, sender.bounds.ClockSkew, "records were lost a moment ago; whether an earlier try ran is not known, and keys issued from now on can be used soon")
+		outcome.NotSent = true
+		return outcome
+	default:
+		return abandoned.forKey()
 	}
-	sender.kept.close(attemptID, outcome)
-	return outcome
 }
 
 // outcomeElsewhere returns what became of the try that holds the permit.
--- a/internal/calls/outcome.go
+++ b/internal/calls/outcome.go
@@ -39,6 +39,7 @@
 	CodeUnconfirmed    Code = "configuration_not_confirmed"
 	CodeKeyReused      Code = "key_reused_with_other_content"
 	CodeKeyExpired     Code = "key_expired"
+	CodeRecordsLost    Code = "records_lost"
 	CodeKeyMalformed   Code = "key_malformed"
 	CodeRecordsBusy    Code = "records_unavailable"
 	CodeHolderGone     Code = "earlier_try_lost"
@@ -52,6 +53,10 @@
 	Answer  plain.Answer
 	Code    Code
 	Message string
+	// NotSent is set on an Unknown outcome of a request with a key if this try
+	// was not sent: an earlier try with the key may have run, and it is safe to
+	// come back with the same key.
+	NotSent bool
 	// RetryAfter is when to come back, for an outcome that is not Completed.
 	RetryAfter time.Duration
 }
@@ -94,6 +99,17 @@
 	maxKeptBytes = 32 << 20
 )
 
+// forKey restates a refusal that came before the permit was decided. It is
+// true of this try only: an earlier try with the same key, unknown here, may
+// have run or run yet, so the request must not be called not executed.
+func (outcome Outcome) forKey() Outcome {
+	if outcome.Result == NotExecuted {
+		outcome.Result = Unknown
+		outcome.NotSent = true
+	}
+	return outcome
+}
+
 // attempt is one permit held by this daemon and what became of it.
 type attempt struct {
 	done    chan struct{}
--- a/internal/chunkhome/generate.go
+++ b/internal/chunkhome/generate.go
@@ -101,6 +101,10 @@
 var errStale = errors.New("chunks: sample has become too stale")
 
 func (home *Home) generate(ctx context.Context, one *held, trainer policy.Trainer, spec rollout.SampleSpec, try string, partial rollout.Partial) (engine.EndReason, error) {
+	if len(partial.Tokens) >= one.chunk.Spec.MaxTokens {
+		// The earlier try broke between its last token and its end mark.
+		return engine.EndLength, nil
+	}
 	grant, err := home.dispatcher.Acquire(ctx, dispatch.Request{
 		Service:    trainer.Service,
 		Class:      trainer.Class,
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -69,6 +69,11 @@
 // audience and bound, and, for new work, a confirmed configuration.
 func (gateway *Gateway) admit(audience policy.Audience, newWork bool, next handler) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
+		if gateway.stopping.Load() {
+			// Clients then drop the connection before the listener closes it
+			// under a request that is on its way.
+			writer.Header().Set("Connection", "close")
+		}
 		caller, known := gateway.authenticate(request, audience)
 		if !known || (caller.Audience == policy.Internal && audience == policy.Public) {
 			writer.Header().Set("WWW-Authenticate", "Bearer")
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -20,12 +20,19 @@
 	Message string `json:"message"`
 	// Field names the faulty field of a bad request.
 	Field string `json:"field,omitempty"`
-	// Outcome is not_executed or unknown.
+	// Outcome is not_executed or unknown. It speaks of the request: for one
+	// with a key, of all tries with that key.
 	Outcome calls.Result `json:"outcome"`
+	// ThisTry is "not_sent" where the outcome of a request with a key is
+	// unknown only because an earlier try with the key may have run.
+	ThisTry string `json:"this_try,omitempty"`
 	// RetryAfterMillis is when to come back, 0 where it would not help.
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
 }
 
+// notSent is the value of Problem.ThisTry.
+const notSent = "not_sent"
+
 type problemBody struct {
 	Error Problem `json:"error"`
 }
@@ -34,6 +41,10 @@
 func writeProblem(writer http.ResponseWriter, status int, problem Problem) {
 	if problem.Outcome == "" {
 		problem.Outcome = calls.NotExecuted
+		if recorded, isRecorder := writer.(*recorder); isRecorder && recorded.keyed {
+			problem.Outcome = calls.Unknown
+			problem.ThisTry = notSent
+		}
 	}
 	if problem.RetryAfterMillis > 0 {
 		seconds := math.Ceil(float64(problem.RetryAfterMillis) / 1000)
@@ -75,7 +86,7 @@
 	case calls.CodeKeyExpired:
 		return http.StatusGone
 	}
-	if outcome.Result == calls.Unknown {
+	if outcome.Result == calls.Unknown && !outcome.NotSent {
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
@@ -83,12 +94,16 @@
 
 func writeOutcome(writer http.ResponseWriter, outcome calls.Outcome) {
 	if outcome.Result != calls.Completed {
-		writeProblem(writer, statusOf(outcome), Problem{
+		problem := Problem{
 			Code:             string(outcome.Code),
 			Message:          outcome.Message,
 			Outcome:          outcome.Result,
 			RetryAfterMillis: outcome.RetryAfter.Milliseconds(),
-		})
+		}
+		if outcome.NotSent {
+			problem.ThisTry = notSent
+		}
+		writeProblem(writer, statusOf(outcome), problem)
 		return
 	}
 	header := writer.Header()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,10 +123,12 @@
 	return routes
 }
 
-// recorder remembers the status for the metrics.
+// recorder remembers the status for the metrics, and whether the request
+// carries a key, which a refusal must take into account.
 type recorder struct {
 	http.ResponseWriter
 	status int
+	keyed  bool
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -146,7 +148,7 @@
 func (gateway *Gateway) route(method, path string, next http.HandlerFunc) rest.Route {
 	return rest.Route{Method: method, Path: path, Handler: func(writer http.ResponseWriter, request *http.Request) {
 		startedAt := time.Now()
-		recorded := &recorder{ResponseWriter: writer, status: http.StatusOK}
+		recorded := &recorder{ResponseWriter: writer, status: http.StatusOK, keyed: request.Header.Get(KeyHeader) != ""}
 		next(recorded, request)
 		outcome := writer.Header().Get(OutcomeHeader)
 		gateway.parts.Metrics.Request(method+" "+path, strconv.Itoa(recorded.status), outcome, time.Since(startedAt))
@@ -160,19 +162,22 @@
 type statusWord struct {
 	Status string `json:"status"`
 	Reason string `json:"reason,omitempty"`
+	// ConfigOffset is the configuration in force when the word was true.
+	ConfigOffset uint64 `json:"config_offset"`
 }
 
 func (gateway *Gateway) ready(writer http.ResponseWriter, _ *http.Request) {
+	// The offset is read first: it can only be older than the word.
+	offset := gateway.catalog.State().Offset
+	ready, reason := gateway.parts.Ready()
 	if gateway.stopping.Load() {
-		writeJSON(writer, http.StatusServiceUnavailable, statusWord{Status: "not_ready", Reason: "stopping"})
-		return
+		ready, reason = false, "stopping"
 	}
-	ready, reason := gateway.parts.Ready()
 	if !ready {
-		writeJSON(writer, http.StatusServiceUnavailable, statusWord{Status: "not_ready", Reason: reason})
+		writeJSON(writer, http.StatusServiceUnavailable, statusWord{Status: "not_ready", Reason: reason, ConfigOffset: offset})
 		return
 	}
-	writeJSON(writer, http.StatusOK, statusWord{Status: "ready"})
+	writeJSON(writer, http.StatusOK, statusWord{Status: "ready", ConfigOffset: offset})
 }
 
 // InFlight returns the number of requests being answered.
--- a/internal/lab/enginestand/enginestand.go
+++ b/internal/lab/enginestand/enginestand.go
@@ -79,6 +79,8 @@
 	// LeavingFor is for how long the engine had been leaving, in milliseconds;
 	// -1 if it was not.
 	LeavingFor int64 `json:"leaving_for_ms"`
+	// At is when it began, in Unix milliseconds.
+	At int64 `json:"at_ms"`
 }
 
 // Faults is what the engine suffers from.
--- a/internal/lab/enginestand/orders.go
+++ b/internal/lab/enginestand/orders.go
@@ -225,13 +225,13 @@
 	if one.state.Leaving {
 		leavingFor = time.Since(one.leavingSince).Milliseconds()
 	}
-	one.ledger = append(one.ledger, Start{ID: wanted.ID, LeavingFor: leavingFor})
+	one.ledger = append(one.ledger, Start{ID: wanted.ID, LeavingFor: leavingFor, At: time.Now().UnixMilli()})
 	one.arrivals++
 	length := truth.Length(wanted.Prompt, wanted.Seed, one.config.MedianTokens)
 	held := &stream{
 		request: wanted,
 		arrived: one.arrivals,
-		total:   max(length-len(wanted.Prefix), 1),
+		total:   max(length-len(wanted.Prefix), 0),
 		frames:  make(chan engine.Frame, frameBuffer),
 		gone:    gone,
 	}
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -17,6 +17,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"woodworks/internal/httpserver"
+	"woodworks/internal/lab/chaos"
 	"woodworks/internal/lab/demo"
 	"woodworks/internal/lab/enginestand"
 	"woodworks/internal/lab/logstand"
@@ -39,6 +40,7 @@
 	woodworks string
 	logs      string
 	duration  time.Duration
+	quiet     bool
 	stdout    io.Writer
 }
 
@@ -107,12 +109,16 @@
 		node.Duration(&chosen.engine.StepPerStream, "", "stream-step", "time that each stream adds to a step")
 		node.Duration(&chosen.engine.SwapTime, "", "swap-time", "time of a weight swap")
 	}
-	runs := []*flaggy.Subcommand{add("demo", "run a small floor once through its paces", runDemo)}
+	runs := []*flaggy.Subcommand{
+		add("demo", "run a small floor once through its paces", runDemo),
+		add("chaos", "run a floor under a seeded schedule of faults", runChaos),
+	}
 	for _, node := range runs {
 		node.String(&chosen.site, "", "site", "operator or qarmoud")
 		node.String(&chosen.woodworks, "", "woodworks", "path of the woodworks program")
 		node.String(&chosen.logs, "", "logs", "directory for the processes' logs")
-		node.Duration(&chosen.duration, "", "duration", "length of the run")
+		node.Duration(&chosen.duration, "", "duration", "length of the run, where it can be chosen")
+		node.Bool(&chosen.quiet, "", "quiet", "print only the result")
 	}
 	return commands
 }
@@ -189,3 +195,18 @@
 		Output: chosen.stdout, KeepLogs: chosen.logs,
 	})
 }
+
+func runChaos(chosen *options) error {
+	woodworks, lab, err := chosen.programs()
+	if err != nil {
+		return err
+	}
+	const defaultDuration = 40 * time.Second
+	if chosen.duration == 0 {
+		chosen.duration = defaultDuration
+	}
+	return chaos.Run(chaos.Options{
+		Site: demo.ByName(chosen.site), Woodworks: woodworks, Lab: lab, Seed: chosen.seed,
+		Duration: chosen.duration, Output: chosen.stdout, Logs: chosen.logs, Quiet: chosen.quiet,
+	})
+}
--- a/internal/lab/plainstand/plainstand.go
+++ b/internal/lab/plainstand/plainstand.go
@@ -26,6 +26,8 @@
 	// LeavingFor is for how long the back end had been leaving, in
 	// milliseconds; -1 if it was not.
 	LeavingFor int64 `json:"leaving_for_ms"`
+	// At is when it began, in Unix milliseconds.
+	At int64 `json:"at_ms"`
 }
 
 // Reply is the back end's answer; Echo shows whose request it answers.
@@ -140,7 +142,7 @@
 	if backend.faults.Leaving {
 		leavingFor = time.Since(backend.leavingSince).Milliseconds()
 	}
-	backend.ledger = append(backend.ledger, Execution{Operation: operation, Attempt: attempt, Body: body, LeavingFor: leavingFor})
+	backend.ledger = append(backend.ledger, Execution{Operation: operation, Attempt: attempt, Body: body, LeavingFor: leavingFor, At: time.Now().UnixMilli()})
 	backend.running++
 	cut = backend.random.Float64() < backend.faults.CloseAfterRead
 	truncate = backend.random.Float64() < backend.faults.Truncate
--- a/internal/lab/workload/clients.go
+++ b/internal/lab/workload/clients.go
@@ -11,6 +11,7 @@
 	"woodworks/internal/calls"
 	"woodworks/internal/client"
 	"woodworks/internal/lab/plainstand"
+	"woodworks/internal/lab/truth"
 )
 
 // Told is what a caller was told of one non-repeatable request.
@@ -34,9 +35,13 @@
 	Internal   []*client.Client
 	Ledger     *Ledger
 	Statistics *Statistics
-	Pause      time.Duration
-	Workers    int
-	Seed       uint64
+	// Trainer and Streams, if given, are used to stream single samples.
+	Trainer      string
+	Streams      []*client.Client
+	MedianTokens int
+	Pause        time.Duration
+	Workers      int
+	Seed         uint64
 
 	mutex sync.Mutex
 	told  []*Told
@@ -59,6 +64,10 @@
 	random := rand.New(rand.NewPCG(callers.Seed, uint64(worker)))
 	for number := 0; ctx.Err() == nil; number++ {
 		body := fmt.Sprintf("%d/%d/%d", callers.Seed, worker, number)
+		if len(callers.Streams) > 0 && random.IntN(10) == 0 {
+			callers.stream(callers.pick(random, callers.Streams), body, random.Uint64())
+			continue
+		}
 		switch random.IntN(4) {
 		case 0:
 			callers.lookup(callers.pick(random, callers.Public), "lookup", body)
@@ -108,6 +117,30 @@
 	callers.send(daemon, kind, callers.Lookup, "", body)
 }
 
+// streamMaxTokens bounds a streamed sample.
+const streamMaxTokens = 200
+
+// stream asks for one sample and checks that it is whole and true.
+func (callers *Callers) stream(daemon *client.Client, body string, seed uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	sample, err := daemon.Stream(ctx, client.SampleRequest{Trainer: callers.Trainer, Prompt: body, Seed: seed, MaxTokens: streamMaxTokens})
+	if err != nil {
+		code := "no_answer"
+		if problem, answered := client.AsProblem(err); answered {
+			code = problem.Problem.Code
+		}
+		callers.Statistics.refusal("stream_" + code)
+		return
+	}
+	callers.Statistics.latency("stream", time.Since(startedAt))
+	truthful, position := Truthful(callers.Trainer, body, seed, sample.Tokens, sample.Segments)
+	callers.Ledger.Check(TruthfulVersions, truthful, "stream %s: token %d does not come from the named version", body, position)
+	want := min(truth.Length(body, seed, callers.MedianTokens), streamMaxTokens)
+	callers.Ledger.Check(WholeAnswers, len(sample.Tokens) == want, "stream %s: %d tokens, want %d", body, len(sample.Tokens), want)
+}
+
 func (callers *Callers) remember(told *Told) {
 	callers.mutex.Lock()
 	defer callers.mutex.Unlock()
--- a/internal/lab/workload/ledger.go
+++ b/internal/lab/workload/ledger.go
@@ -81,28 +81,30 @@
 	return total, append([]string{}, ledger.details...)
 }
 
-// CheckSample checks one delivered sample against the truth. The version is
-// the one that the trainer trained when it asked.
-func (ledger *Ledger) CheckSample(request rollout.Request, sample rollout.Result, medianTokens int, bound, version uint64) {
-	prompt := request.Prompts[sample.Index/request.SamplesPerPrompt]
-	name := fmt.Sprintf("%s sample %d", request.Name, sample.Index)
-	seed := rollout.SampleSeed(request.Seed, sample.Index)
+// Truthful reports whether every token comes from the version that its segment
+// names, and which position is the first that does not.
+func Truthful(model, prompt string, seed uint64, tokens []uint32, segments []rollout.Segment) (bool, int) {
 	position := 0
-	truthful := true
-	oldest := uint64(0)
-	for _, segment := range sample.Segments {
-		if oldest == 0 || segment.Version < oldest {
-			oldest = segment.Version
-		}
+	for _, segment := range segments {
 		for range segment.Tokens {
-			if position >= len(sample.Tokens) || sample.Tokens[position] != truth.Token(request.Trainer, prompt.Text, seed, segment.Version, position) {
-				truthful = false
-				break
+			if position >= len(tokens) || tokens[position] != truth.Token(model, prompt, seed, segment.Version, position) {
+				return false, position
 			}
 			position++
 		}
 	}
-	ledger.Check(TruthfulVersions, truthful && position == len(sample.Tokens), "%s: token %d does not come from the named version", name, position)
+	return position == len(tokens), position
+}
+
+// CheckSample checks one delivered sample against the truth. The version is
+// the one that the trainer trained when it asked.
+func (ledger *Ledger) CheckSample(request rollout.Request, sample rollout.Result, medianTokens int, bound, version uint64) {
+	prompt := request.Prompts[sample.Index/request.SamplesPerPrompt]
+	name := fmt.Sprintf("%s sample %d", request.Name, sample.Index)
+	seed := rollout.SampleSeed(request.Seed, sample.Index)
+	truthful, position := Truthful(request.Trainer, prompt.Text, seed, sample.Tokens, sample.Segments)
+	oldest := sample.OldestVersion()
+	ledger.Check(TruthfulVersions, truthful, "%s: token %d does not come from the named version", name, position)
 	ledger.Check(BoundedStaleness, oldest+bound >= version, "%s: version %d while version %d is trained with bound %d", name, oldest, version, bound)
 	want := min(truth.Length(prompt.Text, seed, medianTokens), request.MaxTokens)
 	ledger.Check(WholeAnswers, len(sample.Tokens) == want && sample.PromptID == prompt.ID, "%s: %d tokens, want %d", name, len(sample.Tokens), want)
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -37,9 +37,12 @@
 	// ErrNoMajority means that too few keepers of the key answered in time.
 	// The record may or may not have been decided.
 	ErrNoMajority = errors.New("records: no majority of the keepers answered")
-	// ErrKeyUnusable means that an earlier decision on the key may have been
-	// dropped or lost: whether the request ran is not known.
-	ErrKeyUnusable = errors.New("records: key can no longer be used")
+	// ErrKeyExpired means that the key is older than records are kept: whether
+	// the request ran is not known.
+	ErrKeyExpired = errors.New("records: key is too old")
+	// ErrRecordsLost means that an earlier decision on the key may have been
+	// lost with a majority of its keepers. Keys issued later can be used.
+	ErrRecordsLost = errors.New("records: an earlier record of the key may be lost")
 	// ErrFull means that the keepers hold as many records as they may.
 	ErrFull = errors.New("records: keepers are full")
 )
@@ -294,8 +297,10 @@
 // finalError returns the error for a refusal where trying again cannot help.
 func finalError(refusal string) error {
 	switch refusal {
-	case register.ErrExpired.Error(), register.ErrRecordsLost.Error():
-		return errors.Wrap(ErrKeyUnusable, refusal)
+	case register.ErrExpired.Error():
+		return ErrKeyExpired
+	case register.ErrRecordsLost.Error():
+		return ErrRecordsLost
 	case register.ErrFull.Error():
 		return errors.Wrap(ErrFull, refusal)
 	default:
--- a/internal/samplestream/samplestream.go
+++ b/internal/samplestream/samplestream.go
@@ -100,6 +100,10 @@
 
 // try streams from one engine; sent reports whether it may have been reached.
 func (streamer *Streamer) try(ctx context.Context, request Request, partial *rollout.Partial, onFrame func(engine.Frame)) (end engine.EndReason, sent bool, err error) {
+	if len(partial.Tokens) >= request.MaxTokens {
+		// The earlier try broke between its last token and its end mark.
+		return engine.EndLength, true, nil
+	}
 	grant, err := streamer.dispatcher.Acquire(ctx, dispatch.Request{
 		Service:    request.Trainer.Service,
 		Class:      request.Trainer.Class,
