--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -51,9 +51,14 @@
 // Invariant: the machine's own record is always alive, with a refutation
 // higher than any that was told with another health.
 type Machine struct {
-	config     Config
-	self       NodeID
-	records    map[NodeID]*record
+	config  Config
+	self    NodeID
+	records map[NodeID]*record
+	// byAddress holds the runs known at each address.
+	byAddress map[string]map[NodeID]bool
+	// ordered caches the members by ID, nil after a change. It is never
+	// changed in place, as callers hold it.
+	ordered    []Member
 	digest     Digest
 	random     *rand.Rand
 	probeOrder []NodeID
@@ -66,10 +71,11 @@
 func NewMachine(config Config, self Member, now time.Time, seed uint64) *Machine {
 	self.Health = Alive
 	machine := &Machine{
-		config:  config,
-		self:    self.ID,
-		records: map[NodeID]*record{},
-		random:  rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		config:    config,
+		self:      self.ID,
+		records:   map[NodeID]*record{},
+		byAddress: map[string]map[NodeID]bool{},
+		random:    rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 	}
 	machine.put(self, now)
 	return machine
@@ -86,12 +92,22 @@
 	}
 	machine.digest[bucket] ^= member.hash()
 	machine.records[member.ID] = &record{member: member, changedAt: now}
+	if machine.byAddress[member.Address] == nil {
+		machine.byAddress[member.Address] = map[NodeID]bool{}
+	}
+	machine.byAddress[member.Address][member.ID] = true
+	machine.ordered = nil
 }
 
 func (machine *Machine) remove(id NodeID) {
 	held := machine.records[id]
 	machine.digest[bucketOf(id)] ^= held.member.hash()
 	delete(machine.records, id)
+	delete(machine.byAddress[held.member.Address], id)
+	if len(machine.byAddress[held.member.Address]) == 0 {
+		delete(machine.byAddress, held.member.Address)
+	}
+	machine.ordered = nil
 }
 
 // Leave marks the daemon itself as leaving.
@@ -291,21 +307,21 @@
 // supersede marks older generations at an address as gone once a newer one is
 // known: only one process can listen there.
 func (machine *Machine) supersede(now time.Time, told []Member) []Member {
-	newest := map[string]uint64{}
-	for _, member := range told {
-		if member.Generation > newest[member.Address] {
-			newest[member.Address] = member.Generation
-		}
-	}
 	var changed []Member
-	for _, member := range machine.sorted() {
-		generation, mentioned := newest[member.Address]
-		if !mentioned || member.Generation >= generation || member.Gone || member.ID == machine.self {
-			continue
+	for _, mentioned := range told {
+		runs := machine.byAddress[mentioned.Address]
+		newest := uint64(0)
+		for id := range runs {
+			newest = max(newest, machine.records[id].member.Generation)
+		}
+		for id := range runs {
+			member := machine.records[id].member
+			if member.Generation < newest && !member.Gone && id != machine.self {
+				member.Gone = true
+				machine.put(member, now)
+				changed = append(changed, member)
+			}
 		}
-		member.Gone = true
-		machine.put(member, now)
-		changed = append(changed, member)
 	}
 	return changed
 }
@@ -352,14 +368,19 @@
 	return members
 }
 
-// Members returns every known member, ordered by ID.
+// Members returns every known member, ordered by ID. The slice must not be
+// changed.
 func (machine *Machine) Members() []Member { return machine.sorted() }
 
 func (machine *Machine) sorted() []Member {
+	if machine.ordered != nil {
+		return machine.ordered
+	}
 	members := make([]Member, 0, len(machine.records))
 	for _, held := range machine.records {
 		members = append(members, held.member)
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].ID < members[j].ID })
+	machine.ordered = members
 	return members
 }
--- a/internal/policy/program.go
+++ b/internal/policy/program.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.starlark.net/resolve"
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 )
@@ -95,6 +96,10 @@
 	if errors.As(err, &syntaxError) {
 		return faultf(document, syntaxError.Pos.Line, "%s", syntaxError.Msg)
 	}
+	var resolveErrors resolve.ErrorList
+	if errors.As(err, &resolveErrors) && len(resolveErrors) > 0 {
+		return faultf(document, resolveErrors[0].Pos.Line, "%s", resolveErrors[0].Msg)
+	}
 	var evalError *starlark.EvalError
 	if errors.As(err, &evalError) {
 		return faultf(document, lineOf(evalError.CallStack), "%s", evalError.Msg)
