--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -303,8 +303,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, outcomeWait)
 	defer cancel()
-	reply := &OutcomeReply{}
-	err := sender.pool.Call(ctx, holder.Address, peer.Bulk, RPCName+".Outcome", OutcomeRequest{To: decided.Holder, Attempt: decided.Attempt}, reply)
+	reply, err := peer.Ask[OutcomeReply](ctx, sender.pool, holder.Address, peer.Bulk, RPCName+".Outcome", OutcomeRequest{To: decided.Holder, Attempt: decided.Attempt})
 	if err != nil || !reply.Known || reply.Attempt != decided.Attempt {
 		return holderGone(decided)
 	}
--- a/internal/catalogsync/catalogsync.go
+++ b/internal/catalogsync/catalogsync.go
@@ -373,16 +373,15 @@
 func (syncer *Syncer) syncWith(ctx context.Context, address string) (SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply := &SyncReply{}
-	request := SyncRequest{Offset: syncer.Offset()}
-	if err := syncer.pool.Call(ctx, address, peer.Control, RPCName+".Sync", request, reply); err != nil {
+	reply, err := peer.Ask[SyncReply](ctx, syncer.pool, address, peer.Control, RPCName+".Sync", SyncRequest{Offset: syncer.Offset()})
+	if err != nil {
 		return SyncReply{}, err
 	}
 	if reply.Snapshot != nil {
 		syncer.adopt(*reply.Snapshot)
 	}
 	syncer.apply(reply.Records)
-	return *reply, nil
+	return reply, nil
 }
 
 // HoldRequest asks a witness to fetch what the caller holds.
@@ -442,9 +441,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	reply := &HoldReply{}
 	request := HoldRequest{Address: self.Address, Offset: offset}
-	err := syncer.pool.Call(ctx, witness.Address, peer.Control, RPCName+".Hold", request, reply)
+	reply, err := peer.Ask[HoldReply](ctx, syncer.pool, witness.Address, peer.Control, RPCName+".Hold", request)
 	return err == nil && reply.From == witness.ID && reply.Offset >= offset
 }
 
--- a/internal/chunkhome/home.go
+++ b/internal/chunkhome/home.go
@@ -416,24 +416,24 @@
 // push asks what the target has and sends what it lacks. Partials go only to a
 // new home, since they are large and change all the time.
 func (home *Home) push(ctx context.Context, id rollout.ChunkID, one *held, target membership.Member) bool {
-	offered := &rollout.Held{}
-	if home.call(ctx, target, "Offer", OfferRequest{ID: id}, offered) != nil {
+	offered, err := ask[rollout.Held](ctx, home, target, "Offer", OfferRequest{ID: id})
+	if err != nil {
 		return false
 	}
 	home.mutex.Lock()
-	snapshot := one.chunk.SnapshotFor(*offered, !one.active)
+	snapshot := one.chunk.SnapshotFor(offered, !one.active)
 	home.mutex.Unlock()
-	if !snapshot.IsNews(*offered) {
+	if !snapshot.IsNews(offered) {
 		return true
 	}
-	reply := &MergeReply{}
-	return home.call(ctx, target, "Merge", snapshot, reply) == nil && reply.Refusal == ""
+	reply, err := ask[MergeReply](ctx, home, target, "Merge", snapshot)
+	return err == nil && reply.Refusal == ""
 }
 
-func (home *Home) call(ctx context.Context, target membership.Member, method string, request, reply any) error {
+func ask[Reply any](ctx context.Context, home *Home, target membership.Member, method string, request any) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return home.pool.Call(ctx, target.Address, peer.Bulk, RPCName+"."+method, request, reply)
+	return peer.Ask[Reply](ctx, home.pool, target.Address, peer.Bulk, RPCName+"."+method, request)
 }
 
 // dropIfHandedOver forgets a chunk that others should hold and have whole.
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -12,6 +12,7 @@
 	ConfigOffset  uint64          `json:"config_offset"`
 	ConfirmedAgo  string          `json:"confirmed_ago"`
 	Epoch         uint64          `json:"epoch"`
+	EpochMembers  int             `json:"epoch_members"`
 	Members       []MemberStatus  `json:"members"`
 	Replicas      []ReplicaStatus `json:"replicas"`
 	Trainers      []TrainerStatus `json:"trainers"`
@@ -69,6 +70,7 @@
 		ConfigOffset:  state.Offset,
 		ConfirmedAgo:  "never",
 		Epoch:         state.Placement.Number,
+		EpochMembers:  len(state.Placement.Members),
 		Records:       daemon.records.Count(),
 		InFlight:      daemon.gateway.InFlight(),
 		SamplesStale:  statistics.Discarded,
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -148,13 +148,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	reply := &chunkhome.PlaceReply{}
-	err := desk.call(ctx, holder, "Place", spec, reply)
-	return *reply, err
+	return ask[chunkhome.PlaceReply](ctx, desk, holder, "Place", spec)
 }
 
-func (desk *Desk) call(ctx context.Context, holder membership.Member, method string, request, reply any) error {
-	return desk.pool.Call(ctx, holder.Address, peer.Bulk, chunkhome.RPCName+"."+method, request, reply)
+func ask[Reply any](ctx context.Context, desk *Desk, holder membership.Member, method string, request any) (Reply, error) {
+	return peer.Ask[Reply](ctx, desk.pool, holder.Address, peer.Bulk, chunkhome.RPCName+"."+method, request)
 }
 
 // holders returns the daemons that may hold a chunk: first those that should,
@@ -181,8 +179,7 @@
 			continue
 		}
 		callContext, cancel := context.WithTimeout(ctx, findTimeout)
-		reply := &chunkhome.FindReply{}
-		err := desk.call(callContext, holder, "Find", chunkhome.FindRequest{Trainer: trainer, Name: name}, reply)
+		reply, err := ask[chunkhome.FindReply](callContext, desk, holder, "Find", chunkhome.FindRequest{Trainer: trainer, Name: name})
 		cancel()
 		if err == nil && reply.Known {
 			return reply.Header, nil
@@ -335,10 +332,9 @@
 			}
 			continue
 		}
-		reply := &chunkhome.AwaitReply{}
-		err := desk.call(ctx, holder, "Await", request, reply)
+		reply, err := ask[chunkhome.AwaitReply](ctx, desk, holder, "Await", request)
 		if err == nil && reply.Known {
-			return holder, *reply
+			return holder, reply
 		}
 	}
 	return membership.Member{}, chunkhome.AwaitReply{}
@@ -369,9 +365,8 @@
 		results, _ := desk.home.Collect(ctx, chunk.id, taken, pull.Version, pull.Limit)
 		return results
 	}
-	reply := &chunkhome.CollectReply{}
 	request := chunkhome.CollectRequest{ID: chunk.id, Taken: taken, Version: pull.Version, Limit: pull.Limit}
-	err := desk.call(ctx, chunk.holder, "Collect", request, reply)
+	reply, err := ask[chunkhome.CollectReply](ctx, desk, chunk.holder, "Collect", request)
 	if err != nil || reply.ID != chunk.id {
 		return nil
 	}
--- a/internal/epochs/epochs.go
+++ b/internal/epochs/epochs.go
@@ -204,8 +204,7 @@
 		go func() {
 			callContext, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			reply := &records.ReadyReply{}
-			err := coordinator.pool.Call(callContext, member.Address, peer.Control, records.RPCName+".Ready", records.ReadyRequest{To: member.ID}, reply)
+			reply, err := peer.Ask[records.ReadyReply](callContext, coordinator.pool, member.Address, peer.Control, records.RPCName+".Ready", records.ReadyRequest{To: member.ID})
 			if err != nil || reply.Refusal != "" || reply.Epoch != epoch.Number {
 				answers <- answer{id: member.ID}
 				return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,12 +114,12 @@
 func (fleet *Fleet) directoryFrom(ctx context.Context, relay membership.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply := &machinelist.Changes{}
 	request := DirectoryRequest{Since: fleet.Table.Revision()}
-	if err := fleet.pool.Call(ctx, relay.Address, peer.Control, RPCName+".Directory", request, reply); err != nil {
+	reply, err := peer.Ask[machinelist.Changes](ctx, fleet.pool, relay.Address, peer.Control, RPCName+".Directory", request)
+	if err != nil {
 		return err
 	}
-	fleet.Table.ApplyMachines(*reply)
+	fleet.Table.ApplyMachines(reply)
 	return nil
 }
 
@@ -236,8 +236,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	askedAt := time.Now()
-	reply := &ReportsReply{}
-	if err := fleet.pool.Call(ctx, owner.Address, peer.Control, RPCName+".Reports", ReportsRequest{}, reply); err != nil {
+	reply, err := peer.Ask[ReportsReply](ctx, fleet.pool, owner.Address, peer.Control, RPCName+".Reports", ReportsRequest{})
+	if err != nil {
 		return
 	}
 	travelled := time.Since(askedAt)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -258,9 +258,8 @@
 		go func() {
 			callContext, cancel := context.WithTimeout(ctx, indirectTimeout)
 			defer cancel()
-			reply := &ProbeReply{}
 			request := ProbeRequest{Target: target.ID, Address: target.Address}
-			err := service.pool.Call(callContext, relay.Address, peer.Control, RPCName+".Probe", request, reply)
+			reply, err := peer.Ask[ProbeReply](callContext, service.pool, relay.Address, peer.Control, RPCName+".Probe", request)
 			answers <- err == nil && reply.Answered
 		}()
 	}
@@ -276,12 +275,12 @@
 func (service *Service) exchange(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	reply := &Exchange{}
-	if err := service.pool.Call(ctx, address, peer.Control, RPCName+".Exchange", service.compose(nil, nil), reply); err != nil {
+	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(nil, nil))
+	if err != nil {
 		return err
 	}
-	service.absorb(*reply)
-	return service.repair(ctx, address, *reply)
+	service.absorb(reply)
+	return service.repair(ctx, address, reply)
 }
 
 // repair sends the peer what its digests show it to lack.
@@ -296,11 +295,11 @@
 	if len(differing) == 0 && len(board) == 0 {
 		return nil
 	}
-	reply := &Exchange{}
-	if err := service.pool.Call(ctx, address, peer.Control, RPCName+".Exchange", service.compose(differing, board), reply); err != nil {
+	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(differing, board))
+	if err != nil {
 		return err
 	}
-	service.absorb(*reply)
+	service.absorb(reply)
 	return nil
 }
 
@@ -382,12 +381,11 @@
 func (handler *Handler) Probe(request ProbeRequest, reply *ProbeReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	answer := &Exchange{}
-	err := handler.service.pool.Call(ctx, request.Address, peer.Control, RPCName+".Exchange", handler.service.compose(nil, nil), answer)
+	answer, err := peer.Ask[Exchange](ctx, handler.service.pool, request.Address, peer.Control, RPCName+".Exchange", handler.service.compose(nil, nil))
 	if err != nil {
 		return nil
 	}
-	handler.service.absorb(*answer)
+	handler.service.absorb(answer)
 	reply.Answered = answer.From.ID == request.Target
 	return nil
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -86,10 +86,21 @@
 	return &net.TCPAddr{IP: parsed.Addr().AsSlice()}
 }
 
-// Call calls a method of the peer at an address and waits for the answer until
-// the context ends. Reply must not be used unless the error is nil, and never
-// be shared: an answer that comes late still writes to it.
-func (pool *Pool) Call(ctx context.Context, address string, lane Lane, method string, arguments, reply any) error {
+// Ask calls a method of the peer at an address and waits for the answer until
+// the context ends.
+func Ask[Reply any](ctx context.Context, pool *Pool, address string, lane Lane, method string, arguments any) (Reply, error) {
+	// An answer that comes after the context's end still writes to reply, so
+	// it is read only after a success.
+	reply := new(Reply)
+	if err := pool.call(ctx, address, lane, method, arguments, reply); err != nil {
+		var none Reply
+		return none, err
+	}
+	return *reply, nil
+}
+
+// call is Ask without types.
+func (pool *Pool) call(ctx context.Context, address string, lane Lane, method string, arguments, reply any) error {
 	key := poolKey{address: address, lane: lane}
 	connection, err := pool.acquire(ctx, key)
 	if err != nil {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -233,17 +233,7 @@
 }
 
 func (service *Service) seal(ctx context.Context, member catalog.PlacementMember, request SealRequest) (SealReply, error) {
-	reply := &SealReply{}
-	if member.ID == string(service.peers.Self().ID) {
-		err := service.Handler().Seal(request, reply)
-		return *reply, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := service.pool.Call(ctx, member.Address, peer.Control, RPCName+".Seal", request, reply); err != nil {
-		return SealReply{}, err
-	}
-	return *reply, nil
+	return ask(ctx, service, member, "Seal", request, service.Handler().Seal)
 }
 
 // Ready returns the epoch that this daemon follows and the shards that it
@@ -337,10 +327,7 @@
 	message := proposer.Prepare()
 	return broadcast(ctx, group,
 		func(member catalog.PlacementMember) (PrepareReply, error) {
-			request := PrepareRequest{To: member.ID, Message: message}
-			reply := &PrepareReply{}
-			err := service.send(ctx, member, "Prepare", request, reply, func() error { return service.Handler().Prepare(request, reply) })
-			return *reply, err
+			return ask(ctx, service, member, "Prepare", PrepareRequest{To: member.ID, Message: message}, service.Handler().Prepare)
 		},
 		func(member catalog.PlacementMember, reply PrepareReply) (string, bool) {
 			if reply.Refusal == "" {
@@ -354,10 +341,7 @@
 	message := proposer.Accept()
 	return broadcast(ctx, group,
 		func(member catalog.PlacementMember) (AcceptReply, error) {
-			request := AcceptRequest{To: member.ID, Message: message}
-			reply := &AcceptReply{}
-			err := service.send(ctx, member, "Accept", request, reply, func() error { return service.Handler().Accept(request, reply) })
-			return *reply, err
+			return ask(ctx, service, member, "Accept", AcceptRequest{To: member.ID, Message: message}, service.Handler().Accept)
 		},
 		func(member catalog.PlacementMember, reply AcceptReply) (string, bool) {
 			if reply.Refusal == "" {
@@ -367,14 +351,16 @@
 		})
 }
 
-// send calls a keeper, or this daemon itself without the network.
-func (service *Service) send(ctx context.Context, member catalog.PlacementMember, method string, request, reply any, local func() error) error {
+// ask calls a keeper, or this daemon's own handler without the network.
+func ask[Request, Reply any](ctx context.Context, service *Service, member catalog.PlacementMember, method string, request Request, own func(Request, *Reply) error) (Reply, error) {
 	if member.ID == string(service.peers.Self().ID) {
-		return local()
+		var reply Reply
+		err := own(request, &reply)
+		return reply, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return service.pool.Call(ctx, member.Address, peer.Control, RPCName+"."+method, request, reply)
+	return peer.Ask[Reply](ctx, service.pool, member.Address, peer.Control, RPCName+"."+method, request)
 }
 
 // broadcast sends to every member at once and hands the answers over one by
