End a deadlock between the catalog and the membership

Its log had been silent since its start: gossip asked the catalog for the offset under its own lock, while the catalog's Sync asked gossip who it is under its own. Ruled out: streams that wait for an engine (the whole daemon stood, no swap was ordered and no record read either), and the stop itself.

--- a/internal/catalogsync/catalogsync.go
+++ b/internal/catalogsync/catalogsync.go
@@ -40,7 +40,8 @@
 	recentRecords = 256
 )
 
-// Peers is what this package needs of the membership.
+// Peers is what this package needs of the membership. It is never called with
+// the syncer's lock held, but for Spread, which must not block.
 type Peers interface {
 	Self() membership.Member
 	Serving() []membership.Member
@@ -455,10 +456,11 @@
 // Sync answers with what is newer than the caller's offset.
 func (handler *Handler) Sync(request SyncRequest, reply *SyncReply) error {
 	syncer := handler.syncer
+	// Peers are asked outside the lock: gossip asks for the offset under its own.
+	reply.From = string(syncer.peers.Self().ID)
 	age, confirmed := syncer.ConfirmationAge()
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
-	reply.From = string(syncer.peers.Self().ID)
 	reply.Offset = syncer.state.Offset
 	reply.Age = age
 	reply.Confirmed = confirmed
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -51,7 +51,8 @@
 // ProbeReply says whether the target answered.
 type ProbeReply struct{ Answered bool }
 
-// Catalog is what gossip needs of the configuration.
+// Catalog is what gossip needs of the configuration. It is never called with
+// the service's lock held.
 type Catalog interface {
 	// Offset returns the offset in force here.
 	Offset() uint64
@@ -305,6 +306,8 @@
 
 // compose builds an exchange of fresh news and the given repairs.
 func (service *Service) compose(repairs []membership.Member, board []announce.Announcement) Exchange {
+	// The catalog is asked outside the lock: it asks for members under its own.
+	offset := service.catalog.Offset()
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 	return Exchange{
@@ -313,7 +316,7 @@
 		Digest:        service.machine.Digest(),
 		Announcements: append(service.board.Fresh(updateLimit), board...),
 		BoardDigest:   service.board.Digest(),
-		CatalogOffset: service.catalog.Offset(),
+		CatalogOffset: offset,
 	}
 }
 
