--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,6 +64,7 @@
 	home       *chunkhome.Home
 	calls      *calls.Sender
 	swapper    *swaps.Swapper
+	operator   *operator.Operator
 	gateway    *gateway.Gateway
 	metrics    *metrics.Metrics
 
@@ -138,13 +139,14 @@
 		ClockSkew:    clockSkew,
 		MaxAttempts:  maxKeptAttempts,
 	}, daemon.gossip, daemon.syncer, daemon.records, daemon.dispatcher, table, daemon.pool, daemon.logger)
+	daemon.operator = operator.New(daemon.syncer, logClient, daemon.gossip, daemon.board)
 	daemon.gateway = gateway.New(gateway.Parts{
 		Catalog:  daemon.syncer,
 		Peers:    daemon.gossip,
 		Desk:     delivery.New(daemon.gossip, daemon.syncer, daemon.board, daemon.home, daemon.pool, loaded.Limits.ChunkSamples),
 		Calls:    daemon.calls,
 		Streamer: samplestream.New(daemon.gossip, daemon.syncer, daemon.board, daemon.dispatcher, table, confirmBound),
-		Operator: operator.New(daemon.syncer, logClient, daemon.gossip, daemon.board),
+		Operator: daemon.operator,
 		Table:    table,
 		Board:    daemon.board,
 		Metrics:  daemon.metrics,
@@ -188,6 +190,23 @@
 	// and kills the process a few seconds later; the stop is ours to time.
 	grace := daemon.settings.Timing.StopGrace.Std()
 	proc.Setup(proc.ShutdownConf{WrapUpTime: 2 * grace, WaitTime: 3 * grace})
+	daemon.StartControl()
+	if err := daemon.gateway.Listen(daemon.settings.Listen.Public, policy.Public); err != nil {
+		return err
+	}
+	if err := daemon.gateway.Listen(daemon.settings.Listen.Internal, policy.Internal); err != nil {
+		return err
+	}
+	logging.TakeOver(daemon.logger)
+	daemon.logger.Info("daemon started", zap.String("id", string(daemon.gossip.Self().ID)),
+		zap.String("zone", daemon.settings.Zone), zap.String("public", daemon.settings.Listen.Public),
+		zap.String("internal", daemon.settings.Listen.Internal), zap.String("peer", daemon.settings.Listen.Peer))
+	return nil
+}
+
+// StartControl runs everything but the listeners for callers: what a daemon
+// does for control. A scale run starts many such daemons in one process.
+func (daemon *Daemon) StartControl() {
 	go daemon.server.Serve()
 	for _, run := range []func(context.Context){
 		daemon.gossip.Run,
@@ -207,17 +226,6 @@
 			run(daemon.context)
 		}()
 	}
-	if err := daemon.gateway.Listen(daemon.settings.Listen.Public, policy.Public); err != nil {
-		return err
-	}
-	if err := daemon.gateway.Listen(daemon.settings.Listen.Internal, policy.Internal); err != nil {
-		return err
-	}
-	logging.TakeOver(daemon.logger)
-	daemon.logger.Info("daemon started", zap.String("id", string(daemon.gossip.Self().ID)),
-		zap.String("zone", daemon.settings.Zone), zap.String("public", daemon.settings.Listen.Public),
-		zap.String("internal", daemon.settings.Listen.Internal), zap.String("peer", daemon.settings.Listen.Peer))
-	return nil
 }
 
 func (daemon *Daemon) closeIdleConnections(ctx context.Context) {
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -23,6 +23,7 @@
 	"woodworks/internal/lab/logstand"
 	"woodworks/internal/lab/machinestand"
 	"woodworks/internal/lab/plainstand"
+	"woodworks/internal/lab/scale"
 	"woodworks/internal/lab/weightstand"
 	"woodworks/internal/logging"
 )
@@ -41,6 +42,9 @@
 	logs      string
 	duration  time.Duration
 	quiet     bool
+	sizes     []int
+	perDaemon int
+	plots     string
 	stdout    io.Writer
 }
 
@@ -51,7 +55,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
-	chosen := &options{listen: "127.0.0.1:0", rate: 100, seed: 1, site: "operator", engine: enginestand.DefaultConfig(), stdout: stdout}
+	chosen := &options{listen: "127.0.0.1:0", rate: 100, seed: 1, site: "operator", engine: enginestand.DefaultConfig(), perDaemon: 13, plots: "out/scale", stdout: stdout}
 	parser := flaggy.NewParser("woodworks-lab")
 	parser.Description = "stand-ins of the outside systems, and runs on a floor of separate processes"
 	parser.ShowHelpOnUnexpected = false
@@ -109,6 +113,13 @@
 		node.Duration(&chosen.engine.StepPerStream, "", "stream-step", "time that each stream adds to a step")
 		node.Duration(&chosen.engine.SwapTime, "", "swap-time", "time of a weight swap")
 	}
+	stand("hollow-daemons", "host of hollow daemons, for a scale run", runHollowDaemons)
+	stand("hollow-replicas", "host of hollow replicas, for a scale run", runHollowReplicas)
+	sizing := add("scale", "measure the control part of many hollow daemons", runScale)
+	sizing.IntSlice(&chosen.sizes, "", "size", "number of daemons; may be given more than once")
+	sizing.Int(&chosen.perDaemon, "", "replicas-per-daemon", "hollow replicas for each daemon")
+	sizing.String(&chosen.plots, "", "plots", "directory for the table and the plots")
+	sizing.String(&chosen.logs, "", "logs", "directory for the processes' logs")
 	runs := []*flaggy.Subcommand{
 		add("demo", "run a small floor once through its paces", runDemo),
 		add("chaos", "run a floor under a seeded schedule of faults", runChaos),
@@ -210,3 +221,30 @@
 		Duration: chosen.duration, Output: chosen.stdout, Logs: chosen.logs, Quiet: chosen.quiet,
 	})
 }
+
+func runHollowDaemons(chosen *options) error { return serve(chosen, scale.NewHost().Routes()) }
+
+func runHollowReplicas(chosen *options) error {
+	const swapTime = 500 * time.Millisecond
+	return serve(chosen, scale.NewReplicas(swapTime).Routes())
+}
+
+func runScale(chosen *options) error {
+	lab, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "own path")
+	}
+	if len(chosen.sizes) == 0 {
+		chosen.sizes = []int{10, 25, 50, 100, 200}
+	}
+	if chosen.logs == "" {
+		if chosen.logs, err = scale.DefaultDirectory(); err != nil {
+			return err
+		}
+		defer func() { _ = os.RemoveAll(chosen.logs) }()
+	}
+	return scale.Run(scale.Options{
+		Sizes: chosen.sizes, ReplicasPerDaemon: chosen.perDaemon, Lab: lab,
+		Directory: chosen.logs, Output: chosen.stdout, Plots: chosen.plots,
+	})
+}
