--- a/internal/chunkhome/generate.go
+++ b/internal/chunkhome/generate.go
@@ -65,6 +65,7 @@
 	if cancel, running := one.cancels[try]; running {
 		cancel()
 		delete(one.cancels, try)
+		delete(one.running, try)
 	}
 	if err != nil {
 		if !errors.Is(err, dispatch.ErrQueueFull) && !errors.Is(err, dispatch.ErrGaveUp) {
@@ -112,11 +113,13 @@
 		MinVersion: func() (uint64, uint64) { return home.acceptable(one, trainer) },
 		Expected:   home.expectedRest(one, spec, partial),
 		PrefixKey:  xxhash.Sum64String(spec.Prompt),
+		Excluded:   home.excludedFor(one, spec.Index),
 	})
 	if err != nil {
 		return "", err
 	}
 	defer grant.Done()
+	home.noteRunning(one, try, spec.Index, grant.Machine)
 	client := home.table.Client(grant.Machine)
 	age, confirmed := home.catalog.ConfirmationAge()
 	if client == nil || !confirmed || age > home.limits.ConfirmBound {
@@ -150,6 +153,26 @@
 	return "", err
 }
 
+// excludedFor names the machine that a sample was just moved away from.
+func (home *Home) excludedFor(one *held, index int) map[string]bool {
+	home.mutex.Lock()
+	defer home.mutex.Unlock()
+	machine, moved := one.avoid[index]
+	if !moved {
+		return nil
+	}
+	delete(one.avoid, index)
+	return map[string]bool{machine: true}
+}
+
+func (home *Home) noteRunning(one *held, try string, index int, machine string) {
+	home.mutex.Lock()
+	defer home.mutex.Unlock()
+	if cancel, wanted := one.cancels[try]; wanted {
+		one.running[try] = running{index: index, machine: machine, cancel: cancel}
+	}
+}
+
 // acceptable returns the oldest version that the trainer accepts now and the
 // newest announced one.
 func (home *Home) acceptable(one *held, trainer policy.Trainer) (oldest, newest uint64) {
--- a/internal/chunkhome/home.go
+++ b/internal/chunkhome/home.go
@@ -70,6 +70,10 @@
 	edition uint64
 	copies  map[membership.NodeID]copyState
 	cancels map[string]context.CancelFunc
+	// running holds the tries that are on an engine, avoid the machine that a
+	// sample has just been moved away from.
+	running map[string]running
+	avoid   map[int]string
 	changed chan struct{}
 }
 
@@ -98,6 +102,8 @@
 	logger     *zap.Logger
 	context    context.Context
 	statistics Statistics
+	// movedAt is used by Run only.
+	movedAt time.Time
 }
 
 // Statistics counts what happened since the start.
@@ -105,6 +111,7 @@
 	Finished     uint64
 	Discarded    uint64
 	Resumed      uint64
+	Moved        uint64
 	WastedTokens uint64
 	Failures     uint64
 }
@@ -194,6 +201,8 @@
 		lastTouched: time.Now(),
 		copies:      map[membership.NodeID]copyState{},
 		cancels:     map[string]context.CancelFunc{},
+		running:     map[string]running{},
+		avoid:       map[int]string{},
 		changed:     make(chan struct{}),
 	}
 	return nil
@@ -331,6 +340,7 @@
 		home.syncCopies(ctx, id)
 		home.dropIfHandedOver(id)
 	}
+	home.moveStraggler(time.Now())
 }
 
 // expire drops a chunk that nobody asked for during the retention.
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -146,6 +146,8 @@
 		func() float64 { return float64(daemon.home.Statistics().Discarded) })
 	daemon.metrics.Counter("samples_resumed_total", "Tries that went on from an earlier try's tokens.",
 		func() float64 { return float64(daemon.home.Statistics().Resumed) })
+	daemon.metrics.Counter("samples_moved_total", "Samples moved to a less loaded engine.",
+		func() float64 { return float64(daemon.home.Statistics().Moved) })
 	daemon.metrics.Counter("sample_failures_total", "Tries that ended without a whole sample.",
 		func() float64 { return float64(daemon.home.Statistics().Failures) })
 	daemon.metrics.Counter("policy_hook_faults_total", "Policy hooks that failed since the policy came into force.",
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,7 +48,9 @@
 	// Model is the trainer whose weights are needed, "" for a plain service.
 	Model string
 	// MinVersion gives the oldest acceptable and the newest announced version
-	// at the moment of the decision; nil for a plain service.
+	// at the moment of the decision; nil for a plain service. It is called with
+	// the dispatcher's lock held, so it must not call the dispatcher, nor take
+	// a lock under which anyone does.
 	MinVersion func() (oldest, newest uint64)
 	// Expected is the expected length in tokens.
 	Expected int
--- a/internal/rollout/chunk.go
+++ b/internal/rollout/chunk.go
@@ -176,6 +176,16 @@
 	return under
 }
 
+// Progressed returns how far a sample is: the tokens of its furthest try, how
+// many are expected in all, and the length of its prompt in bytes.
+func (chunk *Chunk) Progressed(index int) (generated, expected, promptBytes int) {
+	held := chunk.at(index)
+	if held == nil {
+		return 0, 0, 0
+	}
+	return len(held.furthest().Tokens), held.spec.Expected, len(held.spec.Prompt)
+}
+
 // Start records a try and returns what earlier tries produced, to go on from.
 // If the judge refuses that, it is thrown away first. It reports false if the
 // sample needs no try.
--- a/internal/swaps/swaps.go
+++ b/internal/swaps/swaps.go
@@ -20,8 +20,6 @@
 	checkInterval = 100 * time.Millisecond
 	// recheckAfter bounds how long a plan stands unexamined.
 	recheckAfter = time.Second
-	// wavePercent is the share of a service's replicas that swap at a time.
-	wavePercent = 34
 	// reorderAfter is how long an order is given to show in the engine's late
 	// report before it is sent again.
 	reorderAfter = 2 * time.Second
@@ -118,13 +116,12 @@
 		}
 	}
 	targets := weights.Assign(planned, swapper.demands(set, service))
-	limit := weights.WaveLimit(len(targets), wavePercent)
 	for i, replica := range planned {
 		target, assigned := targets[replica.Name]
 		if !assigned || !owned[replica.Name] || !weights.NeedsSwap(replica, target) {
 			continue
 		}
-		if weights.MaySwap(replica.Name, planned, targets, limit) {
+		if weights.MaySwap(replica.Name, planned, targets, weights.DefaultWaves()) {
 			swapper.order(ctx, replicas[i], target)
 		}
 	}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -95,28 +95,53 @@
 	return quotas
 }
 
-// WaveLimit returns how many of count replicas may swap at a time.
-func WaveLimit(count, percent int) int { return max(1, count*percent/100) }
+// Waves says how many replicas may swap at a time.
+type Waves struct {
+	// First is how many may while no replica serves the version whole yet: a
+	// version that cannot be loaded then costs few replicas.
+	First int
+	// LaterPercent is the share of a trainer's replicas that may afterwards.
+	// Engines go on with their streams through a swap, so all at once is
+	// cheap, and the sooner all have the version the fresher the samples.
+	LaterPercent int
+}
+
+// DefaultWaves returns the waves used in production.
+func DefaultWaves() Waves { return Waves{First: 1, LaterPercent: 100} }
+
+// limit returns how many of count replicas may swap now.
+func (waves Waves) limit(count int, proved bool) int {
+	if !proved {
+		return max(1, waves.First)
+	}
+	return max(1, count*waves.LaterPercent/100)
+}
 
 // MaySwap reports whether a replica's swap may begin now: whether it is among
 // the first of those that still have to swap, in an order that differs from
-// version to version, within the wave limit.
-func MaySwap(name string, replicas []Replica, targets map[string]Target, waveLimit int) bool {
+// version to version, that the present wave has room for.
+func MaySwap(name string, replicas []Replica, targets map[string]Target, waves Waves) bool {
 	own, assigned := targets[name]
 	if !assigned {
 		return false
 	}
 	var pending []string
+	count := 0
 	for _, replica := range replicas {
 		target, wanted := targets[replica.Name]
-		if wanted && target == own && !isAt(replica, target) {
+		if !wanted || target != own {
+			continue
+		}
+		count++
+		if !isAt(replica, target) {
 			pending = append(pending, replica.Name)
 		}
 	}
+	room := waves.limit(count, len(pending) < count)
 	order := rendezvous.Rank(fmt.Sprintf("wave/%s/%d", own.Trainer, own.Version), pending)
 	for position, candidate := range order {
 		if candidate == name {
-			return position < waveLimit
+			return position < room
 		}
 	}
 	return false
