Pace news and leave repairs to the steady probes

Cause: a scale run of 200 daemons did not settle: load average 163, 78 % of the time in the kernel, 36,000 sockets in TIME_WAIT. All daemons started within two seconds, so everyone had news all the time and passed it on every 10 ms; each such exchange found all digest buckets to differ and sent the whole table both ways. Calls then ran into their deadlines, which drop the connection, and new connections cost more. Ruled out: the steady state (1.1 % of a core at 100).

News now goes out at most every 200 ms and without repairs; a probe repairs at most four buckets, others the next time.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,6 +29,11 @@
 	newsFanout      = 3
 	// newsDelay gathers news that arrive together into one exchange.
 	newsDelay = 10 * time.Millisecond
+	// newsInterval is the least time between two rounds of news. When many
+	// daemons start or go at once, everyone has news all the time.
+	newsInterval = 200 * time.Millisecond
+	// repairBuckets bounds the parts of the table repaired in one exchange.
+	repairBuckets = 4
 )
 
 // Exchange is what two daemons tell each other.
@@ -40,6 +45,9 @@
 	BoardDigest   uint64
 	// CatalogOffset lets the receiver see that it is behind.
 	CatalogOffset uint64
+	// Repair asks for what the digests show the sender to lack. News goes
+	// without: repairs are left to the steady probes.
+	Repair bool
 }
 
 // ProbeRequest asks for a probe of another member on the sender's behalf.
@@ -210,6 +218,7 @@
 	ticker := time.NewTicker(ProbeInterval)
 	defer ticker.Stop()
 	service.joinIfAlone(ctx)
+	lastNews := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -217,8 +226,17 @@
 		case <-ticker.C:
 			service.round(ctx)
 		case <-service.news:
-			time.Sleep(newsDelay)
-			go service.spreadNews(ctx)
+			pause := max(newsDelay, newsInterval-time.Since(lastNews))
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				service.round(ctx)
+				service.Spread()
+			case <-time.After(pause):
+				lastNews = time.Now()
+				go service.spreadNews(ctx)
+			}
 		}
 	}
 }
@@ -247,7 +265,7 @@
 	}
 	for _, seed := range service.seeds {
 		if seed != self.Address {
-			go func() { _ = service.exchange(ctx, seed) }()
+			go func() { _ = service.exchange(ctx, seed, true) }()
 		}
 	}
 }
@@ -256,7 +274,7 @@
 // try before it is suspected.
 func (service *Service) probe(ctx context.Context, target membership.Member) {
 	sentAt := time.Now()
-	if service.exchange(ctx, target.Address) == nil {
+	if service.exchange(ctx, target.Address, true) == nil {
 		return
 	}
 	if service.probeIndirectly(ctx, target) {
@@ -294,31 +312,29 @@
 	return false
 }
 
-// exchange tells a peer the news and takes in its own.
-func (service *Service) exchange(ctx context.Context, address string) error {
+// exchange tells a peer the news and takes in its own; with repair, gaps that
+// the digests show are filled both ways.
+func (service *Service) exchange(ctx context.Context, address string, repair bool) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(nil, nil))
+	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(nil, nil, repair))
 	if err != nil {
 		return err
 	}
 	service.absorb(reply)
+	if !repair {
+		return nil
+	}
 	return service.repair(ctx, address, reply)
 }
 
 // repair sends the peer what its digests show it to lack.
 func (service *Service) repair(ctx context.Context, address string, told Exchange) error {
-	service.mutex.Lock()
-	differing := service.machine.Differing(told.Digest)
-	service.mutex.Unlock()
-	var board []announce.Announcement
-	if service.board.Digest() != told.BoardDigest {
-		board = service.board.All()
-	}
+	differing, board := service.lacking(told)
 	if len(differing) == 0 && len(board) == 0 {
 		return nil
 	}
-	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(differing, board))
+	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(differing, board, false))
 	if err != nil {
 		return err
 	}
@@ -326,8 +342,19 @@
 	return nil
 }
 
+// lacking returns what a peer's digests show it to lack or hold otherwise.
+func (service *Service) lacking(told Exchange) ([]membership.Member, []announce.Announcement) {
+	service.mutex.Lock()
+	differing := service.machine.Differing(told.Digest, repairBuckets)
+	service.mutex.Unlock()
+	if service.board.Digest() == told.BoardDigest {
+		return differing, nil
+	}
+	return differing, service.board.All()
+}
+
 // compose builds an exchange of fresh news and the given repairs.
-func (service *Service) compose(repairs []membership.Member, board []announce.Announcement) Exchange {
+func (service *Service) compose(repairs []membership.Member, board []announce.Announcement, repair bool) Exchange {
 	// The catalog is asked outside the lock: it asks for members under its own.
 	offset := service.catalog.Offset()
 	service.mutex.Lock()
@@ -339,6 +366,7 @@
 		Announcements: append(service.board.Fresh(updateLimit), board...),
 		BoardDigest:   service.board.Digest(),
 		CatalogOffset: offset,
+		Repair:        repair,
 	}
 }
 
@@ -374,7 +402,7 @@
 		exchanges.Add(1)
 		go func() {
 			defer exchanges.Done()
-			_ = service.exchange(ctx, member.Address)
+			_ = service.exchange(ctx, member.Address, false)
 		}()
 	}
 	exchanges.Wait()
@@ -391,14 +419,12 @@
 func (handler *Handler) Exchange(told Exchange, reply *Exchange) error {
 	service := handler.service
 	service.absorb(told)
-	service.mutex.Lock()
-	differing := service.machine.Differing(told.Digest)
-	service.mutex.Unlock()
-	var board []announce.Announcement
-	if service.board.Digest() != told.BoardDigest {
-		board = service.board.All()
+	if !told.Repair {
+		*reply = service.compose(nil, nil, false)
+		return nil
 	}
-	*reply = service.compose(differing, board)
+	differing, board := service.lacking(told)
+	*reply = service.compose(differing, board, false)
 	return nil
 }
 
@@ -406,7 +432,7 @@
 func (handler *Handler) Probe(request ProbeRequest, reply *ProbeReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	answer, err := peer.Ask[Exchange](ctx, handler.service.pool, request.Address, peer.Control, RPCName+".Exchange", handler.service.compose(nil, nil))
+	answer, err := peer.Ask[Exchange](ctx, handler.service.pool, request.Address, peer.Control, RPCName+".Exchange", handler.service.compose(nil, nil, false))
 	if err != nil {
 		return nil
 	}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -365,12 +365,21 @@
 // Digest returns the table's digest.
 func (machine *Machine) Digest() Digest { return machine.digest }
 
-// Differing returns the members in the buckets where the two digests differ.
-func (machine *Machine) Differing(other Digest) []Member {
+// Differing returns the members in the buckets where the two digests differ, of
+// at most limit buckets, which are chosen anew at each call.
+func (machine *Machine) Differing(other Digest, limit int) []Member {
+	chosen := map[int]bool{}
+	for _, bucket := range machine.random.Perm(BucketCount) {
+		if machine.digest[bucket] != other[bucket] && len(chosen) < limit {
+			chosen[bucket] = true
+		}
+	}
+	if len(chosen) == 0 {
+		return nil
+	}
 	var members []Member
 	for _, member := range machine.sorted() {
-		bucket := bucketOf(member.ID)
-		if machine.digest[bucket] != other[bucket] {
+		if chosen[bucketOf(member.ID)] {
 			members = append(members, member)
 		}
 	}
