--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -16,6 +16,7 @@
 	"woodworks/internal/fleet"
 	"woodworks/internal/membership"
 	"woodworks/internal/peer"
+	"woodworks/internal/periodic"
 	"woodworks/internal/policy"
 	"woodworks/internal/records"
 	"woodworks/internal/register"
@@ -107,16 +108,9 @@
 
 // Run forgets old outcomes until the context ends.
 func (sender *Sender) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			sender.kept.expire(now, sender.bounds.Retention)
-		}
-	}
+	periodic.Every(ctx, expireInterval, func(context.Context) {
+		sender.kept.expire(time.Now(), sender.bounds.Retention)
+	})
 }
 
 // Do runs a request to its final outcome, at the latest when the operation's
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -151,3 +151,16 @@
 	is.Equal(last.Placement.Members[0].ID, "d")
 	is.Equal(last.Previous.Members[0].ID, "a")
 }
+
+// Whatever stands in the log, the fold goes on and the offset rises by one.
+func FuzzApply(f *testing.F) {
+	f.Add("policy", []byte(`{"name":"a","replaces":0,"source":"good"}`))
+	f.Add("placement", []byte(`{"epoch":1,"members":[{"id":"a"}]}`))
+	f.Add("other", []byte(`nonsense`))
+	f.Fuzz(func(t *testing.T, kind string, payload []byte) {
+		next, _, err := catalog.Empty().Apply(catalog.Record{Offset: 1, ID: "x", Kind: catalog.Kind(kind), Payload: payload}, validate)
+		if err != nil || next.Offset != 1 {
+			t.Fatalf("offset %d, %v", next.Offset, err)
+		}
+	})
+}
--- a/internal/catalogsync/catalogsync.go
+++ b/internal/catalogsync/catalogsync.go
@@ -19,6 +19,7 @@
 	"woodworks/internal/catalog"
 	"woodworks/internal/membership"
 	"woodworks/internal/peer"
+	"woodworks/internal/periodic"
 	"woodworks/internal/placement"
 	"woodworks/internal/platform/logservice"
 	"woodworks/internal/policy"
@@ -215,7 +216,7 @@
 		} else if !syncer.askRelays(ctx) {
 			syncer.readPlatform(ctx)
 		} else {
-			sleep(ctx, syncInterval)
+			periodic.Pause(ctx, syncInterval)
 		}
 	}
 }
@@ -232,15 +233,6 @@
 	}
 }
 
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Relays returns the daemons that read the platform for a zone.
 func Relays(serving []membership.Member, zone string) []membership.Member {
 	byID := map[string]membership.Member{}
@@ -276,7 +268,7 @@
 		return
 	}
 	syncer.confirmWithWitnesses(ctx)
-	sleep(ctx, retryDelay)
+	periodic.Pause(ctx, retryDelay)
 }
 
 // ReadLog reads from the log once, waiting up to wait for a new record. What
--- a/internal/chunkhome/generate.go
+++ b/internal/chunkhome/generate.go
@@ -12,6 +12,7 @@
 
 	"woodworks/internal/backend/engine"
 	"woodworks/internal/dispatch"
+	"woodworks/internal/periodic"
 	"woodworks/internal/policy"
 	"woodworks/internal/rollout"
 )
@@ -86,12 +87,7 @@
 	if errors.Is(cause, dispatch.ErrQueueFull) {
 		delay = queueFullDelay
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	periodic.Pause(ctx, delay)
 }
 
 // errUnconfirmed ends a try that may not start because this daemon cannot
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"woodworks/internal/metrics"
 	"woodworks/internal/operator"
 	"woodworks/internal/peer"
+	"woodworks/internal/periodic"
 	"woodworks/internal/platform/logservice"
 	"woodworks/internal/platform/machinelist"
 	"woodworks/internal/policy"
@@ -244,16 +245,7 @@
 }
 
 func (daemon *Daemon) closeIdleConnections(ctx context.Context) {
-	ticker := time.NewTicker(idleCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			daemon.pool.CloseIdle(now)
-		}
-	}
+	periodic.Every(ctx, idleCheck, func(context.Context) { daemon.pool.CloseIdle(time.Now()) })
 }
 
 // ready reports whether the daemon can serve: a policy is in force and
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -292,3 +293,72 @@
 	is.NoErr(floor.PostJSON(one.log.URL+"/admin/faults", logstand.Faults{LoseAnswers: 1}))
 	is.NoErr(one.publish(examples.OperatorPolicy+"\n# again\n", nil))
 }
+
+// A flood is refused at once and truthfully, with when to come back, while
+// what was admitted goes on.
+func TestFloodIsRefusedTruthfully(t *testing.T) {
+	is := is.New(t)
+	one := startReady(t, 1)
+	tight := strings.Replace(examples.OperatorPolicy, `name = "registry", weight = 0, queue_limit = 64`, `name = "registry", weight = 0, queue_limit = 2`, 1)
+	tight = strings.Replace(tight, "max_in_flight = 256", "max_in_flight = 20", 1)
+	is.NoErr(one.publish(tight, nil))
+	type told struct {
+		body   string
+		result calls.Result
+		answer client.Answer
+		err    error
+	}
+	const flood = 200
+	answers := make(chan told, flood)
+	for i := range flood {
+		go func() {
+			body := fmt.Sprint("plot ", i)
+			answer, result, err := one.public(0, "clerks").Call(context.Background(), "permit-desk", "register", "", []byte(body))
+			answers <- told{body: body, result: result, answer: answer, err: err}
+		}()
+	}
+	counts := map[calls.Result]int{}
+	all := make([]told, 0, flood)
+	for range flood {
+		answer := <-answers
+		is.NoErr(answer.err)
+		counts[answer.result]++
+		all = append(all, answer)
+	}
+	executed := one.executions()
+	for _, answer := range all {
+		switch answer.result {
+		case calls.Completed:
+			is.Equal(executed[answer.body], 1)
+		case calls.NotExecuted:
+			is.Equal(executed[answer.body], 0)
+			is.True(answer.answer.Header.Get("Retry-After") != "")
+		default:
+			t.Fatalf("%s: %s", answer.body, answer.result)
+		}
+	}
+	is.True(counts[calls.Completed] > 0)
+	is.True(counts[calls.NotExecuted] > 0)
+}
+
+// What a batch and its pulls took is given back.
+func TestNothingIsLeftBehind(t *testing.T) {
+	is := is.New(t)
+	one := startReady(t, 1)
+	run := func(name string) {
+		request := rollout.Request{Trainer: "assessor", Name: name, SamplesPerPrompt: 6, MaxTokens: 40, Prompts: []rollout.Prompt{{ID: "a", Text: name}}}
+		submitted, err := one.public(0, "assessor").Submit(context.Background(), request)
+		is.NoErr(err)
+		is.Equal(len(pullAll(t, one, submitted, 1)), 6)
+	}
+	run("warm-up")
+	http.DefaultClient.CloseIdleConnections()
+	before := runtime.NumGoroutine()
+	for i := range 20 {
+		run(fmt.Sprint("step-", i))
+	}
+	// Idle connections of the test's own clients are given some room.
+	const room = 60
+	one.await("goroutines to end", func() bool { return runtime.NumGoroutine() < before+room })
+	is.Equal(one.daemons[0].Status().InFlight, int64(0))
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"woodworks/internal/periodic"
 )
 
 const (
@@ -32,7 +34,7 @@
 	daemon.logger.Info("stop begun", zap.Int64("in_flight", daemon.gateway.InFlight()))
 	daemon.gateway.StopAdmitting()
 	daemon.gossip.Leave()
-	wait(ctx, noticeTime)
+	periodic.Pause(ctx, noticeTime)
 	daemon.handOverChunks(ctx)
 	daemon.awaitRecordsElsewhere(ctx)
 	err := daemon.gateway.Shutdown(ctx)
@@ -54,15 +56,6 @@
 	daemon.pool.Close()
 }
 
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // handOverChunks moves every chunk to its next home, with what is generated.
 // Without another serving daemon there is nowhere to go.
 func (daemon *Daemon) handOverChunks(ctx context.Context) {
@@ -73,7 +66,7 @@
 		if daemon.home.HandOver(ctx) == 0 {
 			return
 		}
-		wait(ctx, stopStep)
+		periodic.Pause(ctx, stopStep)
 	}
 }
 
@@ -88,6 +81,6 @@
 		if len(daemon.gossip.Serving()) < 2 || daemon.epochs.SafeWithout(ctx, self) {
 			return
 		}
-		wait(ctx, stopStep)
+		periodic.Pause(ctx, stopStep)
 	}
 }
--- a/internal/epochs/epochs.go
+++ b/internal/epochs/epochs.go
@@ -18,6 +18,7 @@
 	"woodworks/internal/catalog"
 	"woodworks/internal/membership"
 	"woodworks/internal/peer"
+	"woodworks/internal/periodic"
 	"woodworks/internal/placement"
 	"woodworks/internal/records"
 	"woodworks/internal/rendezvous"
@@ -79,16 +80,7 @@
 
 // Run proposes epochs until the context ends.
 func (coordinator *Coordinator) Run(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			coordinator.check(ctx)
-		}
-	}
+	periodic.Every(ctx, checkInterval, coordinator.check)
 }
 
 func (coordinator *Coordinator) check(ctx context.Context) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"woodworks/internal/catalogsync"
 	"woodworks/internal/membership"
 	"woodworks/internal/peer"
+	"woodworks/internal/periodic"
 	"woodworks/internal/platform/machinelist"
 	"woodworks/internal/rendezvous"
 )
@@ -95,33 +96,10 @@
 
 // Run keeps the table up to date until the context ends.
 func (fleet *Fleet) Run(ctx context.Context) {
-	go every(ctx, directoryInterval, fleet.updateDirectory)
-	go every(ctx, dropInterval, func(context.Context) { fleet.Table.DropUnheard(time.Now()) })
-	go repeat(ctx, fleet.fetchReports)
-	repeat(ctx, fleet.pollOwned)
-}
-
-// every calls the function at an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, function func(context.Context)) {
-	repeat(ctx, func(ctx context.Context) time.Duration {
-		function(ctx)
-		return interval
-	})
-}
-
-// repeat calls the function again after the time that it returns, counted from
-// the call's start, until the context ends.
-func repeat(ctx context.Context, function func(context.Context) time.Duration) {
-	for ctx.Err() == nil {
-		startedAt := time.Now()
-		pause := function(ctx) - time.Since(startedAt)
-		timer := time.NewTimer(max(pause, 0))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
-	}
+	go periodic.Every(ctx, directoryInterval, fleet.updateDirectory)
+	go periodic.Every(ctx, dropInterval, func(context.Context) { fleet.Table.DropUnheard(time.Now()) })
+	go periodic.Repeat(ctx, fleet.fetchReports)
+	periodic.Repeat(ctx, fleet.pollOwned)
 }
 
 // paced returns the interval at which count things may be done, each so often,
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -188,7 +188,11 @@
 	}
 	const unknownPrefix = `json: unknown field "`
 	if name, found := strings.CutPrefix(err.Error(), unknownPrefix); found {
-		return strings.TrimSuffix(name, `"`), errors.New("is not a known field")
+		name = strings.TrimSuffix(name, `"`)
+		if name == "" {
+			return "body", errors.New("has a field without a name")
+		}
+		return name, errors.New("is not a known field")
 	}
 	return "body", errors.Errorf("is not valid JSON: %s", strings.TrimPrefix(err.Error(), "json: "))
 }
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -30,24 +30,25 @@
 )
 
 type options struct {
-	listen    string
-	name      string
-	service   string
-	store     string
-	seed      uint64
-	rate      float64
-	lag       time.Duration
-	engine    enginestand.Config
-	site      string
-	woodworks string
-	logs      string
-	duration  time.Duration
-	quiet     bool
-	sizes     []int
-	runs      int
-	perDaemon int
-	plots     string
-	stdout    io.Writer
+	listen     string
+	name       string
+	service    string
+	store      string
+	seed       uint64
+	rate       float64
+	lag        time.Duration
+	engine     enginestand.Config
+	site       string
+	woodworks  string
+	logs       string
+	duration   time.Duration
+	quiet      bool
+	safetyOnly bool
+	sizes      []int
+	runs       int
+	perDaemon  int
+	plots      string
+	stdout     io.Writer
 }
 
 type command struct {
@@ -135,6 +136,7 @@
 		node.String(&chosen.logs, "", "logs", "directory for the processes' logs")
 		node.Duration(&chosen.duration, "", "duration", "length of the run, where it can be chosen")
 		node.Bool(&chosen.quiet, "", "quiet", "print only the result")
+		node.Bool(&chosen.safetyOnly, "", "safety-only", "fail on violations only, not on promises that were not put to the test")
 	}
 	return commands
 }
@@ -208,7 +210,7 @@
 	}
 	return demo.Run(demo.Options{
 		Site: demo.ByName(chosen.site), Woodworks: woodworks, Lab: lab, Seed: chosen.seed,
-		Output: chosen.stdout, KeepLogs: chosen.logs,
+		Output: chosen.stdout, KeepLogs: chosen.logs, SafetyOnly: chosen.safetyOnly,
 	})
 }
 
@@ -223,7 +225,7 @@
 	}
 	return chaos.Run(chaos.Options{
 		Site: demo.ByName(chosen.site), Woodworks: woodworks, Lab: lab, Seed: chosen.seed,
-		Duration: chosen.duration, Output: chosen.stdout, Logs: chosen.logs, Quiet: chosen.quiet,
+		Duration: chosen.duration, Output: chosen.stdout, Logs: chosen.logs, Quiet: chosen.quiet, SafetyOnly: chosen.safetyOnly,
 	})
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,6 +12,7 @@
 
 	"woodworks/internal/announce"
 	"woodworks/internal/catalog"
+	"woodworks/internal/periodic"
 	"woodworks/internal/policy"
 )
 
@@ -122,7 +123,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		sleep(ctx, retryDelay)
+		periodic.Pause(ctx, retryDelay)
 	}
 	return catalog.HistoryEntry{}, ErrUnknown
 }
@@ -139,7 +140,7 @@
 			return catalog.HistoryEntry{}, false
 		}
 		if err != nil {
-			sleep(ctx, retryDelay)
+			periodic.Pause(ctx, retryDelay)
 		}
 	}
 	return catalog.HistoryEntry{}, false
@@ -154,7 +155,7 @@
 		if ctx.Err() != nil {
 			return errors.Wrap(ErrPending, err.Error())
 		}
-		sleep(ctx, retryDelay)
+		periodic.Pause(ctx, retryDelay)
 	}
 }
 
@@ -176,15 +177,6 @@
 	operator.peers.Announce(announce.Announcement{Key: announce.Key{Kind: announce.DaemonGone, Subject: id}, Version: 1})
 }
 
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func newID() string {
 	var random [12]byte
 	_, _ = rand.Read(random[:])
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -15,6 +15,7 @@
 	"woodworks/internal/catalog"
 	"woodworks/internal/membership"
 	"woodworks/internal/peer"
+	"woodworks/internal/periodic"
 	"woodworks/internal/placement"
 	"woodworks/internal/register"
 )
@@ -198,7 +199,7 @@
 			service.finishImport(index, next.Number, collected, keysFrom)
 			return
 		}
-		sleep(ctx, importRetry)
+		periodic.Pause(ctx, importRetry)
 	}
 }
 
@@ -299,7 +300,7 @@
 				return register.Value{}, err
 			}
 		}
-		sleep(ctx, backoff/2+rand.N(backoff))
+		periodic.Pause(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 		if ctx.Err() != nil {
 			return register.Value{}, errors.Wrap(ErrNoMajority, lastRefusal)
@@ -337,7 +338,7 @@
 				return register.Value{}, refusal, false
 			}
 		case register.Preempted:
-			sleep(ctx, rand.N(firstBackoff*4))
+			periodic.Pause(ctx, rand.N(firstBackoff*4))
 			proposer.Retry()
 		case register.Decided:
 			return proposer.Outcome(), "", true
@@ -421,12 +422,3 @@
 	}
 	return refusal
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/swaps/swaps.go
+++ b/internal/swaps/swaps.go
@@ -12,6 +12,7 @@
 	"woodworks/internal/announce"
 	"woodworks/internal/backend/engine"
 	"woodworks/internal/fleet"
+	"woodworks/internal/periodic"
 	"woodworks/internal/policy"
 	"woodworks/internal/weights"
 )
@@ -63,16 +64,7 @@
 
 // Run orders swaps until the context ends.
 func (swapper *Swapper) Run(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			swapper.check(ctx)
-		}
-	}
+	periodic.Every(ctx, checkInterval, swapper.check)
 }
 
 func (swapper *Swapper) check(ctx context.Context) {
