--- a/internal/daemon/floor_test.go
+++ b/internal/daemon/floor_test.go
@@ -48,7 +48,7 @@
 // testFloor is a floor in this process: stand-ins behind test servers, and
 // real daemons on loopback.
 type testFloor struct {
-	t        *testing.T
+	t        testing.TB
 	log      *httptest.Server
 	list     *httptest.Server
 	plains   []*httptest.Server
@@ -59,7 +59,7 @@
 	clients  map[string]*client.Client
 }
 
-func serve(t *testing.T, routes []rest.Route) *httptest.Server {
+func serve(t testing.TB, routes []rest.Route) *httptest.Server {
 	t.Helper()
 	routing := router.NewRouter()
 	for _, route := range routes {
@@ -74,7 +74,7 @@
 
 // newFloor starts the platform, two engines and two plain back ends, and plans
 // the daemons; startDaemons starts them.
-func newFloor(t *testing.T, daemons int) *testFloor {
+func newFloor(t testing.TB, daemons int) *testFloor {
 	t.Helper()
 	one := &testFloor{t: t, clients: map[string]*client.Client{}, log: serve(t, logstand.New(1).Routes()), list: serve(t, machinestand.New(0).Routes())}
 	for i := range 2 {
@@ -148,7 +148,7 @@
 
 // startReady starts the daemons with the Operator's policy and waits until
 // they are ready and the trainer's first version is loaded.
-func startReady(t *testing.T, daemons int) *testFloor {
+func startReady(t testing.TB, daemons int) *testFloor {
 	t.Helper()
 	one := newFloor(t, daemons)
 	one.startDaemons()
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -333,3 +333,33 @@
 	is.NoErr(err)
 	is.Equal(promise.Value, won)
 }
+
+// One decision by one proposer among a group, without the network.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []int{3, 5} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			wide := bounds()
+			wide.MaxRecords = 1 << 30
+			acceptors := make([]*register.Acceptor, size)
+			for i := range acceptors {
+				acceptors[i] = register.NewAcceptor(wide)
+				for index := range placement.ShardCount {
+					acceptors[i].Start(index, 1)
+				}
+			}
+			b.ReportAllocs()
+			for number := 0; b.Loop(); number++ {
+				one := register.Key{Name: fmt.Sprint("k", number), IssuedAt: start}
+				proposer := register.NewProposer(one, register.Value{Holder: "a"}, size, 1, "a")
+				for i, acceptor := range acceptors {
+					promise, _ := acceptor.HandlePrepare(start, proposer.Prepare())
+					proposer.OnPromise(fmt.Sprint(i), promise)
+				}
+				for i, acceptor := range acceptors {
+					accepted, _ := acceptor.HandleAccept(start, proposer.Accept())
+					proposer.OnAccepted(fmt.Sprint(i), accepted)
+				}
+			}
+		})
+	}
+}
