Let a new daemon's view stand before it takes replicas over

A daemon that has just started knows only itself, ranks first for every replica, and polled all 2,600, each over a connection of its own: 200 times. Ruled out: gossip (its rate was bounded before), idle connections (steady at 100 daemons).

A daemon now owns nothing until the number of serving daemons stood still for a second, at most ten; and a daemon without peers is sent the whole table at once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,7 +31,11 @@
 	// pollsPerSecond bounds the polls of owned replicas.
 	pollsPerSecond = 20
 	dropInterval   = 10 * time.Second
-	callTimeout    = 700 * time.Millisecond
+	// settleQuiet is how long the membership must stand still after the start
+	// before replicas are taken over, settleLimit the longest wait for that.
+	settleQuiet = time.Second
+	settleLimit = 10 * time.Second
+	callTimeout = 700 * time.Millisecond
 	// subsetOwners is how many owners of other daemons' replicas a daemon asks
 	// for reports: state and traffic grow with this and not with the floor.
 	subsetOwners = 12
@@ -64,6 +68,13 @@
 	owned           []machinelist.Machine
 	ownedMembership uint64
 	ownedRevision   uint64
+	// settling is true until the membership has been seen to stand still: a
+	// daemon that has just started knows few others and would take itself for
+	// the owner of the whole floor.
+	settling      bool
+	startedAt     time.Time
+	grewAt        time.Time
+	servingBefore int
 	// followed holds, for each owner asked, what has been heard from it.
 	followed map[membership.NodeID]*following
 }
@@ -91,6 +102,9 @@
 		pollInterval: pollInterval,
 		fences:       map[string]fence{},
 		followed:     map[membership.NodeID]*following{},
+		settling:     true,
+		startedAt:    time.Now(),
+		grewAt:       time.Now(),
 	}
 }
 
@@ -143,12 +157,16 @@
 // must not be changed.
 func (fleet *Fleet) Owned() []machinelist.Machine {
 	version, revision := fleet.peers.Version(), fleet.Table.Revision()
+	serving := fleet.peers.Serving()
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	if fleet.isSettling(time.Now(), len(serving)) {
+		return nil
+	}
 	if fleet.ownedMembership == version && fleet.ownedRevision == revision {
 		return fleet.owned
 	}
-	owners := NewOwners(fleet.peers.Serving())
+	owners := NewOwners(serving)
 	self := fleet.peers.Self().ID
 	var owned []machinelist.Machine
 	for _, machine := range fleet.Table.Machines() {
@@ -160,6 +178,20 @@
 	return owned
 }
 
+// isSettling reports whether the membership still grows after the start. The
+// mutex must be held.
+func (fleet *Fleet) isSettling(now time.Time, serving int) bool {
+	if !fleet.settling {
+		return false
+	}
+	if serving != fleet.servingBefore {
+		fleet.servingBefore = serving
+		fleet.grewAt = now
+	}
+	fleet.settling = now.Sub(fleet.grewAt) < settleQuiet && now.Sub(fleet.startedAt) < settleLimit
+	return fleet.settling
+}
+
 // pollOwned asks each owned replica for its state.
 func (fleet *Fleet) pollOwned(ctx context.Context) time.Duration {
 	tokens := make(chan struct{}, pollConcurrency)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -168,3 +168,25 @@
 		})
 	}
 }
+
+// quietPeers is a membership whose size the test sets.
+type quietPeers struct{ serving []membership.Member }
+
+func (peers *quietPeers) Self() membership.Member           { return peers.serving[0] }
+func (peers *quietPeers) Serving() []membership.Member      { return peers.serving }
+func (peers *quietPeers) Version() uint64                   { return uint64(len(peers.serving)) }
+func (peers *quietPeers) Announce(...announce.Announcement) {}
+
+// A daemon that has just started and knows no one does not take the whole
+// floor for its own.
+func TestNewDaemonOwnsNothingUntilItsViewStands(t *testing.T) {
+	is := is.New(t)
+	peers := &quietPeers{serving: []membership.Member{{ID: "a", Zone: "z"}}}
+	fleet := New(tableOf(6), peers, nil, nil, time.Second, nil)
+	is.Equal(len(fleet.Owned()), 0)
+	now := fleet.startedAt
+	is.True(fleet.isSettling(now.Add(settleQuiet/2), 1))
+	is.True(fleet.isSettling(now.Add(settleQuiet), 30)) // it grew just now
+	is.True(!fleet.isSettling(now.Add(3*settleQuiet), 30))
+	is.Equal(len(fleet.Owned()), 6) // alone in its zone, and settled
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -45,9 +45,9 @@
 	BoardDigest   uint64
 	// CatalogOffset lets the receiver see that it is behind.
 	CatalogOffset uint64
-	// Repair asks for what the digests show the sender to lack. News goes
-	// without: repairs are left to the steady probes.
-	Repair bool
+	// Repair is how many parts of the table may be sent to fill gaps that the
+	// digests show. News goes with none: repairs are left to the steady probes.
+	Repair int
 }
 
 // ProbeRequest asks for a probe of another member on the sender's behalf.
@@ -265,7 +265,7 @@
 	}
 	for _, seed := range service.seeds {
 		if seed != self.Address {
-			go func() { _ = service.exchange(ctx, seed, true) }()
+			go func() { _ = service.exchange(ctx, seed, membership.BucketCount) }()
 		}
 	}
 }
@@ -274,7 +274,7 @@
 // try before it is suspected.
 func (service *Service) probe(ctx context.Context, target membership.Member) {
 	sentAt := time.Now()
-	if service.exchange(ctx, target.Address, true) == nil {
+	if service.exchange(ctx, target.Address, repairBuckets) == nil {
 		return
 	}
 	if service.probeIndirectly(ctx, target) {
@@ -314,7 +314,7 @@
 
 // exchange tells a peer the news and takes in its own; with repair, gaps that
 // the digests show are filled both ways.
-func (service *Service) exchange(ctx context.Context, address string, repair bool) error {
+func (service *Service) exchange(ctx context.Context, address string, repair int) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(nil, nil, repair))
@@ -322,7 +322,7 @@
 		return err
 	}
 	service.absorb(reply)
-	if !repair {
+	if repair == 0 {
 		return nil
 	}
 	return service.repair(ctx, address, reply)
@@ -330,11 +330,11 @@
 
 // repair sends the peer what its digests show it to lack.
 func (service *Service) repair(ctx context.Context, address string, told Exchange) error {
-	differing, board := service.lacking(told)
+	differing, board := service.lacking(told, repairBuckets)
 	if len(differing) == 0 && len(board) == 0 {
 		return nil
 	}
-	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(differing, board, false))
+	reply, err := peer.Ask[Exchange](ctx, service.pool, address, peer.Control, RPCName+".Exchange", service.compose(differing, board, 0))
 	if err != nil {
 		return err
 	}
@@ -343,9 +343,9 @@
 }
 
 // lacking returns what a peer's digests show it to lack or hold otherwise.
-func (service *Service) lacking(told Exchange) ([]membership.Member, []announce.Announcement) {
+func (service *Service) lacking(told Exchange, buckets int) ([]membership.Member, []announce.Announcement) {
 	service.mutex.Lock()
-	differing := service.machine.Differing(told.Digest, repairBuckets)
+	differing := service.machine.Differing(told.Digest, buckets)
 	service.mutex.Unlock()
 	if service.board.Digest() == told.BoardDigest {
 		return differing, nil
@@ -354,7 +354,7 @@
 }
 
 // compose builds an exchange of fresh news and the given repairs.
-func (service *Service) compose(repairs []membership.Member, board []announce.Announcement, repair bool) Exchange {
+func (service *Service) compose(repairs []membership.Member, board []announce.Announcement, repair int) Exchange {
 	// The catalog is asked outside the lock: it asks for members under its own.
 	offset := service.catalog.Offset()
 	service.mutex.Lock()
@@ -402,7 +402,7 @@
 		exchanges.Add(1)
 		go func() {
 			defer exchanges.Done()
-			_ = service.exchange(ctx, member.Address, false)
+			_ = service.exchange(ctx, member.Address, 0)
 		}()
 	}
 	exchanges.Wait()
@@ -419,12 +419,12 @@
 func (handler *Handler) Exchange(told Exchange, reply *Exchange) error {
 	service := handler.service
 	service.absorb(told)
-	if !told.Repair {
-		*reply = service.compose(nil, nil, false)
+	if told.Repair == 0 {
+		*reply = service.compose(nil, nil, 0)
 		return nil
 	}
-	differing, board := service.lacking(told)
-	*reply = service.compose(differing, board, false)
+	differing, board := service.lacking(told, told.Repair)
+	*reply = service.compose(differing, board, 0)
 	return nil
 }
 
@@ -432,7 +432,7 @@
 func (handler *Handler) Probe(request ProbeRequest, reply *ProbeReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	answer, err := peer.Ask[Exchange](ctx, handler.service.pool, request.Address, peer.Control, RPCName+".Exchange", handler.service.compose(nil, nil, false))
+	answer, err := peer.Ask[Exchange](ctx, handler.service.pool, request.Address, peer.Control, RPCName+".Exchange", handler.service.compose(nil, nil, 0))
 	if err != nil {
 		return nil
 	}
--- a/internal/lab/measure/floor.go
+++ b/internal/lab/measure/floor.go
@@ -221,7 +221,6 @@
 	request := scheduler.Request{Model: "m", MinVersion: 1, NewestVersion: floor.announced, Overcommit: floor.site.slots / 8}
 	if floor.strategy.versions && floor.announced > floor.site.bound {
 		request.MinVersion = floor.announced - floor.site.bound
-		request.PreferVersion = floor.announced - max(floor.site.bound, 1) + 1
 	}
 	if !floor.strategy.holdBack {
 		request.Overcommit = 1 << 20
--- a/internal/lab/measure/strategy.go
+++ b/internal/lab/measure/strategy.go
@@ -17,7 +17,7 @@
 	longestFirst bool
 	// affinity keeps a prompt's samples on an engine that caches it.
 	affinity bool
-	// versions starts a sample only where it will not be too stale.
+	// versions starts a sample only where it is not too stale already.
 	versions bool
 	// correct corrects the late load reports by what the daemon knows.
 	correct bool
@@ -60,7 +60,7 @@
 	without("holding back", func(one *strategy) { one.holdBack = false })
 	without("longest first", func(one *strategy) { one.longestFirst = false })
 	without("prefix affinity", func(one *strategy) { one.affinity = false })
-	without("version foresight", func(one *strategy) { one.versions = false })
+	without("version filter", func(one *strategy) { one.versions = false })
 	without("load correction", func(one *strategy) { one.correct = false })
 	without("resuming", func(one *strategy) { one.resume = false })
 	without("migration", func(one *strategy) { one.migrate = false })
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -44,10 +44,6 @@
 	Model string
 	// MinVersion is the oldest acceptable version.
 	MinVersion uint64
-	// PreferVersion is the oldest version that will still be acceptable after
-	// the next one is announced. While a replica has it, only those that do are
-	// picked, even if the request must wait for them; 0 for no preference.
-	PreferVersion uint64
 	// NewestVersion is the newest announced version.
 	NewestVersion uint64
 	// Excluded names replicas that must not be picked, such as one that a
@@ -130,15 +126,6 @@
 // Pick filters and scores the candidates and picks among the best ones by the
 // random number, which is at least 0 and below 1.
 func Pick(request Request, candidates []Candidate, weights Weights, random float64) Decision {
-	if request.PreferVersion > request.MinVersion {
-		preferring := request
-		preferring.MinVersion = request.PreferVersion
-		preferring.PreferVersion = 0
-		decision := Pick(preferring, candidates, weights, random)
-		if decision.Index >= 0 || decision.Reason == NoneFree {
-			return decision
-		}
-	}
 	kept := make([]int, 0, len(candidates))
 	for i := range candidates {
 		kept = append(kept, i)
