Enforce limits.max_queued, and drop what nothing uses

Cause: reading as a newcomer: the setting was checked and documented, and no code read it, so only the classes' own bounds held. The dispatcher now refuses beyond it.

Before: any number of requests waited as long as each class had room.

--- a/internal/backend/engine/engine_test.go
+++ b/internal/backend/engine/engine_test.go
@@ -78,3 +78,14 @@
 		}
 	})
 }
+
+func BenchmarkDecodeFrame(b *testing.B) {
+	line := []byte(`{"version":3,"tokens":[` + strings.TrimSuffix(strings.Repeat("123456,", 64), ",") + `]}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := engine.DecodeFrame(line); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/64, "ns/token")
+}
--- a/internal/chunkhome/chunkhome_test.go
+++ b/internal/chunkhome/chunkhome_test.go
@@ -50,7 +50,7 @@
 	board := announce.NewBoard(100)
 	table := fleet.NewTable(board, func() {})
 	held := catalog{set: set}
-	dispatcher := dispatch.New(table, known, held)
+	dispatcher := dispatch.New(table, known, held, 100)
 	limits := chunkhome.Limits{MaxChunks: maxChunks, Retention: time.Hour, ConfirmBound: time.Second}
 	return chunkhome.New(ctx, limits, known, held, board, dispatcher, table, peer.NewPool("", nil), zap.NewNop())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,7 @@
 		MaxRecords: loaded.Limits.MaxRecords,
 	}, confirmBound, members, daemon.syncer, daemon.pool, daemon.logger)
 	daemon.epochs = epochs.New(members, daemon.syncer, logClient, daemon.pool, daemon.logger)
-	daemon.dispatcher = dispatch.New(table, daemon.gossip, daemon.syncer)
+	daemon.dispatcher = dispatch.New(table, daemon.gossip, daemon.syncer, loaded.Limits.MaxQueued)
 	daemon.fleet = fleet.New(table, daemon.gossip, daemon.pool, machinelist.New(loaded.Platform.MachineListURL, source), loaded.Timing.PollInterval.Std(), daemon.logger)
 	daemon.swapper = swaps.New(daemon.fleet, daemon.board, daemon.syncer, daemon.gossip, daemon.logger)
 	daemon.home = chunkhome.New(daemon.context, chunkhome.Limits{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,18 +96,23 @@
 	self     Self
 	policies Policies
 	weights  scheduler.Weights
-	kick     chan struct{}
+	// maxWaiting bounds the requests waiting for all services together.
+	maxWaiting int
+	kick       chan struct{}
 }
 
-// New returns a dispatcher over a table of replicas.
-func New(table *fleet.Table, self Self, policies Policies) *Dispatcher {
+// New returns a dispatcher over a table of replicas in which at most maxWaiting
+// requests wait.
+func New(table *fleet.Table, self Self, policies Policies, maxWaiting int) *Dispatcher {
 	return &Dispatcher{
 		services: map[string]*serviceQueue{},
 		table:    table,
 		self:     self,
 		policies: policies,
 		weights:  scheduler.DefaultWeights(),
-		kick:     make(chan struct{}, 1),
+
+		maxWaiting: maxWaiting,
+		kick:       make(chan struct{}, 1),
 	}
 }
 
@@ -159,6 +164,9 @@
 	}
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
+	if dispatcher.waiting() >= dispatcher.maxWaiting {
+		return scheduler.Job{}, errors.Wrapf(ErrQueueFull, "%d requests wait", dispatcher.maxWaiting)
+	}
 	held := dispatcher.service(request.Service)
 	dispatcher.next++
 	queueClass := request.Class + "/" + request.Model
@@ -171,6 +179,15 @@
 	return job, nil
 }
 
+// waiting counts the requests that wait. The mutex must be held.
+func (dispatcher *Dispatcher) waiting() int {
+	count := 0
+	for _, held := range dispatcher.services {
+		count += held.queue.Len()
+	}
+	return count
+}
+
 // giveUp takes a request out of the queue. A grant that came at the same
 // moment is handed back unused.
 func (dispatcher *Dispatcher) giveUp(service string, job scheduler.Job, waiting *waiter) {
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"sort"
 	"strings"
 	"sync"
@@ -269,9 +268,3 @@
 	}
 	return fmt.Sprintf("p50 %s p95 %s p99 %s (%d)", at(0.5), at(0.95), at(0.99), len(sorted))
 }
-
-// LogDirectory makes a directory for logs below a parent.
-func LogDirectory(parent, name string) (string, error) {
-	path := filepath.Join(parent, name)
-	return path, errors.Wrap(os.MkdirAll(path, 0o755), "demo")
-}
--- a/internal/rollout/chunk.go
+++ b/internal/rollout/chunk.go
@@ -157,25 +157,6 @@
 	return specs
 }
 
-// RunningSample is a sample with a try under way.
-type RunningSample struct {
-	Spec  SampleSpec
-	Tries int
-	// Generated is how many tokens the furthest try has produced.
-	Generated int
-}
-
-// Running returns the samples under way.
-func (chunk *Chunk) Running() []RunningSample {
-	var under []RunningSample
-	for _, held := range chunk.samples {
-		if held.state == running {
-			under = append(under, RunningSample{Spec: held.spec, Tries: len(held.tries), Generated: len(held.furthest().Tokens)})
-		}
-	}
-	return under
-}
-
 // Progressed returns how far a sample is: the tokens of its furthest try, how
 // many are expected in all, and the length of its prompt in bytes.
 func (chunk *Chunk) Progressed(index int) (generated, expected, promptBytes int) {
@@ -303,9 +284,6 @@
 // Open returns how many samples are not yet taken.
 func (chunk *Chunk) Open() int { return len(chunk.samples) - chunk.countIn(taken) }
 
-// Unfinished returns how many samples have no result.
-func (chunk *Chunk) Unfinished() int { return chunk.countIn(waiting) + chunk.countIn(running) }
-
 func (chunk *Chunk) countIn(state sampleState) int {
 	count := 0
 	for _, held := range chunk.samples {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -62,15 +62,6 @@
 // Len returns the number of waiting jobs.
 func (queue *Queue) Len() int { return queue.length }
 
-// ClassLen returns the number of waiting jobs of one class.
-func (queue *Queue) ClassLen(class string) int {
-	held, known := queue.classes[class]
-	if !known {
-		return 0
-	}
-	return len(held.jobs)
-}
-
 // Push adds a job. It reports false if the class is full.
 func (queue *Queue) Push(job Job) bool {
 	held := queue.class(job.Class)
