--- a/internal/lab/measure/engine.go
+++ b/internal/lab/measure/engine.go
@@ -63,7 +63,6 @@
 	job      *job
 	produced int
 	readyAt  time.Duration
-	versions []uint64
 	cancel   bool
 }
 
@@ -82,8 +81,6 @@
 	pausedT time.Duration
 	// reported is the load that the daemons see, with a lag.
 	reported int
-	// seenAt is when the reported load was true.
-	seenAt time.Duration
 }
 
 func (one *simEngine) load() int { return len(one.running) + len(one.waiting) }
--- a/internal/lab/measure/floor.go
+++ b/internal/lab/measure/floor.go
@@ -19,14 +19,13 @@
 	length   int
 	expected int
 	// prefix holds what ended tries produced, versions all that took part.
-	prefix  int
-	oldest  uint64
-	home    *simDaemon
-	engine  *simEngine
-	stream  *stream
-	startAt time.Duration
-	whole   bool
-	taken   bool
+	prefix int
+	oldest uint64
+	home   *simDaemon
+	engine *simEngine
+	stream *stream
+	whole  bool
+	taken  bool
 }
 
 func (one *job) done() int { return one.prefix }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -88,13 +88,12 @@
 
 // model is what a chunk must agree with.
 type model struct {
-	chunk    *rollout.Chunk
-	version  uint64
-	bound    uint64
-	tries    map[string]int
-	next     int
-	taken    map[int]bool
-	expected map[int]int
+	chunk   *rollout.Chunk
+	version uint64
+	bound   uint64
+	tries   map[string]int
+	next    int
+	taken   map[int]bool
 }
 
 func (one *model) judge(oldest uint64) bool {
