Choose a source port at connect, and publish while a daemon is cut off

Daemons connect from the IP of their peer address; binding it took a port away from every destination, also for programs that bind nothing, so 28,000 connections used up all. Ruled out: too many connections to one destination (about 60 a daemon). The port is now chosen at connect (IP_BIND_ADDRESS_NO_PORT), unique for the destination only.

A planted bug (readiness without confirmation) passed a chaos run: no change was accepted while a daemon was cut off for long. That fault now lasts beyond the bound and has a change published at another daemon.

--- a/internal/catalogsync/catalogsync_test.go
+++ b/internal/catalogsync/catalogsync_test.go
@@ -40,7 +40,7 @@
 
 func TestPeersAreAskedOutsideTheLock(t *testing.T) {
 	is := is.New(t)
-	syncer := catalogsync.New(logservice.New("http://127.0.0.1:1", nil), peer.NewPool("", nil), zap.NewNop())
+	syncer := catalogsync.New(logservice.New("http://127.0.0.1:1", ""), peer.NewPool("", nil), zap.NewNop())
 	syncer.Attach(&lockedPeers{t: t, syncer: syncer})
 	reply := catalogsync.SyncReply{}
 	is.NoErr(syncer.Handler().Sync(catalogsync.SyncRequest{}, &reply))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,8 +114,7 @@
 func (daemon *Daemon) build(self membership.Member) {
 	loaded := daemon.settings
 	confirmBound := loaded.Timing.ConfirmBound.Std()
-	source := peer.SourceOf(loaded.Listen.Peer)
-	logClient := logservice.New(loaded.Platform.LogURL, source)
+	logClient := logservice.New(loaded.Platform.LogURL, loaded.Listen.Peer)
 	daemon.syncer = catalogsync.New(logClient, daemon.pool, daemon.logger)
 	daemon.gossip = gossip.New(self, daemon.board, daemon.pool, daemon.syncer, loaded.Seeds, daemon.logger)
 	daemon.syncer.Attach(daemon.gossip)
@@ -128,7 +127,7 @@
 	}, confirmBound, members, daemon.syncer, daemon.pool, daemon.logger)
 	daemon.epochs = epochs.New(members, daemon.syncer, logClient, daemon.pool, daemon.logger)
 	daemon.dispatcher = dispatch.New(table, daemon.gossip, daemon.syncer, loaded.Limits.MaxQueued)
-	daemon.fleet = fleet.New(table, daemon.gossip, daemon.pool, machinelist.New(loaded.Platform.MachineListURL, source), loaded.Timing.PollInterval.Std(), daemon.logger)
+	daemon.fleet = fleet.New(table, daemon.gossip, daemon.pool, machinelist.New(loaded.Platform.MachineListURL, loaded.Listen.Peer), loaded.Timing.PollInterval.Std(), daemon.logger)
 	daemon.swapper = swaps.New(daemon.fleet, daemon.board, daemon.syncer, daemon.gossip, daemon.logger)
 	daemon.home = chunkhome.New(daemon.context, chunkhome.Limits{
 		MaxChunks:    loaded.Limits.MaxChunks,
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -19,6 +19,8 @@
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"woodworks/internal/sourceaddr"
 )
 
 // serviceName is the name under which httpc knows all our clients.
@@ -75,11 +77,13 @@
 }
 
 // New returns a client for a base URL such as "http://127.0.0.1:80".
-func New(base string) *Client { return NewFrom(base, nil) }
+func New(base string) *Client { return NewFrom(base, "") }
 
-// NewFrom returns a client that connects from a source address, nil for any.
-func NewFrom(base string, source net.Addr) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval, LocalAddr: source}
+// NewFrom returns a client that connects from the IP of a local address
+// (IP:port), "" for any.
+func NewFrom(base, local string) *Client {
+	dialer := sourceaddr.Dialer(local, dialTimeout)
+	dialer.KeepAlive = keepAliveInterval
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idlePerRemote,
--- a/internal/lab/chaos/configuration.go
+++ b/internal/lab/chaos/configuration.go
@@ -150,6 +150,22 @@
 	}()
 }
 
+// publishOne publishes one change through a daemon in the background.
+func (one *run) publishOne(index int) {
+	if !one.claim("policy") {
+		return
+	}
+	marker := one.random.Uint64()
+	one.healing.Add(1)
+	go func() {
+		defer one.healing.Done()
+		defer one.release("policy")
+		if base, known := one.offsetInForce(index); known {
+			one.publish(index, fmt.Sprintf("%x", marker), base)
+		}
+	}()
+}
+
 // offsetInForce asks a daemon for the offset of the site's document.
 func (one *run) offsetInForce(index int) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
--- a/internal/lab/chaos/faults.go
+++ b/internal/lab/chaos/faults.go
@@ -32,7 +32,7 @@
 		{"planned stop", 5, (*run).stopDaemon},
 		{"cut daemon from peers", 4, (*run).isolateDaemon},
 		{"cut daemon from log", 3, (*run).cutFromLog},
-		{"cut daemon from all", 3, (*run).cutFromAll},
+		{"cut daemon from all", 4, (*run).cutFromAll},
 		{"log down", 3, (*run).logDown},
 		{"log slow", 2, (*run).logSlow},
 		{"log loses answers", 3, (*run).logLosesAnswers},
@@ -234,17 +234,21 @@
 	one.logFaults("cut "+victim.Name+" from the log", logstand.Faults{RefuseFrom: []string{victim.Host}}, one.between(time.Second, 8*time.Second), nothing)
 }
 
-// cutFromAll cuts a daemon off from log and peers: it must stop admitting.
+// cutFromAll cuts a daemon off from log and peers, and has a change published
+// at another: the one cut off must stop admitting before the change is due.
 func (one *run) cutFromAll() {
 	if !one.claim("network") {
 		return
 	}
-	victim := one.anyDaemon()
+	index := one.random.IntN(len(one.floor.Daemons))
+	victim := one.floor.Daemons[index]
+	lasting := one.between(inForceWithin+2*time.Second, inForceWithin+5*time.Second)
 	healPeers := one.cutPeers(victim)
-	one.logFaults("cut "+victim.Name+" from log and peers", logstand.Faults{RefuseFrom: []string{victim.Host}}, one.between(5*time.Second, 10*time.Second), func() {
+	one.logFaults("cut "+victim.Name+" from log and peers", logstand.Faults{RefuseFrom: []string{victim.Host}}, lasting, func() {
 		healPeers()
 		one.release("network")
 	})
+	one.publishOne(index + 1)
 }
 
 func (one *run) storeDown() {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -9,12 +9,13 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"net/rpc"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"woodworks/internal/sourceaddr"
 )
 
 // Lane keeps control traffic from waiting behind bulk data.
@@ -62,7 +63,7 @@
 	mutex       sync.Mutex
 	connections map[poolKey]*pooled
 	meter       *Meter
-	dialer      net.Dialer
+	dialer      *net.Dialer
 	closed      bool
 }
 
@@ -72,18 +73,8 @@
 	return &Pool{
 		connections: map[poolKey]*pooled{},
 		meter:       meter,
-		dialer:      net.Dialer{Timeout: dialTimeout, LocalAddr: SourceOf(localAddress)},
-	}
-}
-
-// SourceOf returns the source address for connections from the IP of a local
-// address (IP:port), nil for "".
-func SourceOf(localAddress string) net.Addr {
-	parsed, err := netip.ParseAddrPort(localAddress)
-	if err != nil {
-		return nil
+		dialer:      sourceaddr.Dialer(localAddress, dialTimeout),
 	}
-	return &net.TCPAddr{IP: parsed.Addr().AsSlice()}
 }
 
 // Ask calls a method of the peer at an address and waits for the answer until
--- a/internal/platform/logservice/logservice.go
+++ b/internal/platform/logservice/logservice.go
@@ -9,7 +9,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -52,10 +51,10 @@
 // Client reads from and appends to the log.
 type Client struct{ remote *httpclient.Client }
 
-// New returns a client for the log's base URL that connects from a source
-// address, nil for any.
-func New(base string, source net.Addr) *Client {
-	return &Client{remote: httpclient.NewFrom(base, source)}
+// New returns a client for the log's base URL that connects from the IP
+// of a local address (IP:port), "" for any.
+func New(base, local string) *Client {
+	return &Client{remote: httpclient.NewFrom(base, local)}
 }
 
 // Append appends one record. ErrUnavailable means that its outcome is unknown:
--- a/internal/platform/machinelist/machinelist.go
+++ b/internal/platform/machinelist/machinelist.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -57,10 +56,10 @@
 // Client reads the machine list.
 type Client struct{ remote *httpclient.Client }
 
-// New returns a client for the list's base URL that connects from a source
-// address, nil for any.
-func New(base string, source net.Addr) *Client {
-	return &Client{remote: httpclient.NewFrom(base, source)}
+// New returns a client for the list's base URL that connects from the IP
+// of a local address (IP:port), "" for any.
+func New(base, local string) *Client {
+	return &Client{remote: httpclient.NewFrom(base, local)}
 }
 
 // Since returns the entries changed after a revision.
