--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -7,14 +7,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"sort"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"woodworks/internal/lab/demo"
 	"woodworks/internal/lab/enginestand"
 	"woodworks/internal/lab/floor"
@@ -83,15 +80,11 @@
 // Run runs the floor and returns demo.ErrBroken if a promise was violated or
 // never put to the test.
 func Run(options Options) error {
-	directory := options.Logs
-	if directory == "" {
-		temporary, err := os.MkdirTemp("", "woodworks-chaos-")
-		if err != nil {
-			return errors.Wrap(err, "chaos")
-		}
-		defer func() { _ = os.RemoveAll(temporary) }()
-		directory = temporary
+	directory, removeLogs, err := floor.LogDirectory(options.Logs)
+	if err != nil {
+		return err
 	}
+	defer removeLogs()
 	started, err := floor.Start(floor.Options{
 		Site: options.Site.Site, Woodworks: options.Woodworks, Lab: options.Lab, Directory: directory,
 		Seed: options.Seed, ListLag: listLag, StoreRate: storeRate,
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"sort"
 	"strings"
 	"sync"
@@ -53,15 +52,11 @@
 // drain and a kill of engines, and reports. It returns ErrBroken if a promise
 // did not hold.
 func Run(options Options) error {
-	directory := options.KeepLogs
-	if directory == "" {
-		temporary, err := os.MkdirTemp("", "woodworks-demo-")
-		if err != nil {
-			return errors.Wrap(err, "demo")
-		}
-		defer func() { _ = os.RemoveAll(temporary) }()
-		directory = temporary
+	directory, removeLogs, err := floor.LogDirectory(options.KeepLogs)
+	if err != nil {
+		return err
 	}
+	defer removeLogs()
 	say := func(format string, arguments ...any) {
 		_, _ = fmt.Fprintf(options.Output, format+"\n", arguments...)
 	}
--- a/internal/lab/floor/process.go
+++ b/internal/lab/floor/process.go
@@ -31,6 +31,16 @@
 	return process, process.start()
 }
 
+// LogDirectory returns the directory given, or a new temporary one if that is
+// "", and a function that removes what was made.
+func LogDirectory(given string) (directory string, remove func(), err error) {
+	if given != "" {
+		return given, func() {}, nil
+	}
+	directory, err = os.MkdirTemp("", "woodworks-lab-")
+	return directory, func() { _ = os.RemoveAll(directory) }, errors.Wrap(err, "floor: log directory")
+}
+
 func (process *Process) start() error {
 	output, err := os.OpenFile(process.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -20,6 +20,7 @@
 	"woodworks/internal/lab/chaos"
 	"woodworks/internal/lab/demo"
 	"woodworks/internal/lab/enginestand"
+	"woodworks/internal/lab/floor"
 	"woodworks/internal/lab/logstand"
 	"woodworks/internal/lab/machinestand"
 	"woodworks/internal/lab/measure"
@@ -247,15 +248,14 @@
 	if len(chosen.sizes) == 0 {
 		chosen.sizes = []int{10, 25, 50, 100, 200}
 	}
-	if chosen.logs == "" {
-		if chosen.logs, err = scale.DefaultDirectory(); err != nil {
-			return err
-		}
-		defer func() { _ = os.RemoveAll(chosen.logs) }()
+	logs, removeLogs, err := floor.LogDirectory(chosen.logs)
+	if err != nil {
+		return err
 	}
+	defer removeLogs()
 	return scale.Run(scale.Options{
 		Sizes: chosen.sizes, ReplicasPerDaemon: chosen.perDaemon, Lab: lab,
-		Directory: chosen.logs, Output: chosen.stdout, Plots: chosen.plots,
+		Directory: logs, Output: chosen.stdout, Plots: chosen.plots,
 	})
 }
 
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
 	"strconv"
 	"time"
@@ -378,9 +377,3 @@
 	}
 	return time.Since(startedAt).Seconds()
 }
-
-// DefaultDirectory makes a temporary directory for logs.
-func DefaultDirectory() (string, error) {
-	directory, err := os.MkdirTemp("", "woodworks-scale-")
-	return directory, errors.Wrap(err, "scale")
-}
