End a followed delivery with a final answer at a planned stop

Cause: reading the gateway once more: a daemon stopped by plan ended the stream of a trainer that follows a batch at a whole line, but without a last word, which a reader cannot tell from a cut. It now says so in a last line. A test stops a daemon under a followed batch: the stream ends with a final answer, and the batch is whole at another daemon (run twice under the race detector).

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -294,6 +294,40 @@
 	is.NoErr(one.publish(examples.OperatorPolicy+"\n# again\n", nil))
 }
 
+// A planned stop lets a move in flight end, hands the batch over, and ends a
+// followed delivery with a final answer.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	one := startReady(t, 3)
+	request := rollout.Request{Trainer: "assessor", Name: "step-1", SamplesPerPrompt: 24, MaxTokens: 400, Prompts: []rollout.Prompt{{ID: "a", Text: "first"}}}
+	submitted, err := one.public(0, "assessor").Submit(context.Background(), request)
+	is.NoErr(err)
+	followed := make(chan client.Answer, 1)
+	go func() {
+		header := http.Header{"Accept": {"application/x-ndjson"}}
+		answer, err := one.public(0, "assessor").Do(context.Background(), http.MethodGet, "/v1/rollouts/assessor/step-1/samples?training_version=1", header, nil)
+		if err != nil {
+			t.Error(err)
+		}
+		followed <- answer
+	}()
+	one.await("work at the daemon", func() bool { return one.daemons[0].Status().InFlight > 0 })
+	is.NoErr(one.daemons[0].Stop())
+	lines := strings.Split(strings.TrimSpace(string((<-followed).Body)), "\n")
+	last := lines[len(lines)-1]
+	is.True(strings.Contains(last, `"done":true`) || strings.Contains(last, `"code":"stopping"`))
+
+	var all []rollout.Result
+	cursor := submitted.Cursor
+	for done := false; !done; {
+		pulled, err := one.public(1, "assessor").Pull(context.Background(), "assessor", "step-1", cursor, 1, 100, time.Second)
+		is.NoErr(err)
+		all = append(all, pulled.Samples...)
+		cursor, done = pulled.Cursor, pulled.Done
+	}
+	is.Equal(len(all), 24)
+}
+
 // A flood is refused at once and truthfully, with when to come back, while
 // what was admitted goes on.
 func TestFloodIsRefusedTruthfully(t *testing.T) {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -200,6 +200,13 @@
 		}
 		pull.Cursor = delivered.Cursor
 	}
+	if gateway.stopping.Load() {
+		// A planned stop ends the stream with its final answer, not by a cut.
+		_ = encoder.Encode(problemBody{Error: Problem{
+			Code: "stopping", Outcome: calls.Unknown, RetryAfterMillis: refuseRetryAfter.Milliseconds(),
+			Message: "this daemon is being stopped; follow at another with the last cursor",
+		}})
+	}
 }
 
 func (gateway *Gateway) parsePull(writer http.ResponseWriter, request *http.Request) (delivery.Pull, bool) {
