Say when a drain order was heard by too few

The order had gone to a daemon that was cut off from log and peers for 7 s already; it acknowledged it, and the others heard when the cut ended. Ruled out: a send held back by a frozen daemon (none was frozen then).

An order is now taken only by a daemon that is confirmed, told to every partner, and answered with an error unless half of them heard it. Before: acknowledged by a daemon on its own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,7 @@
 			gateway.route(http.MethodGet, "/v1/policies", gateway.admit(audience, false, gateway.operatorOnly(gateway.policies))),
 			gateway.route(http.MethodPost, "/v1/policies", gateway.admit(audience, false, gateway.operatorOnly(gateway.publishPolicy))),
 			gateway.route(http.MethodPost, "/v1/gone", gateway.admit(audience, false, gateway.operatorOnly(gateway.declareGone))),
-			gateway.route(http.MethodPost, "/v1/drains", gateway.admit(audience, false, gateway.operatorOnly(gateway.drain))),
+			gateway.route(http.MethodPost, "/v1/drains", gateway.admit(audience, true, gateway.operatorOnly(gateway.drain))),
 		)
 	}
 	return routes
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -138,7 +138,13 @@
 		writeProblem(writer, http.StatusNotFound, Problem{Code: "unknown_machine", Field: "machine", Message: "machine: " + operator.ErrNoMachine.Error()})
 		return
 	}
-	gateway.parts.Operator.Drain(wanted.Machine, !wanted.Undo)
+	if err := gateway.parts.Operator.Drain(request.Context(), wanted.Machine, !wanted.Undo); err != nil {
+		writeProblem(writer, http.StatusServiceUnavailable, Problem{
+			Code: "order_not_spread", Message: err.Error() + "; give it to another daemon too",
+			Outcome: calls.Unknown, RetryAfterMillis: refuseRetryAfter.Milliseconds(),
+		})
+		return
+	}
 	writer.Header().Set(OutcomeHeader, string(calls.Completed))
 	writeJSON(writer, http.StatusOK, drainAnswer{Machine: wanted.Machine, Draining: !wanted.Undo})
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"woodworks/internal/announce"
@@ -180,6 +181,35 @@
 	}
 }
 
+// ErrNotHeard means that too few partners heard an announcement: this daemon
+// may be cut off. The announcement stands and goes on to spread.
+var ErrNotHeard = errors.New("gossip: too few partners heard the announcement")
+
+// AnnounceWidely puts an announcement on the board and tells it to every
+// partner. It returns ErrNotHeard unless at least half of them answered.
+func (service *Service) AnnounceWidely(ctx context.Context, announcement announce.Announcement) error {
+	service.board.Merge(time.Now(), announcement)
+	service.mutex.Lock()
+	near, far := service.machine.Partners()
+	service.mutex.Unlock()
+	partners := append(near, far...)
+	heard := make(chan bool, len(partners))
+	for _, partner := range partners {
+		go func() { heard <- service.exchange(ctx, partner.Address, 0) == nil }()
+	}
+	count := 0
+	for range partners {
+		if <-heard {
+			count++
+		}
+	}
+	service.Spread()
+	if 2*count < len(partners) {
+		return errors.Wrapf(ErrNotHeard, "%d of %d", count, len(partners))
+	}
+	return nil
+}
+
 // Spread starts an exchange with a few peers soon, for news of any kind.
 func (service *Service) Spread() {
 	select {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,10 +1,12 @@
 package gossip_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"woodworks/internal/announce"
@@ -68,3 +70,15 @@
 	is.True(service.ProvedGone("b#0", "b")) // never heard of, but another run answers there
 	is.True(!service.ProvedGone("c#1", "c"))
 }
+
+// An order that no partner heard is said not to have spread.
+func TestAnnouncementThatNoOneHearsIsSaidSo(t *testing.T) {
+	is := is.New(t)
+	service := newService(t, "a")
+	order := announce.Announcement{Key: announce.Key{Kind: announce.Drain, Subject: "m"}, Version: 1}
+	is.NoErr(service.AnnounceWidely(context.Background(), order)) // there is no one else
+	reply := gossip.Exchange{}
+	unreachable := membership.Member{ID: "b#1", Name: "b", Address: "127.0.0.1:1", Generation: 1}
+	is.NoErr(service.Handler().Exchange(gossip.Exchange{From: unreachable}, &reply))
+	is.True(errors.Is(service.AnnounceWidely(context.Background(), order), gossip.ErrNotHeard))
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -56,6 +56,7 @@
 type Peers interface {
 	ProvedGone(id, address string) bool
 	Announce(announcements ...announce.Announcement)
+	AnnounceWidely(ctx context.Context, announcement announce.Announcement) error
 }
 
 // Operator is safe for concurrent use.
@@ -159,16 +160,27 @@
 	}
 }
 
+// ErrNotSpread means that an order was taken in by a daemon that may be cut
+// off; it should be given to another too.
+var ErrNotSpread = errors.New("the order was heard by too few daemons")
+
 // Drain orders a machine to take no new work, or takes the order back. The
-// order spreads by gossip and needs no log.
-func (operator *Operator) Drain(machine string, drain bool) {
+// order spreads by gossip and needs no log; a nil error means that at least
+// half of this daemon's partners have it.
+func (operator *Operator) Drain(ctx context.Context, machine string, drain bool) error {
 	key := announce.Key{Kind: announce.Drain, Subject: machine}
 	held, _ := operator.board.Get(key)
 	draining := held.Version%2 == 1
-	if draining == drain {
-		return
+	if draining != drain {
+		held = announce.Announcement{Key: key, Version: held.Version + 1}
+	}
+	if held.Version == 0 {
+		return nil
+	}
+	if err := operator.peers.AnnounceWidely(ctx, held); err != nil {
+		return errors.Wrap(ErrNotSpread, err.Error())
 	}
-	operator.peers.Announce(announce.Announcement{Key: key, Version: held.Version + 1})
+	return nil
 }
 
 // DeclareGone states that one run of a daemon is over for good. Where it is
