--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,6 +20,9 @@
 const (
 	KindPolicy    Kind = "policy"
 	KindPlacement Kind = "placement"
+	// KindOrder is an operator's order for a back end. The fold passes over
+	// it; it reaches the announcement board, which settles orders by version.
+	KindOrder Kind = "order"
 )
 
 // Record is one entry of the log.
@@ -44,6 +47,13 @@
 	Source   string `json:"source"`
 }
 
+// OrderChange is the payload of a KindOrder record.
+type OrderChange struct {
+	Machine string `json:"machine"`
+	// Version is the version of the announcement.
+	Version uint64 `json:"version"`
+}
+
 // PlacementMember is one daemon of a placement epoch.
 type PlacementMember struct {
 	ID      string `json:"id"`
--- a/internal/catalogsync/catalogsync.go
+++ b/internal/catalogsync/catalogsync.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -65,6 +66,8 @@
 	peers  Peers
 	logger *zap.Logger
 	behind chan string
+	// onOrder is called for each order read, without the lock held.
+	onOrder func(catalog.OrderChange)
 }
 
 // New returns a syncer with an empty configuration.
@@ -87,6 +90,9 @@
 // Attach gives the syncer its view of the peers, before Run.
 func (syncer *Syncer) Attach(peers Peers) { syncer.peers = peers }
 
+// OnOrder sets what is done with operators' orders, before Run.
+func (syncer *Syncer) OnOrder(onOrder func(catalog.OrderChange)) { syncer.onOrder = onOrder }
+
 // State returns the configuration in force.
 func (syncer *Syncer) State() catalog.State {
 	syncer.mutex.Lock()
@@ -147,6 +153,7 @@
 // apply folds records in. Records that are already in force are passed over;
 // a gap ends the call.
 func (syncer *Syncer) apply(records []catalog.Record) {
+	defer syncer.passOrders(records)
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
 	before := syncer.state.Offset
@@ -170,6 +177,20 @@
 	syncer.finishChange(before)
 }
 
+// passOrders hands on the orders among records. An order may be handed on more
+// than once; its version settles that.
+func (syncer *Syncer) passOrders(records []catalog.Record) {
+	if syncer.onOrder == nil {
+		return
+	}
+	for _, record := range records {
+		var order catalog.OrderChange
+		if record.Kind == catalog.KindOrder && json.Unmarshal(record.Payload, &order) == nil {
+			syncer.onOrder(order)
+		}
+	}
+}
+
 // adopt replaces the state by a peer's later one.
 func (syncer *Syncer) adopt(snapshot catalog.State) {
 	syncer.mutex.Lock()
--- a/internal/catalogsync/catalogsync_test.go
+++ b/internal/catalogsync/catalogsync_test.go
@@ -1,14 +1,18 @@
 package catalogsync_test
 
 import (
+	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/zeromicro/go-zero/rest/router"
 	"go.uber.org/zap"
 
 	"woodworks/internal/catalog"
 	"woodworks/internal/catalogsync"
+	"woodworks/internal/lab/logstand"
 	"woodworks/internal/membership"
 	"woodworks/internal/peer"
 	"woodworks/internal/platform/logservice"
@@ -49,3 +53,28 @@
 	is.NoErr(syncer.Handler().Hold(catalogsync.HoldRequest{}, &held))
 	is.Equal(held.Offset, catalog.Empty().Offset)
 }
+
+// A daemon that reaches only the log hears of operators' orders.
+func TestOrdersAreReadFromTheLog(t *testing.T) {
+	is := is.New(t)
+	routing := router.NewRouter()
+	for _, route := range logstand.New(1).Routes() {
+		is.NoErr(routing.Handle(route.Method, route.Path, route.Handler))
+	}
+	server := httptest.NewServer(routing)
+	defer server.Close()
+	log := logservice.New(server.URL, "")
+	order := catalog.OrderChange{Machine: "desk-1", Version: 3}
+	_, err := log.Append(context.Background(), "x", catalog.KindOrder, order)
+	is.NoErr(err)
+	syncer := catalogsync.New(log, peer.NewPool("", nil), zap.NewNop())
+	syncer.Attach(&lockedPeers{t: t, syncer: syncer})
+	var heard []catalog.OrderChange
+	syncer.OnOrder(func(order catalog.OrderChange) {
+		syncer.Offset() // called without the lock
+		heard = append(heard, order)
+	})
+	is.NoErr(syncer.ReadLog(context.Background(), 0))
+	is.Equal(heard, []catalog.OrderChange{order})
+	is.Equal(syncer.Offset(), uint64(1))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"woodworks/internal/announce"
 	"woodworks/internal/calls"
+	"woodworks/internal/catalog"
 	"woodworks/internal/catalogsync"
 	"woodworks/internal/chunkhome"
 	"woodworks/internal/delivery"
@@ -118,6 +119,9 @@
 	daemon.syncer = catalogsync.New(logClient, daemon.pool, daemon.logger)
 	daemon.gossip = gossip.New(self, daemon.board, daemon.pool, daemon.syncer, loaded.Seeds, daemon.logger)
 	daemon.syncer.Attach(daemon.gossip)
+	daemon.syncer.OnOrder(func(order catalog.OrderChange) {
+		daemon.gossip.Announce(announce.Announcement{Key: announce.Key{Kind: announce.Drain, Subject: order.Machine}, Version: order.Version})
+	})
 	table := fleet.NewTable(daemon.board, daemon.kick)
 	members := membersAndProofs{Service: daemon.gossip, board: daemon.board, table: table}
 	daemon.records = records.New(register.Bounds{
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -165,8 +165,8 @@
 var ErrNotSpread = errors.New("the order was heard by too few daemons")
 
 // Drain orders a machine to take no new work, or takes the order back. The
-// order spreads by gossip and needs no log; a nil error means that at least
-// half of this daemon's partners have it.
+// order spreads by gossip and by the log, and one of them is enough; a nil
+// error means that the log or at least half of this daemon's partners have it.
 func (operator *Operator) Drain(ctx context.Context, machine string, drain bool) error {
 	key := announce.Key{Kind: announce.Drain, Subject: machine}
 	held, _ := operator.board.Get(key)
@@ -177,8 +177,12 @@
 	if held.Version == 0 {
 		return nil
 	}
-	if err := operator.peers.AnnounceWidely(ctx, held); err != nil {
-		return errors.Wrap(ErrNotSpread, err.Error())
+	// By gossip it reaches daemons that are cut off from the log, by the log
+	// those that are cut off from their peers.
+	spread := operator.peers.AnnounceWidely(ctx, held)
+	_, logged := operator.log.Append(ctx, newID(), catalog.KindOrder, catalog.OrderChange{Machine: machine, Version: held.Version})
+	if spread != nil && logged != nil {
+		return errors.Wrap(ErrNotSpread, spread.Error())
 	}
 	return nil
 }
