--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -88,12 +88,13 @@
 	}
 }
 
-func pullAll(t *testing.T, one *testFloor, submitted client.Submitted, version uint64) []rollout.Result {
+// pullAll takes a whole batch through the given daemons in turn.
+func pullAll(t *testing.T, one *testFloor, submitted client.Submitted, version uint64, daemons ...int) []rollout.Result {
 	t.Helper()
 	var all []rollout.Result
 	cursor := submitted.Cursor
 	for number := 0; ; number++ {
-		pulled, err := one.public(number%len(one.settings), "assessor").Pull(context.Background(), "assessor", submitted.Name, cursor, version, 100, time.Second)
+		pulled, err := one.public(daemons[number%len(daemons)], "assessor").Pull(context.Background(), "assessor", submitted.Name, cursor, version, 100, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -123,7 +124,7 @@
 
 	ledger := workload.NewLedger()
 	seen := map[int]bool{}
-	for _, sample := range pullAll(t, one, submitted, 1) {
+	for _, sample := range pullAll(t, one, submitted, 1, 0, 1, 2) {
 		is.True(!seen[sample.Index])
 		seen[sample.Index] = true
 		ledger.CheckSample(request, sample, 30, 1, 1)
@@ -160,7 +161,7 @@
 	is.NoErr(err)
 	one.await("samples of version 1", func() bool { return one.daemons[0].Status().SamplesDone >= 4 })
 	is.NoErr(one.public(0, "assessor").Announce(context.Background(), "assessor", 5, "a-5"))
-	for _, sample := range pullAll(t, one, submitted, 5) {
+	for _, sample := range pullAll(t, one, submitted, 5, 0) {
 		is.Equal(sample.OldestVersion(), uint64(5))
 	}
 	is.Equal(one.daemons[0].Status().SamplesStale, uint64(4)) // counted
@@ -317,15 +318,7 @@
 	last := lines[len(lines)-1]
 	is.True(strings.Contains(last, `"done":true`) || strings.Contains(last, `"code":"stopping"`))
 
-	var all []rollout.Result
-	cursor := submitted.Cursor
-	for done := false; !done; {
-		pulled, err := one.public(1, "assessor").Pull(context.Background(), "assessor", "step-1", cursor, 1, 100, time.Second)
-		is.NoErr(err)
-		all = append(all, pulled.Samples...)
-		cursor, done = pulled.Cursor, pulled.Done
-	}
-	is.Equal(len(all), 24)
+	is.Equal(len(pullAll(t, one, submitted, 1, 1)), 24)
 }
 
 // A flood is refused at once and truthfully, with when to come back, while
@@ -383,7 +376,7 @@
 		request := rollout.Request{Trainer: "assessor", Name: name, SamplesPerPrompt: 6, MaxTokens: 40, Prompts: []rollout.Prompt{{ID: "a", Text: name}}}
 		submitted, err := one.public(0, "assessor").Submit(context.Background(), request)
 		is.NoErr(err)
-		is.Equal(len(pullAll(t, one, submitted, 1)), 6)
+		is.Equal(len(pullAll(t, one, submitted, 1, 0)), 6)
 	}
 	run("warm-up")
 	http.DefaultClient.CloseIdleConnections()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -249,6 +249,8 @@
 	defer ticker.Stop()
 	service.joinIfAlone(ctx)
 	lastNews := time.Time{}
+	// newsDue is nil while there is no news to tell.
+	var newsDue <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -256,17 +258,13 @@
 		case <-ticker.C:
 			service.round(ctx)
 		case <-service.news:
-			pause := max(newsDelay, newsInterval-time.Since(lastNews))
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				service.round(ctx)
-				service.Spread()
-			case <-time.After(pause):
-				lastNews = time.Now()
-				go service.spreadNews(ctx)
+			if newsDue == nil {
+				newsDue = time.After(max(newsDelay, newsInterval-time.Since(lastNews)))
 			}
+		case <-newsDue:
+			newsDue = nil
+			lastNews = time.Now()
+			go service.spreadNews(ctx)
 		}
 	}
 }
