--- a/cmd/woodworks/main.go
+++ b/cmd/woodworks/main.go
@@ -2,10 +2,13 @@
 // line of its callers and operators.
 package main
 
+import "C"
+
 import (
 	"os"
 
 	"woodworks/internal/cli"
+	"woodworks/platform"
 )
 
-func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(cli.Main(os.Args[1:], platform.Connect, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/batch/batch.go
@@ -0,0 +1,108 @@
+// Package batch is the state of batch jobs: a deterministic fold over the
+// records of a journal partition.
+//
+// Every reader of a partition folds the same records in the same order and so
+// holds the same state. Of records that contradict each other the first valid
+// one counts; the others change nothing. A daemon that is late, paused or
+// mistaken about its role can therefore waste work, but cannot lose, double or
+// reorder a result.
+package batch
+
+import (
+	"time"
+)
+
+// Header is one header of an item's request.
+type Header struct {
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
+}
+
+// Reward is the request that scores an item's text.
+type Reward struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	Body []byte `cbor:"4,keyasint"`
+}
+
+// Item is one request of a batch.
+type Item struct {
+	ID      string   `cbor:"1,keyasint"`
+	Path    string   `cbor:"2,keyasint"`
+	Headers []Header `cbor:"3,keyasint"`
+	Body    []byte   `cbor:"4,keyasint"`
+	// Tokens is the size of the prompt and of the longest answer together.
+	Tokens int64  `cbor:"5,keyasint"`
+	Group  string `cbor:"6,keyasint,omitempty"`
+	// Reward is nil if the text needs no score.
+	Reward *Reward `cbor:"7,keyasint,omitempty"`
+}
+
+// Submission is a batch as its caller handed it in.
+type Submission struct {
+	ID string `cbor:"1,keyasint"`
+	// Host and Path are those of the submitting request: they name the route.
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	// AcceptedAtMs is the accepting daemon's time of day, in milliseconds.
+	AcceptedAtMs int64 `cbor:"4,keyasint"`
+	// Trainer's part: the step, the model, the oldest version that may make a
+	// token, and how many whole groups the trainer waits for.
+	Step       int64  `cbor:"5,keyasint"`
+	Model      string `cbor:"6,keyasint"`
+	MinVersion int64  `cbor:"7,keyasint"`
+	Desired    int    `cbor:"8,keyasint"`
+	Items      []Item `cbor:"9,keyasint"`
+}
+
+// AcceptedAt is the accepting daemon's time of day at the acceptance.
+func (submission *Submission) AcceptedAt() time.Time {
+	return time.UnixMilli(submission.AcceptedAtMs)
+}
+
+// Outcome says how an item ended.
+type Outcome int
+
+// Outcomes of items.
+const (
+	// Done items have their whole text.
+	Done Outcome = iota + 1
+	// Dead items were given up.
+	Dead
+)
+
+// Result is the end of one item.
+type Result struct {
+	// Item is the item's place in the submission.
+	Item    int     `cbor:"1,keyasint"`
+	Outcome Outcome `cbor:"2,keyasint"`
+	Text    []byte  `cbor:"3,keyasint"`
+	// Versions are all versions of the weights that made a part of the text.
+	Versions []int64 `cbor:"4,keyasint"`
+	Score    string  `cbor:"5,keyasint"`
+}
+
+// Batch is the folded state of one batch. Readers must not change it.
+type Batch struct {
+	Submission
+	// Owner is the daemon that runs the batch, "" after a release.
+	Owner string
+	// Handed are the items that the last owner said it would still finish
+	// when it released the batch.
+	Handed map[int]bool
+	// Results in the order of their positions.
+	Results []Result
+	// Listed says of each item whether it has a position.
+	Listed []bool
+	Ended  bool
+	// Signs counts the records that show the owner alive.
+	Signs int64
+}
+
+// Open reports whether the batch still has work: it is not ended and an item
+// has no position yet.
+func (b *Batch) Open() bool { return !b.Ended && len(b.Results) < len(b.Listed) }
+
+// Total is the number of items.
+func (b *Batch) Total() int { return len(b.Listed) }
--- /dev/null
+++ b/internal/batch/fold.go
@@ -0,0 +1,163 @@
+package batch
+
+// State is the fold of one partition up to an offset.
+type State struct {
+	batches   map[string]*Batch
+	fragments map[string]*fragments
+}
+
+// fragments are the parts of one long record seen so far.
+type fragments struct {
+	next  int
+	bytes []byte
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{batches: map[string]*Batch{}, fragments: map[string]*fragments{}}
+}
+
+// Get returns a batch.
+func (state *State) Get(id string) (*Batch, bool) {
+	found, ok := state.batches[id]
+	return found, ok
+}
+
+// All calls visit for each batch.
+func (state *State) All(visit func(*Batch)) {
+	for _, each := range state.batches {
+		visit(each)
+	}
+}
+
+// Size returns how many batches are known.
+func (state *State) Size() int { return len(state.batches) }
+
+// Apply folds the next record. A record that is malformed or not valid in this
+// state changes nothing: the same holds for every reader.
+func (state *State) Apply(encoded []byte) {
+	entry, err := decode(encoded)
+	if err != nil {
+		return
+	}
+	if entry.Kind == kindFragment {
+		if whole := state.join(entry); whole != nil {
+			state.Apply(whole)
+		}
+		return
+	}
+	if entry.Kind == kindAccepted {
+		state.accept(entry)
+		return
+	}
+	if known := state.batches[entry.BatchID]; known != nil {
+		known.apply(entry)
+	}
+}
+
+// join adds a fragment and returns the whole record once it has all parts.
+// Parts come in order, as one append is all or nothing and in one piece.
+func (state *State) join(entry record) []byte {
+	parts := state.fragments[entry.Key]
+	if parts == nil {
+		parts = &fragments{}
+		state.fragments[entry.Key] = parts
+	}
+	if entry.Index != parts.next {
+		return nil
+	}
+	parts.bytes = append(parts.bytes, entry.Part...)
+	parts.next++
+	if parts.next < entry.Count {
+		return nil
+	}
+	whole := parts.bytes
+	delete(state.fragments, entry.Key)
+	return whole
+}
+
+// accept makes a batch exist. A second acceptance of the same id is a repeat
+// of the first one and changes nothing.
+func (state *State) accept(entry record) {
+	if entry.Submission == nil || entry.Submission.ID != entry.BatchID {
+		return
+	}
+	if _, known := state.batches[entry.BatchID]; known {
+		return
+	}
+	state.batches[entry.BatchID] = &Batch{
+		Submission: *entry.Submission,
+		Owner:      entry.Owner,
+		Listed:     make([]bool, len(entry.Submission.Items)),
+	}
+}
+
+func (b *Batch) apply(entry record) {
+	switch entry.Kind {
+	case kindBeat:
+		if entry.Owner == b.Owner {
+			b.Signs++
+		}
+	case kindResults:
+		b.Signs++
+		for _, result := range entry.Results {
+			b.list(result)
+		}
+	case kindTakenOver:
+		// A takeover counts only against the owner it names, so that of two
+		// at the same time one wins for every reader.
+		if entry.From == b.Owner && !b.Ended {
+			b.Owner = entry.Owner
+			b.Signs++
+		}
+	case kindReleased:
+		if entry.From == b.Owner && !b.Ended {
+			b.Owner = ""
+			b.Handed = make(map[int]bool, len(entry.Handed))
+			for _, item := range entry.Handed {
+				b.Handed[item] = true
+			}
+		}
+	case kindEnded:
+		b.end()
+	}
+}
+
+// list gives a result the next position if its item has none and the batch is
+// open.
+func (b *Batch) list(result Result) {
+	if b.Ended || result.Item < 0 || result.Item >= len(b.Listed) || b.Listed[result.Item] {
+		return
+	}
+	if result.Outcome != Done && result.Outcome != Dead {
+		return
+	}
+	if result.Outcome == Done && !b.versionsFit(result.Versions) {
+		return
+	}
+	b.Listed[result.Item] = true
+	b.Results = append(b.Results, result)
+}
+
+func (b *Batch) versionsFit(versions []int64) bool {
+	for _, version := range versions {
+		if version < b.MinVersion {
+			return false
+		}
+	}
+	return true
+}
+
+// end closes the batch. Bodies are not asked for any more and are dropped; the
+// ids stay, as results are told under them.
+func (b *Batch) end() {
+	if b.Ended {
+		return
+	}
+	b.Ended = true
+	items := make([]Item, len(b.Items))
+	for i, item := range b.Items {
+		items[i] = Item{ID: item.ID, Group: item.Group}
+	}
+	b.Items = items
+}
--- /dev/null
+++ b/internal/batch/record.go
@@ -0,0 +1,103 @@
+package batch
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// recordKind says what a record tells.
+type recordKind int
+
+const (
+	kindAccepted recordKind = iota + 1
+	kindResults
+	kindTakenOver
+	kindReleased
+	kindEnded
+	kindFragment
+	kindBeat
+)
+
+// record is one entry of a journal partition.
+type record struct {
+	Kind    recordKind `cbor:"1,keyasint"`
+	BatchID string     `cbor:"2,keyasint,omitempty"`
+	// Submission and Owner come with an acceptance.
+	Submission *Submission `cbor:"3,keyasint,omitempty"`
+	Owner      string      `cbor:"4,keyasint,omitempty"`
+	Results    []Result    `cbor:"5,keyasint,omitempty"`
+	// From is the owner that a takeover or a release believes to replace.
+	From string `cbor:"6,keyasint,omitempty"`
+	// Handed are the items that the releasing owner still finishes.
+	Handed []int `cbor:"7,keyasint,omitempty"`
+	// A fragment is a part of a record too long for the journal. Key is drawn
+	// anew for each append, so that parts of two appends are never joined.
+	Key   string `cbor:"8,keyasint,omitempty"`
+	Index int    `cbor:"9,keyasint,omitempty"`
+	Count int    `cbor:"10,keyasint,omitempty"`
+	Part  []byte `cbor:"11,keyasint,omitempty"`
+}
+
+// fragmentOverhead is room for the fields around a fragment's bytes.
+const fragmentOverhead = 256
+
+func encode(entry record) []byte {
+	encoded, err := cbor.Marshal(entry)
+	if err != nil {
+		// All fields are plain values, which always encode.
+		panic(errors.Wrap(err, "batch: encode"))
+	}
+	return encoded
+}
+
+func decode(encoded []byte) (record, error) {
+	var entry record
+	err := cbor.Unmarshal(encoded, &entry)
+	return entry, errors.Wrap(err, "batch: record")
+}
+
+// Accepted is the record that makes a batch exist, owned by a daemon.
+func Accepted(submission *Submission, owner string) []byte {
+	return encode(record{Kind: kindAccepted, BatchID: submission.ID, Submission: submission, Owner: owner})
+}
+
+// Listed is the record that gives results their positions.
+func Listed(batchID string, results []Result) []byte {
+	return encode(record{Kind: kindResults, BatchID: batchID, Results: results})
+}
+
+// TakenOver is the record that makes owner the owner in place of from.
+func TakenOver(batchID, from, owner string) []byte {
+	return encode(record{Kind: kindTakenOver, BatchID: batchID, From: from, Owner: owner})
+}
+
+// Released is the record by which an owner lets a batch go; the items in
+// handed it still finishes.
+func Released(batchID, from string, handed []int) []byte {
+	return encode(record{Kind: kindReleased, BatchID: batchID, From: from, Handed: handed})
+}
+
+// Ended is the record after which nothing of the batch is run.
+func Ended(batchID string) []byte { return encode(record{Kind: kindEnded, BatchID: batchID}) }
+
+// Beat is an owner's sign of life. It changes nothing in the fold.
+func Beat(batchID, owner string) []byte {
+	return encode(record{Kind: kindBeat, BatchID: batchID, Owner: owner})
+}
+
+// Fragment cuts a record that is longer than limit into records that are not.
+// The fold takes the parts together as the record itself, at the offset of the
+// last part. Key must be unique to this append.
+func Fragment(encoded []byte, limit int, key string) [][]byte {
+	if len(encoded) <= limit {
+		return [][]byte{encoded}
+	}
+	size := limit - fragmentOverhead
+	count := (len(encoded) + size - 1) / size
+	parts := make([][]byte, 0, count)
+	for i := 0; i < count; i++ {
+		end := min((i+1)*size, len(encoded))
+		parts = append(parts, encode(record{Kind: kindFragment, Key: key, Index: i, Count: count, Part: encoded[i*size : end]}))
+	}
+	return parts
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"woodworks/internal/client"
+	"woodworks/internal/node"
 )
 
 // Exit codes of every command.
@@ -71,6 +72,7 @@
 	version      uint64
 	machine      string
 	undo         bool
+	connect      node.Connect
 	stdout       io.Writer
 	stderr       io.Writer
 }
@@ -86,9 +88,10 @@
 	keyVariable   = "WOODWORKS_KEY"
 )
 
-// Main runs the command line and returns the exit code.
-func Main(arguments []string, stdout, stderr io.Writer) int {
-	chosen := &options{server: defaultServer, output: "text", key: os.Getenv(keyVariable), stdout: stdout, stderr: stderr}
+// Main runs the command line and returns the exit code. Connect makes the
+// drivers of the platform; without it only the product's own services are there.
+func Main(arguments []string, connect node.Connect, stdout, stderr io.Writer) int {
+	chosen := &options{connect: connect, server: defaultServer, output: "text", key: os.Getenv(keyVariable), stdout: stdout, stderr: stderr}
 	parser := flaggy.NewParser("woodworks")
 	parser.Description = "a rollout service for reinforcement learning"
 	parser.Version = Version
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -11,6 +13,7 @@
 
 	"woodworks/internal/daemon"
 	"woodworks/internal/logging"
+	"woodworks/internal/node"
 	"woodworks/internal/settings"
 )
 
@@ -56,6 +59,9 @@
 	}
 	stops := make(chan os.Signal, 2)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	if loaded.Platform.Driver == settings.DriverStore {
+		return serveHosted(chosen, loaded, logger, stops)
+	}
 	running, err := daemon.New(loaded, logger)
 	if err != nil {
 		return err
@@ -75,6 +81,50 @@
 	}
 }
 
+// memoryShare is the part of the memory bound that the heap may fill before
+// collecting gets eager.
+const memoryShare = 0.7
+
+// serveHosted runs a daemon on a platform whose store keeps all that lasts.
+func serveHosted(chosen *options, loaded settings.Settings, logger *zap.Logger, stops <-chan os.Signal) error {
+	if chosen.connect == nil {
+		return usagef("platform.driver: this build has no driver %q", loaded.Platform.Driver)
+	}
+	if loaded.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.Limits.MemoryMB) * (1 << 20)))
+	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	running, err := node.New(loaded, chosen.connect, logger)
+	if err != nil {
+		return err
+	}
+	if err := running.Start(); err != nil {
+		return err
+	}
+	for {
+		select {
+		case received := <-stops:
+			logger.Info("signal", zap.String("signal", received.String()))
+			running.Stop()
+			return nil
+		case <-reloads:
+			reload(chosen, loaded, logger)
+		}
+	}
+}
+
+// reload checks the settings file again. What a running daemon stands on
+// cannot change; the line says what would after a restart.
+func reload(chosen *options, loaded settings.Settings, logger *zap.Logger) {
+	again, err := loadSettings(chosen)
+	if err != nil {
+		logger.Error("reload refused", zap.Error(err))
+		return
+	}
+	logger.Info("reload", zap.Bool("changed", !reflect.DeepEqual(again, loaded)))
+}
+
 func runVersion(chosen *options) error {
 	_, err := fmt.Fprintln(chosen.stdout, "woodworks "+Version)
 	return err
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,68 @@
+// Package engine names what woodworks asks of a model engine besides running
+// requests: its state, and orders to change the weights it serves.
+package engine
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/replica"
+)
+
+// Errors of an order.
+var (
+	// ErrConflict: another order is under way, or the engine has taken orders
+	// since the state that the order was based on.
+	ErrConflict = errors.New("engine: order conflicts")
+	// ErrFenced: the engine has seen a higher fence.
+	ErrFenced = errors.New("engine: order fenced off")
+	// ErrRefused: the engine does not take such an order, or is another one.
+	ErrRefused = errors.New("engine: order refused")
+	// ErrUnknown: the order got no answer; it may be carried out later.
+	ErrUnknown = errors.New("engine: outcome of order unknown")
+)
+
+// Manner says what becomes of the requests that run when weights change.
+type Manner int
+
+// Manners of a change of weights.
+const (
+	// Finish lets running requests end first.
+	Finish Manner = iota + 1
+	// Continue lets them go on under the new weights.
+	Continue
+	// Reset cuts them off.
+	Reset
+)
+
+// Report is an engine's state, as of a moment ago.
+type Report struct {
+	// Busy says that an order is being carried out.
+	Busy bool
+	// Orders counts the orders taken since the engine's start.
+	Orders   int64
+	Versions map[string]int64
+	Waiting  int
+	Running  int
+}
+
+// Order asks an engine to serve another version of a model.
+type Order struct {
+	Model   string
+	Version int64
+	Manner  Manner
+	// Holder and Fence name the lease under which the order is given.
+	Holder string
+	Fence  int64
+	// AfterOrders is how many orders the engine must have taken before.
+	AfterOrders int64
+}
+
+// Driver speaks to engines. Implementations translate and do no more.
+type Driver interface {
+	Report(ctx context.Context, target replica.Replica) (Report, error)
+	// Give hands an order over. Nil means that it is under way or already in
+	// effect.
+	Give(ctx context.Context, target replica.Replica, order Order) error
+}
--- /dev/null
+++ b/internal/eventstream/eventstream.go
@@ -0,0 +1,117 @@
+// Package eventstream reads a text/event-stream one whole event at a time.
+package eventstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a stream.
+var (
+	// ErrCut: the stream ended within an event or before its connection's
+	// framing said so.
+	ErrCut = errors.New("event stream: cut off")
+	// ErrMalformed: the bytes are no event.
+	ErrMalformed = errors.New("event stream: malformed event")
+)
+
+const maxEventBytes = 4 << 20
+
+// Event is one whole event.
+type Event struct {
+	// Raw are the bytes of the event with the blank line after it.
+	Raw []byte
+	// ID is the event's number; HasID says whether it has one.
+	ID    int64
+	HasID bool
+	Data  []byte
+	// Version is the version of the weights from this event on, or 0 if the
+	// event names none.
+	Version int64
+}
+
+// Reader reads events.
+type Reader struct {
+	source        *bufio.Reader
+	versionPrefix string
+}
+
+// NewReader reads from source; versionField is the name of the line in which
+// an event tells a change of version.
+func NewReader(source io.Reader, versionField string) *Reader {
+	return &Reader{source: bufio.NewReaderSize(source, 4<<10), versionPrefix: strings.ToLower(versionField) + ":"}
+}
+
+// Next returns the next event, io.EOF at the stream's proper end, or an error.
+func (reader *Reader) Next() (Event, error) {
+	var event Event
+	dataSeen := false
+	for {
+		line, err := reader.source.ReadSlice('\n')
+		for errors.Is(err, bufio.ErrBufferFull) {
+			event.Raw = append(event.Raw, line...)
+			if len(event.Raw) > maxEventBytes {
+				return Event{}, ErrMalformed
+			}
+			var rest []byte
+			prefix := bytes.Clone(line)
+			rest, err = reader.source.ReadSlice('\n')
+			event.Raw = append(event.Raw, rest...)
+			line = append(prefix, rest...)
+			if err == nil {
+				event.Raw = event.Raw[:len(event.Raw)-len(line)]
+			}
+		}
+		if err != nil {
+			if err == io.EOF && len(line) == 0 && len(event.Raw) == 0 {
+				return Event{}, io.EOF
+			}
+			if err == io.EOF {
+				return Event{}, ErrCut
+			}
+			return Event{}, err
+		}
+		event.Raw = append(event.Raw, line...)
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			if !dataSeen && !event.HasID {
+				event = Event{}
+				continue
+			}
+			return event, nil
+		}
+		if err := reader.field(&event, text, &dataSeen); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+func (reader *Reader) field(event *Event, text []byte, dataSeen *bool) error {
+	line := string(text)
+	switch {
+	case strings.HasPrefix(line, "data:"):
+		if *dataSeen {
+			event.Data = append(event.Data, '\n')
+		}
+		event.Data = append(event.Data, strings.TrimPrefix(line[len("data:"):], " ")...)
+		*dataSeen = true
+	case strings.HasPrefix(line, "id:"):
+		number, err := strconv.ParseInt(strings.TrimSpace(line[len("id:"):]), 10, 64)
+		if err != nil {
+			return errors.Wrap(ErrMalformed, line)
+		}
+		event.ID, event.HasID = number, true
+	case strings.HasPrefix(line, reader.versionPrefix):
+		number, err := strconv.ParseInt(strings.TrimSpace(line[len(reader.versionPrefix):]), 10, 64)
+		if err != nil {
+			return errors.Wrap(ErrMalformed, line)
+		}
+		event.Version = number
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,349 @@
+// Package forward sends one request to the replicas of a service: it picks,
+// tries again where that is allowed, and says what is certain when no replica
+// answered.
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/headers"
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+// Certainty says what is known of a request without a passable answer.
+type Certainty int
+
+// What is known of a request.
+const (
+	// NotRun: no replica has run the request and none will.
+	NotRun Certainty = iota + 1
+	// MayHaveRun: a replica got the request and its answer was lost or unsound.
+	MayHaveRun
+)
+
+// Errors of an attempt; each says why no answer could be passed on.
+var (
+	errUnsound   = errors.New("forward: unsound answer")
+	errDeclined  = errors.New("forward: declined")
+	errNoReplica = errors.New("forward: no replica")
+)
+
+const (
+	// bufferedBytes is the longest answer that is held until it is whole.
+	bufferedBytes = 1 << 20
+	// extraTries is how often a request that was certainly not run may be
+	// offered again beyond its attempts.
+	extraTries = 4
+	// declinedPause is how long a replica that declined is passed over.
+	declinedPause = 60 * time.Millisecond
+	// firstHedge and hedgeFactor say when a second replica is asked although
+	// the first has not failed: after the factor times its usual latency.
+	firstHedge  = 250 * time.Millisecond
+	hedgeFactor = 5
+	leastHedge  = 100 * time.Millisecond
+)
+
+// Call is one request to a service.
+type Call struct {
+	RequestID string
+	Method    string
+	Target    string
+	Host      string
+	Header    http.Header
+	Body      []byte
+	// Services are tried in this order; the later ones only where no replica
+	// of the earlier ones is there.
+	Services []string
+	// Repeatable requests may run more than once.
+	Repeatable  bool
+	MaxAttempts int
+	// Hedge allows a second replica to be asked while the first is silent.
+	Hedge bool
+}
+
+// Answer is a replica's whole answer, or its beginning with the rest to come.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Replica string
+	// Body is the answer's body if Rest is nil, else its beginning.
+	Body []byte
+	Rest *upstream.Answer
+	end  func()
+}
+
+// Close gives the connection of a rest back.
+func (answer *Answer) Close() {
+	if answer.Rest != nil {
+		answer.Rest.Close()
+	}
+	answer.end()
+}
+
+// Failure says why there is no answer to pass on.
+type Failure struct {
+	Certainty Certainty
+	Reason    string
+	// Attempts is how many replicas may have run the request.
+	Attempts int
+}
+
+// Error implements error.
+func (failure *Failure) Error() string { return failure.Reason }
+
+// Forwarder sends requests to replicas. It is safe for concurrent use.
+type Forwarder struct {
+	Pool   *upstream.Pool
+	Table  *replica.Table
+	Names  headers.Names
+	Zone   string
+	Logger *zap.Logger
+}
+
+// attempt is the outcome of one offer to one replica.
+type attempt struct {
+	answer  *Answer
+	err     error
+	ran     bool
+	replica string
+}
+
+// Do sends the call until a replica has answered, the attempts are used up or
+// the context has ended.
+func (forwarder *Forwarder) Do(ctx context.Context, call *Call) (*Answer, error) {
+	run := &running{forwarder: forwarder, call: call, tried: map[string]bool{}, cancels: map[string]context.CancelFunc{},
+		outcomes: make(chan attempt, call.MaxAttempts+extraTries+1)}
+	return run.loop(ctx)
+}
+
+// running is one call under way.
+type running struct {
+	forwarder *Forwarder
+	call      *Call
+	tried     map[string]bool
+	// cancels cut the offer to a replica.
+	cancels  map[string]context.CancelFunc
+	outcomes chan attempt
+	// offered counts offers that may have run, notRun those that did not,
+	// open those without an outcome yet.
+	offered, notRun, open int
+	lastReason            string
+	// fallback is a replica's own failure, passed on if nothing better comes.
+	fallback *Answer
+}
+
+func (run *running) loop(ctx context.Context) (*Answer, error) {
+	hedge := time.NewTimer(run.offer(ctx))
+	defer hedge.Stop()
+	for run.open > 0 {
+		select {
+		case outcome := <-run.outcomes:
+			run.open--
+			if answer := run.judge(outcome); answer != nil {
+				run.drain(answer.Replica)
+				return answer, nil
+			}
+			if run.open == 0 && run.mayOffer() {
+				hedge.Reset(run.offer(ctx))
+			}
+		case <-hedge.C:
+			if run.call.Hedge && run.mayOffer() {
+				hedge.Reset(run.offer(ctx))
+			}
+		case <-ctx.Done():
+			run.offered += run.open
+			run.drain("")
+			return nil, run.failure("time is up")
+		}
+	}
+	if run.fallback != nil {
+		return run.fallback, nil
+	}
+	return nil, run.failure(run.lastReason)
+}
+
+// drain cuts the offers that are open, but for that to the kept replica, and
+// gives their connections back.
+func (run *running) drain(kept string) {
+	for id, cancel := range run.cancels {
+		if id != kept {
+			cancel()
+		}
+	}
+	open, outcomes := run.open, run.outcomes
+	if open == 0 {
+		return
+	}
+	go func() {
+		for i := 0; i < open; i++ {
+			if outcome := <-outcomes; outcome.answer != nil {
+				outcome.answer.Close()
+			}
+		}
+	}()
+}
+
+func (run *running) failure(reason string) *Failure {
+	if run.fallback != nil {
+		run.fallback.Close()
+	}
+	certainty := NotRun
+	if run.offered > 0 {
+		certainty = MayHaveRun
+	}
+	if reason == "" {
+		reason = errNoReplica.Error()
+	}
+	return &Failure{Certainty: certainty, Reason: reason, Attempts: run.offered}
+}
+
+// mayOffer reports whether another replica may be asked.
+func (run *running) mayOffer() bool {
+	if run.notRun > extraTries {
+		return false
+	}
+	if run.offered+run.open >= max(run.call.MaxAttempts, 1) {
+		return false
+	}
+	return run.call.Repeatable || run.offered+run.open == 0
+}
+
+// offer sends the call to the next replica, if there is one, and returns after
+// which time another should be asked as well.
+func (run *running) offer(ctx context.Context) time.Duration {
+	chosen, found := run.choose()
+	if !found {
+		return time.Hour
+	}
+	run.tried[chosen.ID] = true
+	run.open++
+	offerContext, cancel := context.WithCancel(ctx)
+	run.cancels[chosen.ID] = cancel
+	go func() { run.outcomes <- run.forwarder.attempt(offerContext, cancel, run.call, chosen) }()
+	if chosen.Latency == 0 {
+		return firstHedge
+	}
+	return max(hedgeFactor*chosen.Latency, leastHedge)
+}
+
+// choose picks a replica of the first service that has one.
+func (run *running) choose() (replica.Replica, bool) {
+	now := time.Now()
+	for _, service := range run.call.Services {
+		if chosen, found := replica.Pick(run.forwarder.Table.Replicas(service), run.tried, run.forwarder.Zone, now); found {
+			return chosen, true
+		}
+	}
+	return replica.Replica{}, false
+}
+
+// judge takes an outcome into account and returns the answer to pass on, if
+// this is it.
+func (run *running) judge(outcome attempt) *Answer {
+	if outcome.err != nil {
+		run.lastReason = outcome.err.Error()
+		if outcome.ran {
+			run.offered++
+		} else {
+			run.notRun++
+		}
+		return nil
+	}
+	run.offered++
+	if outcome.answer.Status >= http.StatusInternalServerError && run.call.Repeatable && run.mayOffer() {
+		run.lastReason = "status " + strconv.Itoa(outcome.answer.Status)
+		if run.fallback != nil {
+			run.fallback.Close()
+		}
+		run.fallback = outcome.answer
+		return nil
+	}
+	return outcome.answer
+}
+
+// attempt offers the call to one replica.
+func (forwarder *Forwarder) attempt(ctx context.Context, cancel context.CancelFunc, call *Call, chosen replica.Replica) attempt {
+	forwarder.Table.Started(chosen.ID)
+	end := func() {
+		cancel()
+		forwarder.Table.Ended(chosen.ID)
+	}
+	started := time.Now()
+	answer, ran, err := forwarder.exchange(ctx, call, chosen)
+	if err != nil {
+		end()
+		if ctx.Err() == nil {
+			forwarder.learn(chosen, err)
+		}
+		return attempt{err: err, ran: ran, replica: chosen.ID}
+	}
+	forwarder.Table.Succeeded(chosen.ID, time.Since(started))
+	answer.Replica = chosen.ID
+	answer.end = end
+	if answer.Rest == nil {
+		end()
+		answer.end = func() {}
+	}
+	return attempt{answer: answer, ran: true, replica: chosen.ID}
+}
+
+func (forwarder *Forwarder) learn(chosen replica.Replica, err error) {
+	if errors.Is(err, errDeclined) {
+		forwarder.Table.Busy(chosen.ID, declinedPause)
+		return
+	}
+	forwarder.Table.Failed(chosen.ID)
+	forwarder.Logger.Info("replica failed", zap.String("replica", chosen.ID), zap.String("service", chosen.Service),
+		zap.String("address", chosen.Address), zap.Error(err))
+}
+
+// exchange sends the call and reads the answer, whole if it is short.
+func (forwarder *Forwarder) exchange(ctx context.Context, call *Call, chosen replica.Replica) (answer *Answer, ran bool, err error) {
+	header := call.Header.Clone()
+	header[http.CanonicalHeaderKey(forwarder.Names.ExpectReplica)] = []string{chosen.ID}
+	if deadline, bounded := ctx.Deadline(); bounded {
+		header[http.CanonicalHeaderKey(forwarder.Names.DeadlineMs)] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
+	}
+	response, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
+		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body,
+		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID,
+	})
+	if err != nil {
+		return nil, !errors.Is(err, upstream.ErrNotSent), err
+	}
+	if response.Header.Get(forwarder.Names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response, bufferedBytes))
+		response.Close()
+		return nil, false, errors.Wrapf(errDeclined, "status %d", response.Status)
+	}
+	if response.Header.Get(forwarder.Names.Stamp) == "" {
+		response.Close()
+		return nil, true, errors.Wrapf(errUnsound, "status %d without a signature", response.Status)
+	}
+	return forwarder.readAnswer(response)
+}
+
+func (forwarder *Forwarder) readAnswer(response *upstream.Answer) (*Answer, bool, error) {
+	answer := &Answer{Status: response.Status, Header: response.Header}
+	body, err := io.ReadAll(io.LimitReader(response, bufferedBytes))
+	if err != nil {
+		response.Close()
+		return nil, true, err
+	}
+	answer.Body = body
+	if len(body) < bufferedBytes {
+		// The limit was not reached, so the end of the body was.
+		response.Close()
+		return answer, true, nil
+	}
+	answer.Rest = response
+	return answer, true, nil
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/eventstream"
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+// Errors of opening or reading a stream.
+var (
+	// ErrDeclined: the replica did not run the request.
+	ErrDeclined = errors.New("forward: replica declined the stream")
+	// ErrStatus: the replica answered with a failure; see StatusError.
+	ErrStatus = errors.New("forward: failure status")
+)
+
+// StatusError is a replica's own failure.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (failure *StatusError) Error() string {
+	return "forward: replica answered with status " + strconv.Itoa(failure.Status)
+}
+
+// Unwrap makes the error an ErrStatus.
+func (failure *StatusError) Unwrap() error { return ErrStatus }
+
+// Stream is an answer of events from one replica.
+type Stream struct {
+	Status int
+	Header http.Header
+	// Version is the version of the weights at the start, or 0.
+	Version int64
+	reader  *eventstream.Reader
+	answer  *upstream.Answer
+}
+
+// Next returns the next whole event, or io.EOF at the stream's proper end.
+func (stream *Stream) Next() (eventstream.Event, error) { return stream.reader.Next() }
+
+// Close ends the exchange.
+func (stream *Stream) Close() { stream.answer.Close() }
+
+// StreamRequest is a request for events, maybe from the middle on.
+type StreamRequest struct {
+	RequestID string
+	Method    string
+	Target    string
+	Host      string
+	Header    http.Header
+	Body      []byte
+	// After is the last event that is known; HasAfter says that there is one.
+	After    int64
+	HasAfter bool
+	// Deadline is how long the replica may work; 0 names none.
+	Deadline time.Duration
+}
+
+// OpenStream sends a request for events to one replica. It returns when the
+// head of the answer has come. A declined request gives ErrDeclined, a failure
+// of the replica a *StatusError, and anything else may have run unless it
+// wraps upstream.ErrNotSent.
+func (forwarder *Forwarder) OpenStream(ctx context.Context, request *StreamRequest, chosen replica.Replica) (*Stream, error) {
+	names := forwarder.Names
+	header := request.Header.Clone()
+	header[http.CanonicalHeaderKey(names.ExpectReplica)] = []string{chosen.ID}
+	if request.HasAfter {
+		header[http.CanonicalHeaderKey(names.LastEventID)] = []string{strconv.FormatInt(request.After, 10)}
+	}
+	if request.Deadline > 0 {
+		header[http.CanonicalHeaderKey(names.DeadlineMs)] = []string{strconv.FormatInt(request.Deadline.Milliseconds(), 10)}
+	}
+	answer, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
+		Method: request.Method, Target: request.Target, Host: request.Host, Header: header, Body: request.Body,
+		EchoName: names.RequestID, EchoValue: request.RequestID,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := forwarder.checkStreamHead(answer); err != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, bufferedBytes))
+		answer.Close()
+		return nil, err
+	}
+	version, _ := strconv.ParseInt(strings.TrimSpace(answer.Header.Get(names.Versions)), 10, 64)
+	return &Stream{Status: answer.Status, Header: answer.Header, Version: version,
+		reader: eventstream.NewReader(answer, names.Versions), answer: answer}, nil
+}
+
+func (forwarder *Forwarder) checkStreamHead(answer *upstream.Answer) error {
+	names := forwarder.Names
+	if answer.Header.Get(names.NotExecuted) != "" || answer.Status == http.StatusMisdirectedRequest {
+		return errors.Wrapf(ErrDeclined, "status %d", answer.Status)
+	}
+	if answer.Status >= http.StatusBadRequest {
+		return &StatusError{Status: answer.Status}
+	}
+	if answer.Status != http.StatusOK || answer.Header.Get(names.Stamp) == "" {
+		return errors.Wrapf(errUnsound, "status %d", answer.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,106 @@
+// Package group keeps this daemon in the platform's consumer group, which
+// deals the partitions of the ledger out: each is watched by one daemon. The
+// group decides only who does work; no promise rests on it.
+package group
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/periodic"
+)
+
+const (
+	name = "woodworks"
+	// lifetime is how long a silent member keeps its partitions.
+	lifetime     = 1500 * time.Millisecond
+	joinInterval = 450 * time.Millisecond
+	joinTimeout  = time.Second
+)
+
+// Member is this daemon's membership. It is safe for concurrent use.
+type Member struct {
+	journal journal.Journal
+	member  string
+	topics  []string
+	logger  *zap.Logger
+
+	lastContact atomic.Int64
+	leaving     atomic.Bool
+
+	mutex      sync.Mutex
+	generation int64
+	partitions map[journal.Partition]bool
+	changed    chan struct{}
+	lost       bool
+}
+
+// New returns a membership that asks for a share of the topics' partitions.
+func New(log journal.Journal, member string, topics []string, logger *zap.Logger) *Member {
+	return &Member{journal: log, member: member, topics: topics, logger: logger, changed: make(chan struct{})}
+}
+
+// Partitions returns the partitions dealt to this daemon.
+func (member *Member) Partitions() map[journal.Partition]bool {
+	member.mutex.Lock()
+	defer member.mutex.Unlock()
+	return member.partitions
+}
+
+// LastContact is when the journal last answered.
+func (member *Member) LastContact() time.Time { return time.Unix(0, member.lastContact.Load()) }
+
+// Run stays in the group until the context ends or Leave is called.
+func (member *Member) Run(ctx context.Context) {
+	periodic.Every(ctx, joinInterval, func(ctx context.Context) {
+		if !member.leaving.Load() {
+			member.join(ctx)
+		}
+	})
+}
+
+func (member *Member) join(ctx context.Context) {
+	member.mutex.Lock()
+	generation := member.generation
+	member.mutex.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	assignment, err := member.journal.Join(bounded, journal.Join{Group: name, Member: member.member, Topics: member.topics, Lifetime: lifetime, Generation: generation})
+	if err != nil {
+		if !member.lost && ctx.Err() == nil {
+			member.lost = true
+			member.logger.Warn("dependency lost", zap.String("dependency", "group"), zap.Error(err))
+		}
+		return
+	}
+	member.lastContact.Store(time.Now().UnixNano())
+	if member.lost {
+		member.lost = false
+		member.logger.Info("dependency regained", zap.String("dependency", "group"))
+	}
+	partitions := make(map[journal.Partition]bool, len(assignment.Partitions))
+	for _, partition := range assignment.Partitions {
+		partitions[partition] = true
+	}
+	member.mutex.Lock()
+	defer member.mutex.Unlock()
+	if assignment.Generation != member.generation {
+		member.logger.Info("partitions dealt", zap.Int64("generation", assignment.Generation), zap.Int("partitions", len(partitions)))
+	}
+	member.generation = assignment.Generation
+	member.partitions = partitions
+}
+
+// Leave gives this daemon's partitions to others at once.
+func (member *Member) Leave(ctx context.Context) {
+	member.leaving.Store(true)
+	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	err := member.journal.Leave(bounded, name, member.member)
+	member.logger.Info("group left", zap.Error(err))
+}
--- /dev/null
+++ b/internal/headers/headers.go
@@ -0,0 +1,64 @@
+// Package headers holds the names of the HTTP headers in which woodworks,
+// its callers and its replicas tell each other about a request. The names
+// differ between platforms; what each header means does not.
+package headers
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Names are the header names in force.
+type Names struct {
+	// RequestID names one try of one request; replicas repeat it.
+	RequestID string
+	// DeadlineMs is how long the caller waits, in milliseconds.
+	DeadlineMs string
+	// ExpectReplica is the id of the only replica that may run the request.
+	ExpectReplica string
+	// ReplicaID is the id of the replica that answers.
+	ReplicaID string
+	// NotExecuted marks an answer whose request was not run.
+	NotExecuted string
+	// Stamp is a replica's signature under its answer.
+	Stamp string
+	// LastEventID is the last event that the caller has of a stream.
+	LastEventID string
+	// Versions is the version of the weights that made an answer.
+	Versions string
+	// ExpectVersion is the only version of the weights that may run the request.
+	ExpectVersion string
+	// Priority is the rank of a request at an engine, 0 the most urgent.
+	Priority string
+	// TokenUsage is the size of a prompt and of the longest answer, in tokens.
+	TokenUsage string
+	// LengthHint is the estimated length of the answer, in tokens.
+	LengthHint string
+	// WaitMs is how long a call may be held for news, in milliseconds.
+	WaitMs string
+}
+
+// connectionHeaders concern one connection and are never passed on.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Host": true, "Expect": true,
+}
+
+// CopyEndToEnd returns the headers of a message that are not about one
+// connection, with room for a few more.
+func CopyEndToEnd(from http.Header) http.Header {
+	named := map[string]bool{}
+	for _, value := range from["Connection"] {
+		for _, token := range strings.Split(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	copied := make(http.Header, len(from)+4)
+	for name, values := range from {
+		if !connectionHeaders[name] && !named[name] {
+			copied[name] = values
+		}
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,253 @@
+// Package ingress answers clients: it finds the route of a request and has it
+// forwarded, kept as a batch, or refused with what is certain.
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/forward"
+	"woodworks/internal/headers"
+	"woodworks/internal/ledger"
+	"woodworks/internal/route"
+	"woodworks/internal/runner"
+)
+
+const (
+	// answerMargin is how long before a request's last moment it gets its
+	// final answer.
+	answerMargin = 25 * time.Millisecond
+	// defaultTimeout holds for requests that name no deadline on routes that
+	// name no timeout.
+	defaultTimeout = 30 * time.Second
+	defaultBody    = 32 << 20
+	// retryAfter is when a refused client should come back, if nothing better
+	// is known.
+	retryAfter = 250 * time.Millisecond
+	// readyBodyChunk bounds one copy of an answer's rest, in bytes.
+	copyBufferBytes = 32 << 10
+)
+
+// Observer counts final answers.
+type Observer interface {
+	Request(route, status, outcome string, took time.Duration)
+}
+
+// Handler answers the requests of clients. It is safe for concurrent use.
+type Handler struct {
+	Names         headers.Names
+	Codec         Codec
+	Configuration func() *route.Configuration
+	Forwarder     *forward.Forwarder
+	Runner        *runner.Runner
+	Ledger        *ledger.Ledger
+	Observer      Observer
+	Logger        *zap.Logger
+
+	inFlight atomic.Int64
+}
+
+// InFlight is how many requests are being answered.
+func (handler *Handler) InFlight() int64 { return handler.inFlight.Load() }
+
+// request is one request of a client on its way.
+type request struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	id       string
+	arrived  time.Time
+	route    *route.Route
+	logger   *zap.Logger
+	replica  string
+	attempts int
+}
+
+// ServeHTTP implements http.Handler.
+func (handler *Handler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	handler.inFlight.Add(1)
+	defer handler.inFlight.Add(-1)
+	asked := &request{handler: handler, writer: writer, request: incoming, arrived: time.Now(), id: incoming.Header.Get(handler.Names.RequestID)}
+	asked.logger = handler.Logger.With(zap.String("request", asked.id))
+	configuration := handler.Configuration()
+	if configuration == nil {
+		asked.refuse("no configuration is known yet", retryAfter)
+		return
+	}
+	asked.serve(configuration)
+}
+
+func (asked *request) serve(configuration *route.Configuration) {
+	path, _, _ := strings.Cut(asked.request.RequestURI, "?")
+	found, ok := configuration.Find(asked.request.Host, path)
+	if !ok {
+		call, recognised, err := asked.handler.Codec.ParseCall(asked.request)
+		switch {
+		case recognised && err != nil:
+			asked.fail(http.StatusBadRequest, "malformed", err.Error())
+		case recognised:
+			asked.serveCall(call)
+		default:
+			asked.logger.Info("no route", zap.String("host", asked.request.Host), zap.String("path", path), zap.Int64("configuration", configuration.Version))
+			asked.fail(http.StatusNotFound, "no route", "no route has this host and path")
+		}
+		return
+	}
+	asked.route = found
+	body, ok := asked.readBody(configuration.Limits.MaxBodyBytes)
+	if !ok {
+		return
+	}
+	switch found.Kind {
+	case route.Batch:
+		asked.serveSubmission(body)
+	case route.Stream:
+		asked.serveStream(body)
+	default:
+		asked.serveForwarded(body)
+	}
+}
+
+// readBody reads the whole body, or answers why it could not.
+func (asked *request) readBody(limit int64) ([]byte, bool) {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(asked.writer, asked.request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		asked.fail(http.StatusRequestEntityTooLarge, "too large", "the body is longer than the limit")
+		return nil, false
+	}
+	if err != nil {
+		asked.fail(http.StatusBadRequest, "cut off", "the body could not be read")
+		return nil, false
+	}
+	return body, true
+}
+
+// timeLeft is how long the request may still be held.
+func (asked *request) timeLeft() time.Duration {
+	left := defaultTimeout
+	if text := asked.request.Header.Get(asked.handler.Names.DeadlineMs); text != "" {
+		if value, err := strconv.ParseFloat(text, 64); err == nil {
+			left = time.Duration(value * float64(time.Millisecond))
+		}
+	}
+	if asked.route != nil && asked.route.Kind != route.Batch && asked.route.Timeout > 0 {
+		left = min(left, asked.route.Timeout)
+	}
+	return left - time.Since(asked.arrived) - answerMargin
+}
+
+func (asked *request) bounded() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(asked.request.Context(), asked.timeLeft())
+}
+
+// serveForwarded sends a request to a replica and passes the answer on.
+func (asked *request) serveForwarded(body []byte) {
+	ctx, cancel := asked.bounded()
+	defer cancel()
+	repeatable := asked.route.Kind == route.Safe
+	answer, err := asked.handler.Forwarder.Do(ctx, &forward.Call{
+		RequestID: asked.id, Method: asked.request.Method, Target: asked.request.RequestURI, Host: asked.request.Host,
+		Header: headers.CopyEndToEnd(asked.request.Header), Body: body, Services: asked.route.Order(asked.id),
+		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable,
+	})
+	if err != nil {
+		asked.explain(err)
+		return
+	}
+	defer answer.Close()
+	asked.replica = answer.Replica
+	asked.passOn(answer)
+}
+
+// explain gives the final answer to a request without a replica's answer.
+func (asked *request) explain(err error) {
+	if asked.request.Context().Err() != nil {
+		asked.observe(0, "client left", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	var failure *forward.Failure
+	if !errors.As(err, &failure) {
+		asked.fail(http.StatusBadGateway, "failed", err.Error())
+		return
+	}
+	asked.attempts = failure.Attempts
+	switch {
+	case failure.Certainty == forward.NotRun:
+		asked.refuse(failure.Reason, retryAfter)
+	case asked.timeLeft() <= 0:
+		asked.fail(http.StatusGatewayTimeout, "timed out", failure.Reason)
+	default:
+		asked.fail(http.StatusBadGateway, "failed", failure.Reason)
+	}
+}
+
+// passOn writes a replica's answer to the client.
+func (asked *request) passOn(answer *forward.Answer) {
+	target := asked.writer.Header()
+	for name, values := range headers.CopyEndToEnd(answer.Header) {
+		target[name] = values
+	}
+	length := int64(len(answer.Body))
+	if answer.Rest != nil {
+		length = answer.Rest.Length()
+	}
+	if length >= 0 && asked.request.Method != http.MethodHead {
+		target.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	asked.writer.WriteHeader(answer.Status)
+	_, err := asked.writer.Write(answer.Body)
+	if err == nil && answer.Rest != nil {
+		_, err = io.CopyBuffer(asked.writer, answer.Rest, make([]byte, copyBufferBytes))
+	}
+	if err != nil && asked.request.Method != http.MethodHead {
+		asked.observe(answer.Status, "broken off", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	asked.observe(answer.Status, "answered", "")
+}
+
+// refuse promises that the request has not run and never will.
+func (asked *request) refuse(reason string, comeBack time.Duration) {
+	asked.writer.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 3, 64))
+	asked.fail(http.StatusServiceUnavailable, "refused", reason)
+}
+
+// fail gives an answer of our own.
+func (asked *request) fail(status int, outcome, reason string) {
+	asked.write(status, asked.handler.Codec.EncodeError(reason))
+	asked.observe(status, outcome, reason)
+}
+
+func (asked *request) write(status int, body []byte) {
+	asked.writer.Header().Set("Content-Type", "application/json")
+	asked.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if asked.id != "" {
+		asked.writer.Header().Set(asked.handler.Names.RequestID, asked.id)
+	}
+	asked.writer.WriteHeader(status)
+	_, _ = asked.writer.Write(body)
+}
+
+// observe counts and logs the end of a request.
+func (asked *request) observe(status int, outcome, reason string) {
+	name := "none"
+	if asked.route != nil {
+		name = asked.route.Name
+	}
+	took := time.Since(asked.arrived)
+	asked.handler.Observer.Request(name, strconv.Itoa(status), outcome, took)
+	asked.logger.Info("request", zap.String("route", name), zap.Int("status", status), zap.String("outcome", outcome),
+		zap.String("reason", reason), zap.String("replica", asked.replica), zap.Int("attempts", asked.attempts), zap.Duration("took", took))
+}
--- /dev/null
+++ b/internal/journal/follow.go
@@ -0,0 +1,158 @@
+package journal
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/periodic"
+)
+
+const (
+	// followWait is how long one read of a follower may be held. It bounds
+	// how long a silently broken connection stays unnoticed.
+	followWait = 2 * time.Second
+	// followSlack is what a held read may take beyond its wait.
+	followSlack = 1500 * time.Millisecond
+	// newestTimeout bounds one page of a full read.
+	newestTimeout = 2500 * time.Millisecond
+	// followPause is the pause after a failed read.
+	followPause = 250 * time.Millisecond
+)
+
+// KeyedHandler takes the records of a keyed partition. Its methods are called
+// by one goroutine.
+type KeyedHandler interface {
+	// Reset gives all newest records; keys that are not among them are gone.
+	Reset(records []KeyedRecord)
+	// Apply gives one later record.
+	Apply(record KeyedRecord)
+}
+
+// KeyedFollower keeps a handler up to date with a keyed partition: a full read,
+// then each record as it comes. After a gap it reads fully again.
+type KeyedFollower struct {
+	journal   Journal
+	partition Partition
+	handler   KeyedHandler
+	logger    *zap.Logger
+
+	synced      atomic.Bool
+	lastContact atomic.Int64
+	lost        bool
+}
+
+// NewKeyedFollower returns a follower; Run starts it.
+func NewKeyedFollower(log Journal, partition Partition, handler KeyedHandler, logger *zap.Logger) *KeyedFollower {
+	return &KeyedFollower{journal: log, partition: partition, handler: handler, logger: logger.With(zap.String("topic", partition.Topic))}
+}
+
+// Synced reports whether a full read has ever succeeded.
+func (follower *KeyedFollower) Synced() bool { return follower.synced.Load() }
+
+// LastContact is when the last read was answered.
+func (follower *KeyedFollower) LastContact() time.Time {
+	return time.Unix(0, follower.lastContact.Load())
+}
+
+// Run follows the partition until the context ends.
+func (follower *KeyedFollower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		next, err := follower.readFully(ctx)
+		if err != nil {
+			follower.noteFailure(ctx, err)
+			continue
+		}
+		follower.follow(ctx, next)
+	}
+}
+
+func (follower *KeyedFollower) readFully(ctx context.Context) (int64, error) {
+	var records []KeyedRecord
+	var next int64
+	afterKey := ""
+	for first := true; ; first = false {
+		page, err := follower.newestPage(ctx, afterKey)
+		if err != nil {
+			return 0, err
+		}
+		if first {
+			next = page.End
+		}
+		records = append(records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+		afterKey = page.Records[len(page.Records)-1].Key
+	}
+	follower.noteContact()
+	follower.handler.Reset(records)
+	follower.synced.Store(true)
+	follower.logger.Info("full read", zap.Int("keys", len(records)), zap.Int64("next", next))
+	return next, nil
+}
+
+func (follower *KeyedFollower) newestPage(ctx context.Context, afterKey string) (KeyedPage, error) {
+	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	return follower.journal.Newest(bounded, follower.partition, afterKey)
+}
+
+// follow reads records from an offset on until they are trimmed.
+func (follower *KeyedFollower) follow(ctx context.Context, next int64) {
+	for ctx.Err() == nil {
+		read, err := follower.readOnce(ctx, next)
+		if errors.Is(err, ErrTrimmed) {
+			follower.logger.Warn("records trimmed, reading fully", zap.Int64("offset", next))
+			return
+		}
+		if err != nil {
+			follower.noteFailure(ctx, err)
+			continue
+		}
+		follower.noteContact()
+		if read.End < next {
+			follower.logger.Warn("partition is shorter than was read, reading fully", zap.Int64("offset", next), zap.Int64("end", read.End))
+			return
+		}
+		for _, record := range read.Records {
+			keyed, err := follower.journal.SplitKeyed(record)
+			if err != nil {
+				follower.logger.Warn("malformed record passed over", zap.Int64("offset", next), zap.Error(err))
+			} else {
+				keyed.Offset = next
+				follower.handler.Apply(keyed)
+			}
+			next++
+		}
+	}
+}
+
+func (follower *KeyedFollower) readOnce(ctx context.Context, from int64) (Records, error) {
+	bounded, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	defer cancel()
+	return follower.journal.Read(bounded, Read{Partition: follower.partition, From: from, Wait: followWait})
+}
+
+func (follower *KeyedFollower) noteContact() {
+	follower.lastContact.Store(time.Now().UnixNano())
+	if follower.lost {
+		follower.lost = false
+		follower.logger.Info("dependency regained")
+	}
+}
+
+// noteFailure logs the first failure of a row and pauses.
+func (follower *KeyedFollower) noteFailure(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !follower.lost {
+		follower.lost = true
+		follower.logger.Warn("dependency lost", zap.Error(err))
+	}
+	periodic.Pause(ctx, followPause)
+}
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,134 @@
+// Package journal names what woodworks needs of the platform's log: the only
+// place where anything outlives a process.
+//
+// A log has topics, a topic has partitions, a partition is a list of records
+// with rising offsets that have no gaps. Records once acknowledged are neither
+// lost nor changed until they are trimmed.
+package journal
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a journal's calls. An error that is none of these, or that wraps
+// ErrUnknown, promises nothing: the call may have had its effect, or may have
+// it later.
+var (
+	// ErrNotDone: the call had no effect and will have none.
+	ErrNotDone = errors.New("journal: not done")
+	// ErrUnknown: the call got no usable answer.
+	ErrUnknown = errors.New("journal: outcome unknown")
+	// ErrPosition: a conditional append found another end; it had no effect.
+	ErrPosition = errors.New("journal: the partition ends elsewhere")
+	// ErrTrimmed: the offset asked for has been removed. The error wrapping it
+	// is a *TrimmedError.
+	ErrTrimmed = errors.New("journal: offset trimmed")
+)
+
+// TrimmedError says that the records before First are gone.
+type TrimmedError struct{ First int64 }
+
+// Error implements error.
+func (trimmed *TrimmedError) Error() string {
+	return "journal: offset trimmed, the first kept is " + strconv.FormatInt(trimmed.First, 10)
+}
+
+// Unwrap makes the error an ErrTrimmed.
+func (trimmed *TrimmedError) Unwrap() error { return ErrTrimmed }
+
+// Partition names one partition.
+type Partition struct {
+	Topic  string
+	Number int
+}
+
+// Append asks for records to be added to one partition, all or none.
+type Append struct {
+	Partition Partition
+	Records   [][]byte
+	// ExpectedEnd, if not nil, is where the partition must end for the append
+	// to happen.
+	ExpectedEnd *int64
+}
+
+// Appended tells where records were put.
+type Appended struct {
+	// Offset is that of the first record, End the offset after the last.
+	Offset, End int64
+}
+
+// Read asks for the records of a partition from an offset on.
+type Read struct {
+	Partition Partition
+	From      int64
+	// Wait is how long the call may be held while there is no record.
+	Wait time.Duration
+}
+
+// Records is a run of records, the first of them at the offset asked for.
+type Records struct {
+	Records [][]byte
+	// End is the offset after the partition's last record, First the oldest kept.
+	End, First int64
+}
+
+// KeyedRecord is the newest record of a key. An empty value means that the key
+// was dropped.
+type KeyedRecord struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// KeyedPage is a part of a keyed partition's newest records.
+type KeyedPage struct {
+	Records []KeyedRecord
+	// More says that keys after the last one of this page remain.
+	More bool
+	End  int64
+}
+
+// Join enters a group, or stays in it.
+type Join struct {
+	Group      string
+	Member     string
+	Topics     []string
+	Lifetime   time.Duration
+	Generation int64
+}
+
+// Assignment is what a member of a group was given.
+type Assignment struct {
+	Generation int64
+	Partitions []Partition
+}
+
+// Ownership is one row of who was given what.
+type Ownership struct {
+	Partition Partition
+	Member    string
+}
+
+// Journal is the platform's log. Implementations translate and do no more:
+// they neither retry nor cache.
+type Journal interface {
+	Append(ctx context.Context, request Append) (Appended, error)
+	Read(ctx context.Context, request Read) (Records, error)
+	// Newest reads the newest record of each key of a keyed partition, from
+	// the key after afterKey on.
+	Newest(ctx context.Context, partition Partition, afterKey string) (KeyedPage, error)
+	// SplitKeyed takes a record of a keyed partition apart.
+	SplitKeyed(record []byte) (KeyedRecord, error)
+	Join(ctx context.Context, request Join) (Assignment, error)
+	Leave(ctx context.Context, group, member string) error
+	Owners(ctx context.Context, group string) ([]Ownership, error)
+	// PartitionsPerTopic is how many partitions each topic has.
+	PartitionsPerTopic() int
+	// MaxRecordBytes and MaxAppendBytes bound a record and an append.
+	MaxRecordBytes() int
+	MaxAppendBytes() int
+}
--- /dev/null
+++ b/internal/ledger/partition.go
@@ -0,0 +1,244 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/journal"
+	"woodworks/internal/periodic"
+)
+
+const (
+	// readTimeout bounds a read that is not held.
+	readTimeout = 1500 * time.Millisecond
+	followWait  = time.Second
+	// followSlack is what a held read may take beyond its wait.
+	followSlack = 1500 * time.Millisecond
+	followPause = 200 * time.Millisecond
+	// noEnd stands where a read told no end.
+	noEnd = int64(-1)
+	// appendTimeout bounds one append.
+	appendTimeout = 1500 * time.Millisecond
+)
+
+// Partition is the fold of one journal partition and the way to add to it.
+// It is safe for concurrent use.
+type Partition struct {
+	ledger *Ledger
+	name   journal.Partition
+	usedAt time.Time // guarded by the ledger's mutex
+
+	mutex sync.Mutex
+	state *batch.State
+	// next is the offset of the first record that is not folded yet.
+	next    int64
+	changed chan struct{}
+	// reads counts catch-up reads begun; done is the newest that succeeded.
+	reads, done uint64
+	reading     bool
+	readEnded   chan struct{}
+	readErr     error
+	followers   int
+	stopFollow  context.CancelFunc
+	pending     []*pendingAppend
+	// lastRead is when the newest read that succeeded was answered.
+	lastRead  time.Time
+	appending bool
+}
+
+func newPartition(ledger *Ledger, name journal.Partition) *Partition {
+	return &Partition{ledger: ledger, name: name, state: batch.NewState(), changed: make(chan struct{})}
+}
+
+// Name returns the journal partition.
+func (partition *Partition) Name() journal.Partition { return partition.name }
+
+func (partition *Partition) idle() bool {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	return partition.followers == 0 && len(partition.pending) == 0 && !partition.reading
+}
+
+// View calls look with the fold while it cannot change.
+func (partition *Partition) View(look func(*batch.State)) {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	look(partition.state)
+}
+
+// Changed returns a channel that is closed when the fold changes.
+func (partition *Partition) Changed() <-chan struct{} {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	return partition.changed
+}
+
+// CatchUp returns once the fold holds all that was in the partition when the
+// call came. Calls at the same time share reads.
+func (partition *Partition) CatchUp(ctx context.Context) error {
+	partition.mutex.Lock()
+	wanted := partition.reads + 1
+	for partition.done < wanted {
+		if !partition.reading {
+			partition.startRead()
+		}
+		ended := partition.readEnded
+		partition.mutex.Unlock()
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ErrBehind, ctx.Err().Error())
+		case <-ended:
+		}
+		partition.mutex.Lock()
+		if partition.done < wanted && partition.readErr != nil && partition.reads >= wanted {
+			err := partition.readErr
+			partition.mutex.Unlock()
+			return errors.Wrap(ErrBehind, err.Error())
+		}
+	}
+	partition.mutex.Unlock()
+	return nil
+}
+
+// startRead begins a catch-up read. The mutex is held.
+func (partition *Partition) startRead() {
+	partition.reads++
+	number := partition.reads
+	partition.reading = true
+	partition.readEnded = make(chan struct{})
+	go func() {
+		err := partition.readToEnd()
+		partition.mutex.Lock()
+		defer partition.mutex.Unlock()
+		partition.reading = false
+		partition.readErr = err
+		if err == nil {
+			partition.done = number
+		}
+		close(partition.readEnded)
+	}()
+}
+
+// readToEnd reads until the fold has reached the end that the first read told.
+func (partition *Partition) readToEnd() error {
+	target := noEnd
+	for {
+		read, err := partition.readOnce(partition.ledger.context, 0)
+		if err != nil {
+			return err
+		}
+		if target < 0 {
+			target = read.End
+		}
+		if target < 0 {
+			continue
+		}
+		partition.mutex.Lock()
+		reached := partition.next >= target
+		partition.mutex.Unlock()
+		if reached {
+			return nil
+		}
+	}
+}
+
+// readOnce reads from the fold's offset on and folds what comes.
+func (partition *Partition) readOnce(ctx context.Context, wait time.Duration) (journal.Records, error) {
+	partition.mutex.Lock()
+	from := partition.next
+	partition.mutex.Unlock()
+	timeout := readTimeout
+	if wait > 0 {
+		timeout = wait + followSlack
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	read, err := partition.ledger.journal.Read(bounded, journal.Read{Partition: partition.name, From: from, Wait: wait})
+	var trimmed *journal.TrimmedError
+	if errors.As(err, &trimmed) {
+		return partition.skipTrimmed(from, trimmed.First), nil
+	}
+	if err != nil {
+		return journal.Records{}, err
+	}
+	partition.fold(from, read.Records)
+	partition.mutex.Lock()
+	partition.lastRead = time.Now()
+	partition.mutex.Unlock()
+	return read, nil
+}
+
+// skipTrimmed moves the fold over records that are gone. The batches already
+// folded stay known; those only in the trimmed records are past their time.
+func (partition *Partition) skipTrimmed(from, first int64) journal.Records {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	if partition.next == from && first > from {
+		partition.ledger.logger.Info("records trimmed before they were read", zap.String("topic", partition.name.Topic),
+			zap.Int("partition", partition.name.Number), zap.Int64("offset", from), zap.Int64("first", first))
+		partition.next = first
+	}
+	return journal.Records{End: noEnd, First: first}
+}
+
+// LastRead is when the journal last answered a read of this partition.
+func (partition *Partition) LastRead() time.Time {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	return partition.lastRead
+}
+
+// fold applies records that begin at an offset, but for those already folded.
+func (partition *Partition) fold(from int64, records [][]byte) {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	folded := false
+	for i, record := range records {
+		if from+int64(i) != partition.next {
+			continue
+		}
+		partition.state.Apply(record)
+		partition.next++
+		folded = true
+	}
+	if folded {
+		close(partition.changed)
+		partition.changed = make(chan struct{})
+	}
+}
+
+// Follow keeps the fold up to date until the returned function is called.
+func (partition *Partition) Follow() (release func()) {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	partition.followers++
+	if partition.followers == 1 {
+		ctx, cancel := context.WithCancel(partition.ledger.context)
+		partition.stopFollow = cancel
+		go partition.follow(ctx)
+	}
+	var once sync.Once
+	return func() { once.Do(partition.unfollow) }
+}
+
+func (partition *Partition) unfollow() {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	partition.followers--
+	if partition.followers == 0 {
+		partition.stopFollow()
+	}
+}
+
+func (partition *Partition) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, err := partition.readOnce(ctx, followWait); err != nil {
+			periodic.Pause(ctx, followPause)
+		}
+	}
+}
--- /dev/null
+++ b/internal/modelsync/modelsync.go
@@ -0,0 +1,247 @@
+// Package modelsync brings the engines to the versions of the weights that
+// trainers name. One daemon does it at a time: the holder of the lease.
+package modelsync
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/engine"
+	"woodworks/internal/lease"
+	"woodworks/internal/periodic"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+)
+
+const (
+	lookInterval = 100 * time.Millisecond
+	callTimeout  = time.Second
+	// firstLoadGuess is how long a change of weights is expected to take
+	// before one was measured.
+	firstLoadGuess = 800 * time.Millisecond
+	// pollPause is the time between two looks at an engine that loads.
+	pollPause = 200 * time.Millisecond
+	// loadTimeout is how long a change may take before it is ordered again.
+	loadTimeout = 8 * time.Second
+	failedPause = 400 * time.Millisecond
+	// actMargin is how much of the lease must be left for an order to be sent.
+	actMargin = 250 * time.Millisecond
+	// parallelLoads is how many engines of a service change at a time.
+	parallelLoads = 2
+)
+
+// errNoLease: the lease does not let this daemon act now.
+var errNoLease = errors.New("modelsync: lease not held")
+
+// Named gives the newest version that was named of each model.
+type Named func() map[string]int64
+
+// Syncer brings engines to the named versions. It is safe for concurrent use.
+type Syncer struct {
+	holder        string
+	lease         *lease.Lease
+	driver        engine.Driver
+	table         *replica.Table
+	configuration func() *route.Configuration
+	named         Named
+	logger        *zap.Logger
+
+	mutex sync.Mutex
+	// loading are the engines with a change under way.
+	loading  map[string]bool
+	notUntil map[string]time.Time
+	loadTime time.Duration
+	orders   uint64
+}
+
+// New returns a syncer that acts in the name of holder.
+func New(holder string, held *lease.Lease, driver engine.Driver, table *replica.Table, configuration func() *route.Configuration, named Named, logger *zap.Logger) *Syncer {
+	return &Syncer{holder: holder, lease: held, driver: driver, table: table, configuration: configuration, named: named, logger: logger,
+		loading: map[string]bool{}, notUntil: map[string]time.Time{}, loadTime: firstLoadGuess}
+}
+
+// Orders returns how many orders were given.
+func (syncer *Syncer) Orders() uint64 {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	return syncer.orders
+}
+
+// Run looks for engines to change while the lease is held, until the context
+// ends.
+func (syncer *Syncer) Run(ctx context.Context) {
+	periodic.Every(ctx, lookInterval, func(ctx context.Context) {
+		if _, _, may := syncer.lease.Fence(); may {
+			syncer.look(ctx, time.Now())
+		}
+	})
+}
+
+// change is one engine's step to another version.
+type change struct {
+	replica replica.Replica
+	model   string
+	version int64
+	manner  engine.Manner
+}
+
+// look starts the changes that are due and for which there is room.
+func (syncer *Syncer) look(ctx context.Context, now time.Time) {
+	configuration := syncer.configuration()
+	if configuration == nil {
+		return
+	}
+	named := syncer.named()
+	for name, service := range configuration.Services {
+		if !service.Engine || len(service.Models) == 0 {
+			continue
+		}
+		due := changesDue(syncer.table.Replicas(name), service.Models, named, mannerFor(configuration, name))
+		syncer.startDue(ctx, due, now)
+	}
+}
+
+// mannerFor lets running texts go on under new weights unless a route of the
+// service wants texts of one version.
+func mannerFor(configuration *route.Configuration, service string) engine.Manner {
+	for i := range configuration.Routes {
+		each := &configuration.Routes[i]
+		if each.SingleVersion && each.Shares[0].Service == service {
+			return engine.Finish
+		}
+	}
+	return engine.Continue
+}
+
+// changesDue returns the changes that bring each engine to the newest version
+// of the model that it is there for, those furthest behind first.
+func changesDue(replicas []replica.Replica, models []route.Model, named map[string]int64, manner engine.Manner) []change {
+	sort.Slice(replicas, func(i, j int) bool { return replicas[i].ID < replicas[j].ID })
+	var due []change
+	for i, each := range replicas {
+		model := models[i*len(models)/len(replicas)].Name
+		version := named[model]
+		if version > each.Versions[model] {
+			due = append(due, change{replica: each, model: model, version: version, manner: manner})
+		}
+	}
+	sort.SliceStable(due, func(i, j int) bool {
+		behindFirst := due[i].version - due[i].replica.Versions[due[i].model]
+		behindSecond := due[j].version - due[j].replica.Versions[due[j].model]
+		if behindFirst != behindSecond {
+			return behindFirst > behindSecond
+		}
+		return due[i].replica.InFlight < due[j].replica.InFlight
+	})
+	return due
+}
+
+func (syncer *Syncer) startDue(ctx context.Context, due []change, now time.Time) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	for _, each := range due {
+		id := each.replica.ID
+		if len(syncer.loading) >= parallelLoads {
+			return
+		}
+		if syncer.loading[id] || now.Before(syncer.notUntil[id]) {
+			continue
+		}
+		syncer.loading[id] = true
+		go syncer.carryOut(ctx, each)
+	}
+}
+
+// carryOut brings one engine to a version and waits until it is there.
+func (syncer *Syncer) carryOut(ctx context.Context, each change) {
+	began := time.Now()
+	err := syncer.bring(ctx, each)
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	delete(syncer.loading, each.replica.ID)
+	if err != nil {
+		syncer.notUntil[each.replica.ID] = time.Now().Add(failedPause)
+	}
+	syncer.logger.Info("weights", zap.String("replica", each.replica.ID), zap.String("model", each.model), zap.Int64("version", each.version),
+		zap.Duration("took", time.Since(began)), zap.Error(err))
+}
+
+func (syncer *Syncer) bring(ctx context.Context, each change) error {
+	bounded, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	report, err := syncer.report(bounded, each)
+	if err != nil {
+		return err
+	}
+	if report.Versions[each.model] >= each.version {
+		return nil
+	}
+	if report.Busy {
+		return errors.Wrap(engine.ErrConflict, "busy")
+	}
+	if err := syncer.give(bounded, each, report); err != nil {
+		return err
+	}
+	ordered := time.Now()
+	syncer.mutex.Lock()
+	expected := syncer.loadTime
+	syncer.mutex.Unlock()
+	periodic.Pause(bounded, expected)
+	for bounded.Err() == nil {
+		report, err = syncer.report(bounded, each)
+		if err == nil && report.Versions[each.model] >= each.version {
+			syncer.learn(time.Since(ordered))
+			return nil
+		}
+		if err == nil && !report.Busy && time.Since(ordered) > 2*expected {
+			return errors.New("modelsync: engine is idle without the version")
+		}
+		periodic.Pause(bounded, pollPause)
+	}
+	return errors.New("modelsync: change took too long")
+}
+
+// learn notes how long a change took. The guess stays a bit below, as looking
+// late costs time and looking early costs a call.
+func (syncer *Syncer) learn(took time.Duration) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	syncer.loadTime += (took - syncer.loadTime) / 4
+	syncer.loadTime -= pollPause / 8
+}
+
+func (syncer *Syncer) report(ctx context.Context, each change) (engine.Report, error) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := syncer.driver.Report(bounded, each.replica)
+	if err != nil {
+		return engine.Report{}, err
+	}
+	for model, version := range report.Versions {
+		syncer.table.HoldsVersion(each.replica.ID, model, version)
+	}
+	return report, nil
+}
+
+// give sends the order if the lease lets this daemon act until it has arrived.
+func (syncer *Syncer) give(ctx context.Context, each change, report engine.Report) error {
+	fence, until, may := syncer.lease.Fence()
+	if !may || time.Until(until) < actMargin {
+		return errNoLease
+	}
+	bounded, cancel := context.WithDeadline(ctx, until.Add(-actMargin/2))
+	defer cancel()
+	syncer.mutex.Lock()
+	syncer.orders++
+	syncer.mutex.Unlock()
+	syncer.logger.Info("order", zap.String("replica", each.replica.ID), zap.String("model", each.model), zap.Int64("version", each.version),
+		zap.Int64("from", report.Versions[each.model]), zap.Int64("fence", fence), zap.Int64("after_orders", report.Orders))
+	return syncer.driver.Give(bounded, each.replica, engine.Order{
+		Model: each.model, Version: each.version, Manner: each.manner, Holder: syncer.holder, Fence: fence, AfterOrders: report.Orders,
+	})
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,235 @@
+// Package node is a woodworks daemon on a platform whose log keeps all that
+// must last: it builds the parts from the settings, runs them, and stops
+// without cutting off a request.
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/engine"
+	"woodworks/internal/forward"
+	"woodworks/internal/group"
+	"woodworks/internal/headers"
+	"woodworks/internal/ingress"
+	"woodworks/internal/journal"
+	"woodworks/internal/lease"
+	"woodworks/internal/ledger"
+	"woodworks/internal/metrics"
+	"woodworks/internal/modelsync"
+	"woodworks/internal/operation"
+	"woodworks/internal/periodic"
+	"woodworks/internal/replica"
+	"woodworks/internal/runner"
+	"woodworks/internal/settings"
+	"woodworks/internal/upstream"
+)
+
+const (
+	dutyTopic = "woodworks.duty"
+	// sweepInterval is the time between two clean-ups of what is not used.
+	sweepInterval = time.Second
+	// contactLimit is how long the journal may be silent before this daemon
+	// calls itself not ready.
+	contactLimit = 1500 * time.Millisecond
+	// connectTimeout bounds the making of a connection to a replica.
+	connectTimeout = 400 * time.Millisecond
+	unackedTimeout = 1200 * time.Millisecond
+)
+
+// Drivers are the platform's side of a daemon.
+type Drivers struct {
+	Journal         journal.Journal
+	Decoder         operation.Decoder
+	Engines         engine.Driver
+	Codec           ingress.Codec
+	Headers         headers.Names
+	OperatorRecords journal.Partition
+	ReplicaRecords  journal.Partition
+}
+
+// Connect makes the drivers of a platform from the settings.
+type Connect func(loaded settings.Settings, replicas *upstream.Pool) (Drivers, error)
+
+// Node is one running daemon.
+type Node struct {
+	settings settings.Settings
+	logger   *zap.Logger
+	metrics  *metrics.Metrics
+	identity string
+
+	operator         *operation.State
+	operatorFollower *journal.KeyedFollower
+	replicaFollower  *journal.KeyedFollower
+	table            *replica.Table
+	pool             *upstream.Pool
+	ledger           *ledger.Ledger
+	runner           *runner.Runner
+	watcher          *runner.Watcher
+	member           *group.Member
+	lease            *lease.Lease
+	syncer           *modelsync.Syncer
+	handler          *ingress.Handler
+	front            *frontServer
+	health           *healthServer
+
+	context  context.Context
+	cancel   context.CancelFunc
+	stopping chan struct{}
+}
+
+// New builds a daemon. Its identity is its name with the time of this start,
+// so that no two runs share one.
+func New(loaded settings.Settings, connect Connect, logger *zap.Logger) (*Node, error) {
+	pool := upstream.NewPool(upstream.Options{LocalAddress: loaded.Listen.Public, ConnectTimeout: connectTimeout, UnackedTimeout: unackedTimeout})
+	drivers, err := connect(loaded, pool)
+	if err != nil {
+		return nil, errors.Wrap(err, "node")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	node := &Node{
+		settings: loaded, logger: logger, metrics: metrics.New(), pool: pool,
+		identity: loaded.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		context:  ctx, cancel: cancel, stopping: make(chan struct{}),
+	}
+	node.build(drivers)
+	return node, nil
+}
+
+// build makes the parts; each depends only on those made before it.
+func (node *Node) build(drivers Drivers) {
+	logger := node.logger
+	node.table = replica.NewTable(logger)
+	node.front = newFrontServer(logger)
+	node.operator = operation.NewState(drivers.Decoder, node.front.configured, logger)
+	node.operatorFollower = journal.NewKeyedFollower(drivers.Journal, drivers.OperatorRecords, node.operator, logger)
+	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), logger)
+	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Logger: logger}
+	node.ledger = ledger.New(node.context, drivers.Journal, logger)
+	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator.Configuration, logger)
+	node.member = group.New(drivers.Journal, node.identity, ledger.TopicNames(), logger)
+	node.watcher = runner.NewWatcher(node.runner, node.member.Partitions)
+	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
+	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, logger)
+	node.handler = &ingress.Handler{
+		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
+		Runner: node.runner, Ledger: node.ledger, Observer: node.metrics, Logger: logger,
+	}
+	node.front.handler = node.handler
+	node.health = &healthServer{ready: node.ready, metrics: node.metrics.Handler()}
+	node.registerMetrics()
+}
+
+func (node *Node) registerMetrics() {
+	node.metrics.Gauge("requests_in_flight", "Requests of clients being answered.", func() float64 { return float64(node.handler.InFlight()) })
+	node.metrics.Gauge("batches_owned", "Batches that this daemon runs.", func() float64 { batches, _ := node.runner.Load(); return float64(batches) })
+	node.metrics.Gauge("items_waiting", "Items that wait for a replica.", func() float64 { _, waiting := node.runner.Load(); return float64(waiting) })
+	node.metrics.Gauge("lease_held", "1 while this daemon holds the lease for orders to engines.", func() float64 {
+		if node.lease.Held() {
+			return 1
+		}
+		return 0
+	})
+	node.metrics.Gauge("journal_silence_seconds", "Time since the journal last answered.", func() float64 { return time.Since(node.lastContact()).Seconds() })
+	node.metrics.Counter("items_started_total", "Attempts at items sent to replicas.", func() float64 { return float64(node.runner.Started()) })
+	node.metrics.Counter("engine_orders_total", "Orders given to engines.", func() float64 { return float64(node.syncer.Orders()) })
+	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
+}
+
+// Start opens the listeners and runs the parts.
+func (node *Node) Start() error {
+	if err := node.health.listen(node.settings.Listen.Health, node.settings.Listen.Metrics); err != nil {
+		return errors.Wrap(err, "node")
+	}
+	if err := node.front.listen(node.settings.Listen.Public); err != nil {
+		return errors.Wrap(err, "node")
+	}
+	for _, run := range []func(context.Context){
+		node.operatorFollower.Run, node.replicaFollower.Run, node.member.Run, node.watcher.Run,
+		node.runner.Run, node.lease.Run, node.syncer.Run, node.sweep,
+	} {
+		go run(node.context)
+	}
+	node.logger.Info("started", zap.String("id", node.identity), zap.String("zone", node.settings.Zone), zap.String("public", node.settings.Listen.Public))
+	return nil
+}
+
+// sweep drops what is not used and keeps the candidacy for the lease up to date.
+func (node *Node) sweep(ctx context.Context) {
+	duty := journal.Partition{Topic: ledger.TopicNames()[0]}
+	periodic.Every(ctx, sweepInterval, func(context.Context) {
+		now := time.Now()
+		node.pool.Sweep(now)
+		node.ledger.Sweep(now)
+		node.table.Sweep(now)
+		node.lease.SetCandidate(node.member.Partitions()[duty])
+	})
+}
+
+func (node *Node) lastContact() time.Time {
+	last := node.member.LastContact()
+	for _, follower := range []*journal.KeyedFollower{node.operatorFollower, node.replicaFollower} {
+		if contact := follower.LastContact(); contact.After(last) {
+			last = contact
+		}
+	}
+	return last
+}
+
+// ready reports whether clients should come here, and why not.
+func (node *Node) ready() (bool, string) {
+	select {
+	case <-node.stopping:
+		return false, "stopping"
+	default:
+	}
+	switch {
+	case node.operator.Configuration() == nil:
+		return false, "no configuration is known"
+	case !node.replicaFollower.Synced():
+		return false, "the list of replicas has not been read"
+	case time.Since(node.lastContact()) > contactLimit:
+		return false, "the journal is silent"
+	}
+	return true, ""
+}
+
+const (
+	// drainTime is how long requests are still taken after a stop began: by
+	// then the platform sends no new ones.
+	drainTime = 3 * time.Second
+	// stopMargin is left of the grace when what is under way is cut.
+	stopMargin = 600 * time.Millisecond
+	leaveTime  = 500 * time.Millisecond
+)
+
+// Stop takes no more work, hands batches over, finishes what is under way and
+// ends the daemon within the grace of the settings.
+func (node *Node) Stop() {
+	began := time.Now()
+	close(node.stopping)
+	node.logger.Info("stopping", zap.Int64("in_flight", node.handler.InFlight()))
+	grace := node.settings.Timing.StopGrace.Std() - stopMargin
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
+	defer cancel()
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		node.lease.Resign(ctx)
+		node.member.Leave(ctx)
+		node.runner.Release(ctx)
+	}()
+	node.front.drain()
+	periodic.Pause(ctx, drainTime)
+	node.front.shutdown(ctx)
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
+	node.cancel()
+	node.logger.Info("stopped", zap.Duration("took", time.Since(began)), zap.Int64("in_flight", node.handler.InFlight()))
+}
--- /dev/null
+++ b/internal/replica/table.go
@@ -0,0 +1,290 @@
+// Package replica holds what a daemon believes of the replicas: the platform's
+// list of them, and what this daemon's own exchanges with each have shown.
+package replica
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Entry is one replica as the platform lists it.
+type Entry struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Draining replicas get no new work.
+	Draining bool
+	// Versions are the versions of the weights it holds, by model.
+	Versions map[string]int64
+}
+
+// Replica is an entry with this daemon's own view of it, as it was when read.
+type Replica struct {
+	Entry
+	// InFlight is how many of this daemon's requests are under way there.
+	InFlight int
+	// AvoidUntil is until when other replicas are to be preferred.
+	AvoidUntil time.Time
+	// Latency is the mean time of recent answers, 0 if there were none.
+	Latency time.Duration
+	// Pace is the mean time between the events of recent streams, 0 if unknown.
+	Pace time.Duration
+}
+
+const (
+	// averageWeight is the weight of a new value in a running average.
+	averageWeight = 0.25
+	firstAvoid    = 200 * time.Millisecond
+	longestAvoid  = 3 * time.Second
+	// forgetAfter is how long what was learned of a replica outlives its entry.
+	forgetAfter = 30 * time.Second
+)
+
+// experience is what this daemon has learned of a replica by itself.
+type experience struct {
+	inFlight   int
+	failures   int
+	avoidUntil time.Time
+	latency    time.Duration
+	pace       time.Duration
+	versions   map[string]int64
+	goneAt     time.Time
+}
+
+// Table is the daemon's view of all replicas. It is safe for concurrent use.
+type Table struct {
+	logger *zap.Logger
+
+	mutex    sync.Mutex
+	entries  map[string]Entry
+	learned  map[string]*experience
+	revision int64
+	changed  chan struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable(logger *zap.Logger) *Table {
+	return &Table{logger: logger, entries: map[string]Entry{}, learned: map[string]*experience{}, changed: make(chan struct{})}
+}
+
+// Replace sets the whole list.
+func (table *Table) Replace(entries []Entry) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	kept := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		kept[entry.ID] = true
+		table.set(entry)
+	}
+	for id := range table.entries {
+		if !kept[id] {
+			table.remove(id)
+		}
+	}
+	table.notify()
+}
+
+// Set changes or adds one entry.
+func (table *Table) Set(entry Entry) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.set(entry)
+	table.notify()
+}
+
+// Remove drops one entry.
+func (table *Table) Remove(id string) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.remove(id)
+	table.notify()
+}
+
+func (table *Table) set(entry Entry) {
+	before, known := table.entries[entry.ID]
+	table.entries[entry.ID] = entry
+	if !known {
+		table.logger.Info("replica listed", zap.String("replica", entry.ID), zap.String("service", entry.Service),
+			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Bool("draining", entry.Draining))
+	} else if before.Draining != entry.Draining {
+		table.logger.Info("replica state changed", zap.String("replica", entry.ID), zap.Bool("draining", entry.Draining))
+	}
+	learned := table.experience(entry.ID)
+	learned.goneAt = time.Time{}
+	for model, version := range entry.Versions {
+		learned.raise(model, version)
+	}
+}
+
+func (table *Table) remove(id string) {
+	if _, known := table.entries[id]; !known {
+		return
+	}
+	delete(table.entries, id)
+	if learned := table.learned[id]; learned != nil {
+		learned.goneAt = time.Now()
+	}
+	table.logger.Info("replica gone from the list", zap.String("replica", id))
+}
+
+func (table *Table) experience(id string) *experience {
+	learned := table.learned[id]
+	if learned == nil {
+		learned = &experience{versions: map[string]int64{}}
+		table.learned[id] = learned
+	}
+	return learned
+}
+
+func (learned *experience) raise(model string, version int64) bool {
+	if version <= learned.versions[model] {
+		return false
+	}
+	learned.versions[model] = version
+	return true
+}
+
+// notify wakes those who wait for a change. The mutex is held.
+func (table *Table) notify() {
+	table.revision++
+	close(table.changed)
+	table.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of the list, of
+// a version, or of the room at a replica.
+func (table *Table) Changed() <-chan struct{} {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.changed
+}
+
+// Replicas returns the replicas of a service that may get new work.
+func (table *Table) Replicas(service string) []Replica {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var found []Replica
+	for _, entry := range table.entries {
+		if entry.Service == service && !entry.Draining {
+			found = append(found, table.view(entry))
+		}
+	}
+	return found
+}
+
+// All returns all replicas listed, also those that drain.
+func (table *Table) All() []Replica {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	found := make([]Replica, 0, len(table.entries))
+	for _, entry := range table.entries {
+		found = append(found, table.view(entry))
+	}
+	return found
+}
+
+// Get returns one replica if it is listed.
+func (table *Table) Get(id string) (Replica, bool) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	entry, listed := table.entries[id]
+	if !listed {
+		return Replica{}, false
+	}
+	return table.view(entry), true
+}
+
+func (table *Table) view(entry Entry) Replica {
+	learned := table.experience(entry.ID)
+	viewed := Replica{Entry: entry, InFlight: learned.inFlight, AvoidUntil: learned.avoidUntil, Latency: learned.latency, Pace: learned.pace}
+	viewed.Versions = maps.Clone(learned.versions)
+	return viewed
+}
+
+// Started counts a request on its way to a replica.
+func (table *Table) Started(id string) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.experience(id).inFlight++
+}
+
+// Ended takes a request off the count.
+func (table *Table) Ended(id string) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.experience(id).inFlight--
+	table.notify()
+}
+
+// Succeeded notes an answer and how long it took.
+func (table *Table) Succeeded(id string, took time.Duration) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	learned := table.experience(id)
+	learned.failures = 0
+	learned.avoidUntil = time.Time{}
+	learned.latency = average(learned.latency, took)
+}
+
+// Paced notes the time between two events of a stream.
+func (table *Table) Paced(id string, gap time.Duration) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	learned := table.experience(id)
+	learned.pace = average(learned.pace, gap)
+}
+
+func average(mean, value time.Duration) time.Duration {
+	if mean == 0 {
+		return value
+	}
+	return mean + time.Duration(averageWeight*float64(value-mean))
+}
+
+// Failed notes an exchange that got no sound answer: others are preferred for
+// a while that grows with each failure in a row.
+func (table *Table) Failed(id string) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	learned := table.experience(id)
+	learned.failures++
+	avoid := firstAvoid << min(learned.failures-1, 6)
+	learned.avoidUntil = time.Now().Add(min(avoid, longestAvoid))
+}
+
+// Busy notes that a replica declined a request: others are preferred for the
+// given time.
+func (table *Table) Busy(id string, pause time.Duration) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	learned := table.experience(id)
+	if until := time.Now().Add(pause); until.After(learned.avoidUntil) {
+		learned.avoidUntil = until
+	}
+}
+
+// HoldsVersion notes a version of a model that a replica was seen to hold.
+// Versions only rise.
+func (table *Table) HoldsVersion(id, model string, version int64) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	if table.experience(id).raise(model, version) {
+		table.notify()
+	}
+}
+
+// Sweep forgets replicas that have long left the list.
+func (table *Table) Sweep(now time.Time) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	for id, learned := range table.learned {
+		if !learned.goneAt.IsZero() && learned.inFlight == 0 && now.Sub(learned.goneAt) > forgetAfter {
+			delete(table.learned, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,181 @@
+// Package route holds the operator's configuration as one immutable value and
+// finds the route of a request.
+package route
+
+import (
+	"hash/fnv"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind says how the requests of a route may be treated.
+type Kind int
+
+// Kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = iota + 1
+	// Unsafe requests run at most once.
+	Unsafe
+	// Stream requests are answered by events; they run at most once unless the
+	// route is resumable.
+	Stream
+	// Batch requests are kept and run later.
+	Batch
+)
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route says what happens to the requests of a host under a path prefix.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Shares has one entry for a route that is not split.
+	Shares []Share
+	// Timeout is the longest that a request may be held.
+	Timeout time.Duration
+	// TargetLatency is the time within which an answer earns its full credit.
+	TargetLatency time.Duration
+	// MaxAttempts is the most replicas that one request may be sent to.
+	MaxAttempts int
+	// Priority is the rank of the route's requests, 0 the highest.
+	Priority  int
+	Resumable bool
+	Sticky    bool
+	// SingleVersion demands that one version makes all of a sample.
+	SingleVersion bool
+	// BatchDeadline is the span after submission by which results are due.
+	BatchDeadline time.Duration
+	// MaxQueue is the span after submission from which an item may be given up.
+	MaxQueue time.Duration
+}
+
+// Model is a model that a service's engines hold.
+type Model struct{ Name string }
+
+// Service is a set of replicas.
+type Service struct {
+	Name string
+	// MaxConnections is what one replica accepts from all callers together.
+	MaxConnections int
+	HealthPath     string
+	// Engine says that the replicas are model engines; Models are theirs.
+	Engine bool
+	Models []Model
+	// Slots is how many requests an engine runs at once.
+	Slots int
+}
+
+// Limits bound what clients may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Configuration is one accepted version of the operator's configuration. It is
+// never changed once made.
+type Configuration struct {
+	Version  int64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+	byHost   map[string][]*Route
+}
+
+// New checks a configuration and makes it ready for look-ups.
+func New(version int64, routes []Route, services map[string]Service, limits Limits) (*Configuration, error) {
+	configuration := &Configuration{Version: version, Routes: routes, Services: services, Limits: limits, byHost: map[string][]*Route{}}
+	for i := range routes {
+		if err := checkRoute(&routes[i]); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(routes[i].Host)
+		configuration.byHost[host] = append(configuration.byHost[host], &routes[i])
+	}
+	for _, ofHost := range configuration.byHost {
+		sort.SliceStable(ofHost, func(i, j int) bool { return len(ofHost[i].PathPrefix) > len(ofHost[j].PathPrefix) })
+	}
+	return configuration, nil
+}
+
+func checkRoute(route *Route) error {
+	if route.Host == "" {
+		return errors.Errorf("route %q: host is empty", route.Name)
+	}
+	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
+		return errors.Errorf("route %q: path prefix %q must begin and end with a slash", route.Name, route.PathPrefix)
+	}
+	if len(route.Shares) == 0 {
+		return errors.Errorf("route %q: names no service", route.Name)
+	}
+	return nil
+}
+
+// Find returns the route of a host and path: the one with the longest prefix.
+func (configuration *Configuration) Find(host, path string) (*Route, bool) {
+	for _, route := range configuration.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// hostName is a Host header's name without its port, in lower case.
+func hostName(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Order returns the route's services in the order in which a request should
+// try them: the first is drawn by weight from the request's id, so that each
+// part gets its share without any state.
+func (route *Route) Order(requestID string) []string {
+	if len(route.Shares) == 1 {
+		return []string{route.Shares[0].Service}
+	}
+	total := 0.0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	drawn := uniform(requestID) * total
+	first := len(route.Shares) - 1
+	for i, share := range route.Shares {
+		if drawn < share.Weight {
+			first = i
+			break
+		}
+		drawn -= share.Weight
+	}
+	order := []string{route.Shares[first].Service}
+	for i, share := range route.Shares {
+		if i != first && share.Weight > 0 {
+			order = append(order, share.Service)
+		}
+	}
+	return order
+}
+
+// uniform maps a text to a number from 0 to 1, evenly.
+func uniform(text string) float64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text))
+	mixed := hash.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	return float64(mixed>>11) / float64(1<<53)
+}
--- /dev/null
+++ b/internal/runner/item.go
@@ -0,0 +1,219 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/eventstream"
+	"woodworks/internal/forward"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+	"woodworks/internal/upstream"
+)
+
+const (
+	// itemDeadline is how long a replica may work on an item in one go.
+	itemDeadline = 60 * time.Second
+	// headPatience is how long the first sign of an answer may take, for the
+	// first attempt; it doubles with each further one.
+	headPatience = 1500 * time.Millisecond
+	// gapPatience is the longest pause between events for a sound replica.
+	gapPatience = 1200 * time.Millisecond
+	maxPatience = 10 * time.Second
+	// declinedPause keeps new items off a replica that declined one.
+	declinedPause = 120 * time.Millisecond
+	failedPause   = 20 * time.Millisecond
+)
+
+// errTooOld: the replica's weights are older than the batch allows.
+var errTooOld = errors.New("runner: weights too old")
+
+// runItem runs one attempt at an item and takes its outcome into account.
+func (job *job) runItem(each *item, chosen replica.Replica, found *route.Route) {
+	ctx, cancel := context.WithCancel(job.context)
+	defer cancel()
+	job.mutex.Lock()
+	each.move = cancel
+	job.mutex.Unlock()
+	err := job.streamItem(ctx, cancel, each, chosen, found)
+	job.runner.table.Ended(chosen.ID)
+	job.mutex.Lock()
+	each.move = nil
+	listed := each.state == itemListed
+	job.mutex.Unlock()
+	if listed || job.context.Err() != nil {
+		return
+	}
+	if err == nil {
+		job.scoreItem(each)
+	} else {
+		job.retryItem(each, chosen, found, err)
+	}
+	job.runner.Kick()
+}
+
+// streamItem reads an item's events until the text is whole.
+func (job *job) streamItem(ctx context.Context, cancel context.CancelFunc, each *item, chosen replica.Replica, found *route.Route) error {
+	patience := min(headPatience<<min(each.attempts-1, 3), maxPatience)
+	watchdog := time.AfterFunc(patience, cancel)
+	defer watchdog.Stop()
+	stream, err := job.runner.forwarder.OpenStream(ctx, job.streamRequest(each, found), chosen)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	model := job.submission.Model
+	version := stream.Version
+	if version > 0 {
+		job.runner.table.HoldsVersion(chosen.ID, model, version)
+	}
+	var last time.Time
+	for {
+		watchdog.Reset(max(gapPatience, 4*chosen.Pace))
+		event, err := stream.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if event.Version > 0 {
+			version = event.Version
+			job.runner.table.HoldsVersion(chosen.ID, model, version)
+		}
+		if err := job.take(each, event, version, found); err != nil {
+			return err
+		}
+		now := time.Now()
+		if !last.IsZero() {
+			job.runner.table.Paced(chosen.ID, now.Sub(last))
+		}
+		last = now
+	}
+}
+
+func (job *job) streamRequest(each *item, found *route.Route) *forward.StreamRequest {
+	header := each.header.Clone()
+	names := job.runner.forwarder.Names
+	header[http.CanonicalHeaderKey(names.RequestID)] = []string{each.ID}
+	header[http.CanonicalHeaderKey(names.Priority)] = []string{strconv.Itoa(min(found.Priority, 9))}
+	return &forward.StreamRequest{
+		RequestID: each.ID, Method: http.MethodPost, Target: each.Path, Host: job.submission.Host,
+		Header: header, Body: each.Body, After: each.lastEvent, HasAfter: each.hasEvent, Deadline: itemDeadline,
+	}
+}
+
+// take adds an event to an item's text. Events come in order without gaps, and
+// each was made by a version that the batch allows.
+func (job *job) take(each *item, event eventstream.Event, version int64, found *route.Route) error {
+	if !event.HasID || (each.hasEvent && event.ID != each.lastEvent+1) {
+		return errors.Errorf("event %d after %d", event.ID, each.lastEvent)
+	}
+	if version < job.submission.MinVersion {
+		return errTooOld
+	}
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if found.SingleVersion && len(each.versions) > 0 && each.versions[0] != version {
+		each.startAgain()
+		return errors.New("version changed within a text of one version")
+	}
+	each.text = append(each.text, event.Data)
+	each.lastEvent, each.hasEvent = event.ID, true
+	if version > 0 && !slices.Contains(each.versions, version) {
+		each.versions = append(each.versions, version)
+	}
+	return nil
+}
+
+// startAgain forgets an item's text.
+func (each *item) startAgain() {
+	each.text, each.versions, each.lastEvent, each.hasEvent = nil, nil, 0, false
+}
+
+// retryItem decides what becomes of an item whose attempt failed.
+func (job *job) retryItem(each *item, chosen replica.Replica, found *route.Route, cause error) {
+	table := job.runner.table
+	var status *forward.StatusError
+	pause := failedPause
+	dead := ""
+	switch {
+	case errors.Is(cause, forward.ErrDeclined):
+		table.Busy(chosen.ID, declinedPause)
+	case errors.Is(cause, errTooOld):
+		table.Busy(chosen.ID, declinedPause)
+	case errors.As(cause, &status):
+		dead = job.failureStatus(each, status.Status, found)
+	case errors.Is(cause, upstream.ErrNotSent):
+		table.Failed(chosen.ID)
+	default:
+		table.Failed(chosen.ID)
+	}
+	job.logger.Info("item attempt failed", zap.String("item", each.ID), zap.String("replica", chosen.ID), zap.Int("attempt", each.attempts),
+		zap.Int64("events", each.lastEvent), zap.Duration("after", time.Since(each.startedAt)), zap.Error(cause))
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if each.state != itemRunning {
+		return
+	}
+	if dead != "" {
+		job.finish(each, batch.Result{Item: each.index, Outcome: batch.Dead}, dead)
+		return
+	}
+	each.state = itemWaiting
+	each.notBefore = time.Now().Add(pause)
+}
+
+// failureStatus counts a replica's failure and returns why the item is given
+// up, or "".
+func (job *job) failureStatus(each *item, status int, found *route.Route) string {
+	switch status {
+	case http.StatusUnprocessableEntity:
+		return "cannot be done"
+	case http.StatusInternalServerError:
+		each.failures++
+		if each.failures >= max(found.MaxAttempts, 1) {
+			return "failed at every attempt"
+		}
+	}
+	return ""
+}
+
+// scoreItem has a whole text scored and hands it to be listed.
+func (job *job) scoreItem(each *item) {
+	job.mutex.Lock()
+	if each.state != itemRunning {
+		job.mutex.Unlock()
+		return
+	}
+	each.state = itemScoring
+	result := batch.Result{Item: each.index, Outcome: batch.Done, Text: bytes.Join(each.text, []byte("\n")), Versions: slices.Clone(each.versions)}
+	job.mutex.Unlock()
+	job.runner.Kick()
+	reason := ""
+	if each.Reward != nil {
+		score, err := job.reward(each)
+		if job.context.Err() != nil {
+			return
+		}
+		if err != nil {
+			result, reason = batch.Result{Item: each.index, Outcome: batch.Dead}, err.Error()
+		}
+		result.Score = score
+	}
+	slices.Sort(result.Versions)
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if each.state == itemScoring {
+		job.finish(each, result, reason)
+	}
+}
--- /dev/null
+++ b/internal/runner/job.go
@@ -0,0 +1,386 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/ledger"
+	"woodworks/internal/route"
+)
+
+const (
+	// clockMargin is taken for the difference between two daemons' clocks
+	// where a span since the acceptance must be over for certain.
+	clockMargin = 3 * time.Second
+	// handedPatience is how long an item is left to the owner that released it.
+	handedPatience = 5 * time.Second
+	// gatherTime is how long a result waits for others to be listed with.
+	gatherTime = 10 * time.Millisecond
+	// listTimeout bounds one try to list results.
+	listTimeout = 2 * time.Second
+)
+
+// itemState is where an item stands in this job.
+type itemState int
+
+const (
+	itemWaiting itemState = iota
+	itemRunning
+	itemScoring
+	itemListed
+)
+
+// item is one item with its progress at this owner.
+type item struct {
+	index int
+	batch.Item
+	header http.Header
+	state  itemState
+	// rank orders the items of a batch: lower first.
+	rank int
+	// cost is the expected length of the answer, in tokens.
+	cost int64
+	// notBefore delays an item, for example after a failure.
+	notBefore time.Time
+	// text are the data of the events so far; lastEvent is the last one's id.
+	text      [][]byte
+	lastEvent int64
+	hasEvent  bool
+	versions  []int64
+	// failures counts answers of the replica that say that the item failed.
+	failures       int
+	rewardFailures int
+	attempts       int
+	// lastReplica ran the item last.
+	lastReplica string
+	// move, if not nil, cuts the run under way so that another replica resumes it.
+	move      func()
+	startedAt time.Time
+	onReplica string
+}
+
+// job is one batch that this daemon runs.
+type job struct {
+	runner        *Runner
+	partition     *ledger.Partition
+	submission    *batch.Submission
+	adoptedAt     time.Time
+	listedAtStart int
+	logger        *zap.Logger
+
+	context context.Context
+	cancel  context.CancelFunc
+
+	mutex    sync.Mutex
+	items    []*item
+	released bool
+	// groups names the replica that last started an item of a group.
+	groups  map[string]string
+	results []batch.Result
+	newList chan struct{}
+}
+
+// newJob makes a job of an open batch. It is called within a view of the fold.
+func newJob(runner *Runner, partition *ledger.Partition, known *batch.Batch) *job {
+	submission := known.Submission
+	made := &job{
+		runner: runner, partition: partition, submission: &submission, adoptedAt: time.Now(),
+		logger: runner.logger.With(zap.String("batch", known.ID)), newList: make(chan struct{}, 1),
+		groups: map[string]string{},
+	}
+	made.context, made.cancel = context.WithCancel(runner.context)
+	made.items = makeItems(&submission, runner)
+	for i, each := range made.items {
+		if known.Listed[i] {
+			each.state = itemListed
+			made.listedAtStart++
+		}
+		if known.Handed[i] {
+			each.notBefore = made.adoptedAt.Add(handedPatience)
+		}
+	}
+	return made
+}
+
+func makeItems(submission *batch.Submission, runner *Runner) []*item {
+	items := make([]*item, len(submission.Items))
+	for i := range submission.Items {
+		items[i] = &item{index: i, Item: submission.Items[i], header: headerOf(submission.Items[i].Headers)}
+		items[i].cost = expectedLength(items[i], runner)
+	}
+	rankItems(items, submission.Desired)
+	return items
+}
+
+func headerOf(list []batch.Header) http.Header {
+	header := make(http.Header, len(list)+4)
+	for _, each := range list {
+		name := http.CanonicalHeaderKey(each.Name)
+		header[name] = append(header[name], each.Value)
+	}
+	return header
+}
+
+// expectedLength is the number of tokens that an item's answer should have.
+func expectedLength(each *item, runner *Runner) int64 {
+	names := runner.forwarder.Names
+	if hint, err := strconv.ParseInt(each.header.Get(names.LengthHint), 10, 64); err == nil && hint > 0 {
+		return hint
+	}
+	_, most, found := strings.Cut(each.header.Get(names.TokenUsage), ",")
+	if longest, err := strconv.ParseInt(strings.TrimSpace(most), 10, 64); found && err == nil {
+		return longest
+	}
+	return each.Tokens
+}
+
+// rankItems orders the items: those of the groups that can be whole soonest,
+// as many groups as the caller waits for, before the others; within these the
+// longest first, as they decide when the last group is whole.
+func rankItems(items []*item, desired int) {
+	longest := map[string]int64{}
+	for _, each := range items {
+		longest[each.Group] = max(longest[each.Group], each.cost)
+	}
+	groups := make([]string, 0, len(longest))
+	for group := range longest {
+		groups = append(groups, group)
+	}
+	sort.Slice(groups, func(i, j int) bool {
+		if longest[groups[i]] != longest[groups[j]] {
+			return longest[groups[i]] < longest[groups[j]]
+		}
+		return groups[i] < groups[j]
+	})
+	later := map[string]bool{}
+	if desired > 0 && desired < len(groups) {
+		for _, group := range groups[desired:] {
+			later[group] = true
+		}
+	}
+	ordered := append([]*item(nil), items...)
+	sort.SliceStable(ordered, func(i, j int) bool {
+		if later[ordered[i].Group] != later[ordered[j].Group] {
+			return !later[ordered[i].Group]
+		}
+		return ordered[i].cost > ordered[j].cost
+	})
+	for rank, each := range ordered {
+		each.rank = rank
+	}
+}
+
+// run keeps the job until its batch has no more to do here.
+func (job *job) run() {
+	defer job.cancel()
+	release := job.partition.Follow()
+	defer release()
+	go job.listResults()
+	beat := time.NewTicker(heartbeatInterval)
+	defer beat.Stop()
+	for {
+		changed := job.partition.Changed()
+		if job.over() {
+			return
+		}
+		select {
+		case <-job.context.Done():
+			return
+		case <-changed:
+		case <-beat.C:
+			job.giveUpOld()
+			go job.beat()
+		}
+	}
+}
+
+// beat appends a sign of life, which changes nothing in the fold.
+func (job *job) beat() {
+	job.mutex.Lock()
+	released := job.released
+	job.mutex.Unlock()
+	if released {
+		return
+	}
+	ctx, cancel := context.WithTimeout(job.context, heartbeatInterval)
+	defer cancel()
+	_ = job.partition.Append(ctx, batch.Beat(job.submission.ID, job.runner.self))
+}
+
+// over takes the fold into account and reports whether the job is done here.
+func (job *job) over() bool {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	over, reason := false, ""
+	job.partition.View(func(state *batch.State) {
+		known, found := state.Get(job.submission.ID)
+		switch {
+		case !found:
+			over, reason = true, "unknown"
+		case known.Ended:
+			over, reason = true, "ended"
+		case !known.Open():
+			over, reason = true, "all listed"
+		case known.Owner != job.runner.self && !job.released:
+			over, reason = true, "owned by "+known.Owner
+		default:
+			job.markListed(known)
+		}
+	})
+	if job.released && !over && job.noneUnderWay() {
+		over, reason = true, "released"
+	}
+	if over {
+		job.logger.Info("batch left", zap.String("reason", reason), zap.Duration("after", time.Since(job.adoptedAt)))
+	}
+	return over
+}
+
+func (job *job) markListed(known *batch.Batch) {
+	for i, listed := range known.Listed {
+		if listed && job.items[i].state != itemListed {
+			job.items[i].state = itemListed
+			job.items[i].text = nil
+			if job.items[i].move != nil {
+				job.items[i].move()
+			}
+		}
+	}
+}
+
+func (job *job) noneUnderWay() bool {
+	for _, each := range job.items {
+		if each.state == itemRunning || each.state == itemScoring {
+			return false
+		}
+	}
+	return len(job.results) == 0
+}
+
+// letGo releases the batch: no more items start, those under way go on.
+func (job *job) letGo(ctx context.Context) {
+	job.mutex.Lock()
+	job.released = true
+	var handed []int
+	for _, each := range job.items {
+		if each.state == itemRunning || each.state == itemScoring {
+			handed = append(handed, each.index)
+		}
+	}
+	job.mutex.Unlock()
+	job.logger.Info("batch released", zap.Int("under_way", len(handed)))
+	_ = job.runner.appendUntil(ctx, job.partition, batch.Released(job.submission.ID, job.runner.self, handed))
+}
+
+func (job *job) waiting() int {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	count := 0
+	for _, each := range job.items {
+		if each.state == itemWaiting {
+			count++
+		}
+	}
+	return count
+}
+
+// route returns the route of the batch by the configuration in force.
+func (job *job) route() (*route.Configuration, *route.Route, bool) {
+	configuration := job.runner.configuration()
+	if configuration == nil {
+		return nil, nil, false
+	}
+	found, ok := configuration.Find(job.submission.Host, job.submission.Path)
+	return configuration, found, ok
+}
+
+// giveUpOld lists as dead the waiting items that are older than their route
+// lets them grow.
+func (job *job) giveUpOld() {
+	_, found, ok := job.route()
+	if !ok || found.MaxQueue <= 0 || time.Since(job.submission.AcceptedAt()) < found.MaxQueue+clockMargin {
+		return
+	}
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	for _, each := range job.items {
+		if each.state == itemWaiting {
+			job.finish(each, batch.Result{Item: each.index, Outcome: batch.Dead}, "older than allowed")
+		}
+	}
+}
+
+// finish hands a result to be listed. The mutex is held.
+func (job *job) finish(each *item, result batch.Result, reason string) {
+	each.state = itemScoring
+	job.results = append(job.results, result)
+	outcome := "done"
+	if result.Outcome == batch.Dead {
+		outcome = "dead"
+	}
+	job.logger.Info("item finished", zap.String("item", each.ID), zap.String("outcome", outcome), zap.String("reason", reason),
+		zap.Int("attempts", each.attempts), zap.Int64("events", each.lastEvent), zap.Int64s("versions", result.Versions),
+		zap.String("replica", each.lastReplica))
+	select {
+	case job.newList <- struct{}{}:
+	default:
+	}
+}
+
+// listResults appends results to the ledger as they come, a few together.
+func (job *job) listResults() {
+	for {
+		select {
+		case <-job.context.Done():
+			return
+		case <-job.newList:
+		}
+		time.Sleep(gatherTime)
+		job.mutex.Lock()
+		results := job.results
+		job.mutex.Unlock()
+		if len(results) == 0 {
+			continue
+		}
+		if !job.list(results) {
+			return
+		}
+		job.mutex.Lock()
+		job.results = job.results[len(results):]
+		more := len(job.results) > 0
+		job.mutex.Unlock()
+		if more {
+			select {
+			case job.newList <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// list appends results until it is certain that they are in the ledger.
+func (job *job) list(results []batch.Result) bool {
+	record := batch.Listed(job.submission.ID, results)
+	for job.context.Err() == nil {
+		ctx, cancel := context.WithTimeout(job.context, listTimeout)
+		err := job.partition.Append(ctx, record)
+		cancel()
+		if err == nil {
+			return true
+		}
+		job.logger.Info("results not listed yet", zap.Int("results", len(results)), zap.Error(err))
+		select {
+		case <-job.context.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,273 @@
+// Package runner runs the items of the batches that this daemon owns: it picks
+// replicas, follows the answers event by event, resumes what broke, has texts
+// scored and lists results in the ledger.
+package runner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/forward"
+	"woodworks/internal/journal"
+	"woodworks/internal/ledger"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+)
+
+// Errors of taking work in.
+var (
+	// ErrNotDone: the work was not taken and will not be.
+	ErrNotDone = errors.New("runner: not taken")
+	// ErrUnknown: the work may have been taken.
+	ErrUnknown = errors.New("runner: outcome unknown")
+	// ErrStopping: this daemon takes no more work.
+	ErrStopping = errors.New("runner: stopping")
+)
+
+const (
+	// heartbeatInterval is the time between an owner's signs of life in a
+	// batch's partition.
+	heartbeatInterval = 500 * time.Millisecond
+	// wakeInterval bounds how long the dispatcher waits for a change.
+	wakeInterval = 100 * time.Millisecond
+	retryPause   = 100 * time.Millisecond
+)
+
+// Configuration gives the configuration in force, or nil.
+type Configuration func() *route.Configuration
+
+// Runner runs the batches of one daemon. It is safe for concurrent use.
+type Runner struct {
+	self          string
+	ledger        *ledger.Ledger
+	table         *replica.Table
+	forwarder     *forward.Forwarder
+	configuration Configuration
+	logger        *zap.Logger
+	context       context.Context
+
+	mutex    sync.Mutex
+	jobs     map[string]*job
+	wake     chan struct{}
+	stopping atomic.Bool
+	started  atomic.Uint64
+	running  sync.WaitGroup
+}
+
+// New returns a runner whose owner name is self. All its work ends with the
+// context.
+func New(ctx context.Context, self string, batches *ledger.Ledger, forwarder *forward.Forwarder, configuration Configuration, logger *zap.Logger) *Runner {
+	return &Runner{
+		self: self, ledger: batches, table: forwarder.Table, forwarder: forwarder, configuration: configuration,
+		logger: logger, context: ctx, jobs: map[string]*job{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Accept makes a batch exist, owned by this daemon, and starts it. A batch
+// that exists already stays as it is. After nil it is certain that the batch
+// exists; after ErrNotDone that this call has not made it exist.
+func (runner *Runner) Accept(ctx context.Context, submission *batch.Submission) error {
+	if runner.stopping.Load() {
+		return errors.Wrap(ErrNotDone, ErrStopping.Error())
+	}
+	partition := runner.ledger.Of(submission.ID)
+	release := partition.Follow()
+	defer release()
+	if err := runner.appendUntil(ctx, partition, batch.Accepted(submission, runner.self)); err != nil {
+		return err
+	}
+	runner.running.Add(1)
+	go func() {
+		defer runner.running.Done()
+		runner.adoptWhenSeen(submission.ID, partition)
+	}()
+	return nil
+}
+
+// appendUntil appends a record again until the outcome is certain or the
+// context ends. Doubles of all our records are harmless in the fold.
+func (runner *Runner) appendUntil(ctx context.Context, partition *ledger.Partition, record []byte) error {
+	unsettled := false
+	for {
+		err := partition.Append(ctx, record)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, ledger.ErrTooLarge):
+			return errors.Wrap(ErrNotDone, err.Error())
+		case !errors.Is(err, ledger.ErrNotDone):
+			unsettled = true
+		}
+		select {
+		case <-ctx.Done():
+			if unsettled {
+				return errors.Wrap(ErrUnknown, err.Error())
+			}
+			return errors.Wrap(ErrNotDone, err.Error())
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// adoptWhenSeen starts a batch once the fold shows that this daemon owns it.
+func (runner *Runner) adoptWhenSeen(batchID string, partition *ledger.Partition) {
+	release := partition.Follow()
+	defer release()
+	for runner.context.Err() == nil {
+		if err := partition.CatchUp(runner.context); err != nil {
+			time.Sleep(retryPause)
+			continue
+		}
+		runner.Adopt(batchID)
+		return
+	}
+}
+
+// Adopt starts a batch if the fold says that this daemon owns it and it is
+// open.
+func (runner *Runner) Adopt(batchID string) {
+	partition := runner.ledger.Of(batchID)
+	var adopted *job
+	runner.mutex.Lock()
+	_, under := runner.jobs[batchID]
+	if !under && runner.context.Err() == nil {
+		partition.View(func(state *batch.State) {
+			known, found := state.Get(batchID)
+			if found && known.Open() && known.Owner == runner.self {
+				adopted = newJob(runner, partition, known)
+				runner.jobs[batchID] = adopted
+			}
+		})
+	}
+	runner.mutex.Unlock()
+	if adopted == nil {
+		return
+	}
+	runner.logger.Info("batch owned", zap.String("batch", batchID), zap.Int("items", len(adopted.items)),
+		zap.Int("listed", adopted.listedAtStart), zap.Int64("step", adopted.submission.Step), zap.String("model", adopted.submission.Model),
+		zap.Int64("min_version", adopted.submission.MinVersion), zap.Int("desired", adopted.submission.Desired),
+		zap.String("topic", partition.Name().Topic), zap.Int("partition", partition.Name().Number))
+	runner.running.Add(1)
+	go func() {
+		defer runner.running.Done()
+		adopted.run()
+		runner.mutex.Lock()
+		delete(runner.jobs, batchID)
+		runner.mutex.Unlock()
+	}()
+	runner.Kick()
+}
+
+// TakeOver makes this daemon the owner in place of another and starts the
+// batch.
+func (runner *Runner) TakeOver(ctx context.Context, batchID, from string) error {
+	if runner.stopping.Load() {
+		return ErrStopping
+	}
+	partition := runner.ledger.Of(batchID)
+	if err := partition.Append(ctx, batch.TakenOver(batchID, from, runner.self)); err != nil {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	if err := partition.CatchUp(ctx); err != nil {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	runner.Adopt(batchID)
+	return nil
+}
+
+// End ends a batch: after nil no more of it is run than is under way. An
+// unknown batch is ended as well, as its acceptance may still be on its way.
+func (runner *Runner) End(ctx context.Context, batchID string) error {
+	return runner.appendUntil(ctx, runner.ledger.Of(batchID), batch.Ended(batchID))
+}
+
+// Load returns how many batches are run here and how many items wait.
+func (runner *Runner) Load() (batches, waiting int) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	for _, each := range runner.jobs {
+		waiting += each.waiting()
+	}
+	return len(runner.jobs), waiting
+}
+
+// Started returns how many items were sent to a replica.
+func (runner *Runner) Started() uint64 { return runner.started.Load() }
+
+// Kick makes the dispatcher look again.
+func (runner *Runner) Kick() {
+	select {
+	case runner.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Release lets all batches go: no more items are started, each batch gets a
+// record that says so, and the items under way are finished. It returns when
+// they are, or when the context ends.
+func (runner *Runner) Release(ctx context.Context) {
+	runner.stopping.Store(true)
+	runner.mutex.Lock()
+	jobs := make([]*job, 0, len(runner.jobs))
+	for _, each := range runner.jobs {
+		jobs = append(jobs, each)
+	}
+	runner.mutex.Unlock()
+	for _, each := range jobs {
+		go each.letGo(ctx)
+	}
+	done := make(chan struct{})
+	go func() {
+		runner.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Run starts items as replicas have room, until the context ends.
+func (runner *Runner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := runner.table.Changed()
+		if !runner.stopping.Load() {
+			runner.dispatch(time.Now())
+		}
+		timer := time.NewTimer(wakeInterval)
+		if runner.quiet() {
+			timer.Reset(time.Hour)
+			changed = nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-runner.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (runner *Runner) quiet() bool {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	return len(runner.jobs) == 0
+}
+
+// partitionsOf returns the partitions of the batches that are run here.
+func (runner *Runner) partitionsOf() map[journal.Partition]bool {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	names := map[journal.Partition]bool{}
+	for _, each := range runner.jobs {
+		names[each.partition.Name()] = true
+	}
+	return names
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,11 @@
 	// AdvertisePeer is the address that other daemons should use, if it is not
 	// Peer itself.
 	AdvertisePeer string `yaml:"advertise_peer"`
+	// Health answers whether clients should come here, Metrics tells the
+	// daemon's figures. They are used with platform.driver "store"; Metrics
+	// may be left out.
+	Health  string `yaml:"health"`
+	Metrics string `yaml:"metrics"`
 }
 
 // PeerAddress returns the address that other daemons use.
@@ -69,10 +74,28 @@
 	return listen.Peer
 }
 
-// Platform holds the base URLs of the platform's services.
+// Platform holds the base URLs of the platform's services, or names the driver
+// of a platform whose store keeps all that lasts.
 type Platform struct {
 	LogURL         string `yaml:"log_url"`
 	MachineListURL string `yaml:"machine_list_url"`
+	// Driver is "" for the two services above or DriverStore.
+	Driver string `yaml:"driver"`
+	Store  Store  `yaml:"store"`
+}
+
+// DriverStore is the driver of a platform with a partitioned log.
+const DriverStore = "store"
+
+// Store says where the platform's log is and what it takes.
+type Store struct {
+	// Address is IP:port.
+	Address string `yaml:"address"`
+	// Partitions is how many partitions each topic has.
+	Partitions int `yaml:"partitions"`
+	// RecordBytes and AppendBytes are the largest record and append, in bytes.
+	RecordBytes int `yaml:"record_bytes"`
+	AppendBytes int `yaml:"append_bytes"`
 }
 
 // Limits bounds what one daemon holds at a time.
@@ -87,6 +110,8 @@
 	MaxRecords int `yaml:"max_records"`
 	// ChunkSamples is how many samples of a batch share one home daemon.
 	ChunkSamples int `yaml:"chunk_samples"`
+	// MemoryMB is what the process may use in all, in megabytes; 0 names no bound.
+	MemoryMB int `yaml:"memory_mb"`
 }
 
 // Timing holds the daemon's bounds in time.
@@ -103,6 +128,9 @@
 	BatchRetention Duration `yaml:"batch_retention"`
 	// PollInterval is how often an owned replica is asked for its state.
 	PollInterval Duration `yaml:"poll_interval"`
+	// LeaseQuiet is how long after one holder's last order to an engine another
+	// must wait before its first.
+	LeaseQuiet Duration `yaml:"lease_quiet"`
 }
 
 // Log holds logging settings.
@@ -148,6 +176,7 @@
 			RecordRetention: Duration(10 * time.Minute),
 			BatchRetention:  Duration(30 * time.Minute),
 			PollInterval:    Duration(200 * time.Millisecond),
+			LeaseQuiet:      Duration(3 * time.Second),
 		},
 		Log: Log{Level: "info"},
 	}
@@ -202,6 +231,9 @@
 	return Settings{}, errors.Errorf("settings: %s", strings.ReplaceAll(err.Error(), "\n", " "))
 }
 
+// minRecordBytes is the smallest record size that the daemon can work with.
+const minRecordBytes = 4096
+
 var digestPattern = regexp.MustCompile("^[0-9a-f]{64}$")
 
 // Check returns nil or a Faults value with every wrong setting.
@@ -222,8 +254,21 @@
 		require(err != nil || parsed.Port() != 0, key, "port must not be 0")
 	}
 	checkAddress(loaded.Listen.Public, "listen.public")
-	checkAddress(loaded.Listen.Internal, "listen.internal")
-	checkAddress(loaded.Listen.Peer, "listen.peer")
+	hosted := loaded.Platform.Driver == DriverStore
+	require(hosted || loaded.Platform.Driver == "", "platform.driver", fmt.Sprintf("%q is not %s", loaded.Platform.Driver, DriverStore))
+	if hosted {
+		checkAddress(loaded.Listen.Health, "listen.health")
+		if loaded.Listen.Metrics != "" {
+			checkAddress(loaded.Listen.Metrics, "listen.metrics")
+		}
+		checkAddress(loaded.Platform.Store.Address, "platform.store.address")
+		require(loaded.Platform.Store.Partitions > 0, "platform.store.partitions", "must be above 0")
+		require(loaded.Platform.Store.RecordBytes >= minRecordBytes, "platform.store.record_bytes", fmt.Sprintf("must be at least %d", minRecordBytes))
+		require(loaded.Platform.Store.AppendBytes >= loaded.Platform.Store.RecordBytes, "platform.store.append_bytes", "must not be less than record_bytes")
+	} else {
+		checkAddress(loaded.Listen.Internal, "listen.internal")
+		checkAddress(loaded.Listen.Peer, "listen.peer")
+	}
 	if loaded.Listen.AdvertisePeer != "" {
 		checkAddress(loaded.Listen.AdvertisePeer, "listen.advertise_peer")
 	}
@@ -238,8 +283,11 @@
 		holds := strings.HasPrefix(url, "http://") || strings.HasPrefix(url, "https://")
 		require(holds, key, fmt.Sprintf("%q must start with http:// or https://", url))
 	}
-	checkURL(loaded.Platform.LogURL, "platform.log_url")
-	checkURL(loaded.Platform.MachineListURL, "platform.machine_list_url")
+	if !hosted {
+		checkURL(loaded.Platform.LogURL, "platform.log_url")
+		checkURL(loaded.Platform.MachineListURL, "platform.machine_list_url")
+	}
+	require(loaded.Limits.MemoryMB >= 0, "limits.memory_mb", "must not be below 0")
 	require(loaded.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "must be above 0")
 	require(loaded.Limits.MaxQueued > 0, "limits.max_queued", "must be above 0")
 	require(loaded.Limits.MaxChunks > 0, "limits.max_chunks", "must be above 0")
@@ -253,6 +301,7 @@
 	checkPositive(loaded.Timing.RecordRetention, "timing.record_retention")
 	checkPositive(loaded.Timing.BatchRetention, "timing.batch_retention")
 	checkPositive(loaded.Timing.PollInterval, "timing.poll_interval")
+	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
 	switch loaded.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
