--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -34,6 +34,7 @@
 	mutex    sync.Mutex
 	limits   route.Limits
 	current  *http.Server
+	bound    net.Listener
 	listener *handOver
 	servers  []*http.Server
 	draining bool
@@ -48,6 +49,7 @@
 		return errors.Wrap(err, "front")
 	}
 	front.mutex.Lock()
+	front.bound = listener
 	front.startServer()
 	front.mutex.Unlock()
 	go front.accept(listener)
@@ -68,7 +70,7 @@
 		front.mutex.Lock()
 		target := front.listener
 		front.mutex.Unlock()
-		target.connections <- conn
+		target.give(conn)
 	}
 }
 
@@ -104,7 +106,7 @@
 	}
 	front.current = server
 	front.servers = append(front.servers, server)
-	front.listener = &handOver{connections: make(chan net.Conn)}
+	front.listener = &handOver{connections: make(chan net.Conn), closed: make(chan struct{})}
 	go func(listener *handOver) { _ = server.Serve(listener) }(front.listener)
 }
 
@@ -125,10 +127,14 @@
 	}
 }
 
-// shutdown waits until no request is under way or the context ends.
+// shutdown takes no more connections and waits until no request is under way
+// or the context ends.
 func (front *frontServer) shutdown(ctx context.Context) {
 	front.mutex.Lock()
 	servers := front.servers
+	if front.bound != nil {
+		_ = front.bound.Close()
+	}
 	front.mutex.Unlock()
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
@@ -141,20 +147,34 @@
 // handOver is a listener whose connections come from another one.
 type handOver struct {
 	connections chan net.Conn
+	closed      chan struct{}
 	once        sync.Once
 }
 
+// give hands a connection to the server, or closes it if the server has stopped.
+func (listener *handOver) give(conn net.Conn) {
+	select {
+	case listener.connections <- conn:
+	case <-listener.closed:
+		_ = conn.Close()
+	}
+}
+
 // Accept implements net.Listener.
 func (listener *handOver) Accept() (net.Conn, error) {
-	conn, open := <-listener.connections
-	if !open {
+	select {
+	case conn := <-listener.connections:
+		return conn, nil
+	case <-listener.closed:
 		return nil, net.ErrClosed
 	}
-	return conn, nil
 }
 
-// Close implements net.Listener. The connections of the process end with it.
-func (listener *handOver) Close() error { return nil }
+// Close implements net.Listener.
+func (listener *handOver) Close() error {
+	listener.once.Do(func() { close(listener.closed) })
+	return nil
+}
 
 // Addr implements net.Listener.
 func (listener *handOver) Addr() net.Addr { return &net.TCPAddr{} }
