Give a follower's read up in time; take over from replaced runs at once

Reads now end after 0.6 of the contact bound of the settings. Takeovers: the owner's machine having a new run proves the owner gone; silence 1.5 s.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -96,6 +96,25 @@
 	member.partitions = partitions
 }
 
+// Alive returns the members that hold partitions now.
+func (member *Member) Alive(ctx context.Context) ([]string, error) {
+	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	owners, err := member.journal.Owners(bounded, name)
+	if err != nil {
+		return nil, err
+	}
+	seen := map[string]bool{}
+	var alive []string
+	for _, owner := range owners {
+		if !seen[owner.Member] {
+			seen[owner.Member] = true
+			alive = append(alive, owner.Member)
+		}
+	}
+	return alive, nil
+}
+
 // Leave gives this daemon's partitions to others at once.
 func (member *Member) Leave(ctx context.Context) {
 	member.leaving.Store(true)
--- a/internal/journal/follow.go
+++ b/internal/journal/follow.go
@@ -12,15 +12,14 @@
 )
 
 const (
-	// followWait is how long one read of a follower may be held. It bounds
-	// how long a silently broken connection stays unnoticed.
-	followWait = 2 * time.Second
-	// followSlack is what a held read may take beyond its wait.
-	followSlack = 1500 * time.Millisecond
-	// newestTimeout bounds one page of a full read.
-	newestTimeout = 2500 * time.Millisecond
+	// waitShare and slackShare are the parts of the contact bound that a read
+	// may be held, and may take beyond that. A read that was lost in an outage
+	// is thus given up and repeated well before the bound has passed since the
+	// outage's end.
+	waitShare  = 0.30
+	slackShare = 0.30
 	// followPause is the pause after a failed read.
-	followPause = 250 * time.Millisecond
+	followPause = 150 * time.Millisecond
 )
 
 // KeyedHandler takes the records of a keyed partition. Its methods are called
@@ -38,6 +37,8 @@
 	journal   Journal
 	partition Partition
 	handler   KeyedHandler
+	wait      time.Duration
+	slack     time.Duration
 	logger    *zap.Logger
 
 	synced      atomic.Bool
@@ -45,9 +46,11 @@
 	lost        bool
 }
 
-// NewKeyedFollower returns a follower; Run starts it.
-func NewKeyedFollower(log Journal, partition Partition, handler KeyedHandler, logger *zap.Logger) *KeyedFollower {
-	return &KeyedFollower{journal: log, partition: partition, handler: handler, logger: logger.With(zap.String("topic", partition.Topic))}
+// NewKeyedFollower returns a follower; Run starts it. ContactBound is the time
+// within which the handler must be up to date after an outage.
+func NewKeyedFollower(log Journal, partition Partition, handler KeyedHandler, contactBound time.Duration, logger *zap.Logger) *KeyedFollower {
+	return &KeyedFollower{journal: log, partition: partition, handler: handler,
+		wait: time.Duration(waitShare * float64(contactBound)), slack: time.Duration(slackShare * float64(contactBound)), logger: logger.With(zap.String("topic", partition.Topic))}
 }
 
 // Synced reports whether a full read has ever succeeded.
@@ -96,7 +99,7 @@
 }
 
 func (follower *KeyedFollower) newestPage(ctx context.Context, afterKey string) (KeyedPage, error) {
-	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
+	bounded, cancel := context.WithTimeout(ctx, follower.wait+follower.slack)
 	defer cancel()
 	return follower.journal.Newest(bounded, follower.partition, afterKey)
 }
@@ -132,9 +135,9 @@
 }
 
 func (follower *KeyedFollower) readOnce(ctx context.Context, from int64) (Records, error) {
-	bounded, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	bounded, cancel := context.WithTimeout(ctx, follower.wait+follower.slack)
 	defer cancel()
-	return follower.journal.Read(bounded, Read{Partition: follower.partition, From: from, Wait: followWait})
+	return follower.journal.Read(bounded, Read{Partition: follower.partition, From: from, Wait: follower.wait})
 }
 
 func (follower *KeyedFollower) noteContact() {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -15,7 +15,7 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// New returns a logger that writes to standard error at the given level
+// New returns a logger that writes to standard output at the given level
 // (debug, info, warn or error) and takes over go-zero's logs.
 func New(level, node string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
@@ -28,7 +28,7 @@
 	encoding.EncodeTime = func(at time.Time, encoder zapcore.PrimitiveArrayEncoder) {
 		encoder.AppendString(at.UTC().Format("2006-01-02T15:04:05.000Z"))
 	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(os.Stderr), parsed)
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(os.Stdout), parsed)
 	logger := zap.New(core).With(zap.String("node", node))
 	TakeOver(logger)
 	return logger, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,7 @@
 	"woodworks/internal/forward"
 	"woodworks/internal/group"
 	"woodworks/internal/headers"
+	"woodworks/internal/identity"
 	"woodworks/internal/ingress"
 	"woodworks/internal/journal"
 	"woodworks/internal/lease"
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &Node{
 		settings: loaded, logger: logger, metrics: metrics.New(), pool: pool,
-		identity: loaded.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		identity: identity.New(loaded.Name, time.Now()),
 		context:  ctx, cancel: cancel, stopping: make(chan struct{}),
 	}
 	node.build(drivers)
@@ -103,16 +103,17 @@
 // build makes the parts; each depends only on those made before it.
 func (node *Node) build(drivers Drivers) {
 	logger := node.logger
+	contact := node.settings.Timing.ContactBound.Std()
 	node.table = replica.NewTable(logger)
 	node.front = newFrontServer(logger)
 	node.operator = operation.NewState(drivers.Decoder, node.front.configured, logger)
-	node.operatorFollower = journal.NewKeyedFollower(drivers.Journal, drivers.OperatorRecords, node.operator, logger)
-	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), logger)
+	node.operatorFollower = journal.NewKeyedFollower(drivers.Journal, drivers.OperatorRecords, node.operator, contact, logger)
+	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), contact, logger)
 	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Logger: logger}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
 	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator.Configuration, logger)
 	node.member = group.New(drivers.Journal, node.identity, ledger.TopicNames(), logger)
-	node.watcher = runner.NewWatcher(node.runner, node.member.Partitions)
+	node.watcher = runner.NewWatcher(node.runner, node.member)
 	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
 	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, logger)
 	node.handler = &ingress.Handler{
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -327,7 +327,7 @@
 		outcome = "dead"
 	}
 	job.logger.Info("item finished", zap.String("item", each.ID), zap.String("outcome", outcome), zap.String("reason", reason),
-		zap.Int("attempts", each.attempts), zap.Int64("events", each.lastEvent), zap.Int64s("versions", result.Versions),
+		zap.Int("attempts", each.attempts), zap.Int64("expected", each.cost), zap.Int("bytes", len(result.Text)), zap.Duration("took", time.Since(each.startedAt)), zap.Int64("events", each.lastEvent), zap.Int64s("versions", result.Versions),
 		zap.String("replica", each.lastReplica))
 	select {
 	case job.newList <- struct{}{}:
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,7 +14,6 @@
 
 	"woodworks/internal/batch"
 	"woodworks/internal/forward"
-	"woodworks/internal/journal"
 	"woodworks/internal/ledger"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
@@ -33,7 +32,7 @@
 const (
 	// heartbeatInterval is the time between an owner's signs of life in a
 	// batch's partition.
-	heartbeatInterval = 500 * time.Millisecond
+	heartbeatInterval = 350 * time.Millisecond
 	// wakeInterval bounds how long the dispatcher waits for a change.
 	wakeInterval = 100 * time.Millisecond
 	retryPause   = 100 * time.Millisecond
@@ -260,14 +259,3 @@
 	defer runner.mutex.Unlock()
 	return len(runner.jobs) == 0
 }
-
-// partitionsOf returns the partitions of the batches that are run here.
-func (runner *Runner) partitionsOf() map[journal.Partition]bool {
-	runner.mutex.Lock()
-	defer runner.mutex.Unlock()
-	names := map[journal.Partition]bool{}
-	for _, each := range runner.jobs {
-		names[each.partition.Name()] = true
-	}
-	return names
-}
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -7,25 +7,36 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/batch"
+	"woodworks/internal/identity"
 	"woodworks/internal/journal"
 	"woodworks/internal/periodic"
 )
 
 const (
-	watchInterval = 250 * time.Millisecond
+	watchInterval = 200 * time.Millisecond
 	// silenceAllowed is how long an owner may give no sign of life before
 	// another daemon takes its batch over.
-	silenceAllowed  = 2 * time.Second
+	silenceAllowed = 1500 * time.Millisecond
+	// silenceSuspect is after how long an owner's machine is looked for among
+	// those alive: a new run there proves that the owner is gone.
+	silenceSuspect  = 500 * time.Millisecond
 	takeOverTimeout = 1500 * time.Millisecond
 )
 
+// Group tells which partitions this daemon watches, and who is alive.
+type Group interface {
+	Partitions() map[journal.Partition]bool
+	Alive(ctx context.Context) ([]string, error)
+}
+
 // Watcher looks after the batches in the partitions dealt to this daemon: it
-// takes over those whose owner has let them go or gives no sign of life. Two
-// watchers of one partition do no harm, as one takeover counts.
+// takes over those whose owner has let them go, has been replaced by another
+// run of its machine, or gives no sign of life. Two watchers of one partition
+// do no harm, as one takeover counts.
 type Watcher struct {
-	runner     *Runner
-	partitions func() map[journal.Partition]bool
-	watched    map[journal.Partition]*watched
+	runner  *Runner
+	group   Group
+	watched map[journal.Partition]*watched
 }
 
 // watched is one partition with when each owner was last seen alive.
@@ -36,23 +47,26 @@
 
 // sighting is an owner's count of signs of life, and when it last rose.
 type sighting struct {
+	batch string
 	owner string
 	signs int64
 	at    time.Time
 }
 
-// NewWatcher returns a watcher of the partitions that the function names.
-func NewWatcher(runner *Runner, partitions func() map[journal.Partition]bool) *Watcher {
-	return &Watcher{runner: runner, partitions: partitions, watched: map[journal.Partition]*watched{}}
+// NewWatcher returns a watcher of the partitions dealt by the group.
+func NewWatcher(runner *Runner, group Group) *Watcher {
+	return &Watcher{runner: runner, group: group, watched: map[journal.Partition]*watched{}}
 }
 
 // Run watches until the context ends.
 func (watcher *Watcher) Run(ctx context.Context) {
 	periodic.Every(ctx, watchInterval, func(ctx context.Context) {
 		watcher.follow()
+		var suspects []sighting
 		for name, each := range watcher.watched {
-			watcher.inspect(ctx, name, each, time.Now())
+			suspects = append(suspects, watcher.inspect(name, each, time.Now())...)
 		}
+		watcher.judge(ctx, suspects)
 	})
 	for _, each := range watcher.watched {
 		each.release()
@@ -61,7 +75,7 @@
 
 // follow starts and stops following as partitions come and go.
 func (watcher *Watcher) follow() {
-	dealt := watcher.partitions()
+	dealt := watcher.group.Partitions()
 	for name := range dealt {
 		if watcher.watched[name] == nil {
 			watcher.watched[name] = &watched{release: watcher.runner.ledger.Partition(name).Follow(), owners: map[string]sighting{}}
@@ -75,14 +89,19 @@
 	}
 }
 
-// inspect takes over the batches of one partition that need it.
-func (watcher *Watcher) inspect(ctx context.Context, name journal.Partition, each *watched, now time.Time) {
+// inspect returns the batches of one partition whose owner may be gone, and
+// starts those that this daemon owns.
+func (watcher *Watcher) inspect(name journal.Partition, each *watched, now time.Time) []sighting {
 	partition := watcher.runner.ledger.Partition(name)
 	// Silence counts only while the journal can be read: what an owner wrote
 	// during an outage is seen afterwards.
-	reachable := partition.LastRead()
-	var orphans []sighting
-	var ids []string
+	readAt := partition.LastRead()
+	if now.Sub(readAt) > silenceAllowed {
+		each.owners = map[string]sighting{}
+		return nil
+	}
+	var suspects []sighting
+	var own []string
 	partition.View(func(state *batch.State) {
 		state.All(func(known *batch.Batch) {
 			if !known.Open() {
@@ -91,31 +110,54 @@
 			}
 			seen, ok := each.owners[known.ID]
 			if !ok || seen.owner != known.Owner || seen.signs != known.Signs {
-				seen = sighting{owner: known.Owner, signs: known.Signs, at: now}
+				seen = sighting{batch: known.ID, owner: known.Owner, signs: known.Signs, at: now}
 				each.owners[known.ID] = seen
 			}
-			if known.Owner == "" || known.Owner != watcher.runner.self && reachable.Sub(seen.at) > silenceAllowed {
-				orphans = append(orphans, seen)
-				ids = append(ids, known.ID)
-			}
-			if known.Owner == watcher.runner.self {
-				go watcher.runner.Adopt(known.ID)
+			switch {
+			case known.Owner == watcher.runner.self:
+				own = append(own, known.ID)
+			case known.Owner == "" || readAt.Sub(seen.at) > silenceSuspect || identity.Machine(known.Owner) == identity.Machine(watcher.runner.self):
+				suspects = append(suspects, seen)
 			}
 		})
 	})
-	if now.Sub(reachable) > silenceAllowed {
-		each.owners = map[string]sighting{}
+	for _, batchID := range own {
+		watcher.runner.Adopt(batchID)
+	}
+	return suspects
+}
+
+// judge takes over the suspects that are gone.
+func (watcher *Watcher) judge(ctx context.Context, suspects []sighting) {
+	if len(suspects) == 0 {
 		return
 	}
-	for i, orphan := range orphans {
-		watcher.takeOver(ctx, ids[i], orphan, now)
+	alive, err := watcher.group.Alive(ctx)
+	if err != nil {
+		return
+	}
+	// This run is alive whatever the group says.
+	alive = append(alive, watcher.runner.self)
+	for _, suspect := range suspects {
+		reason := ""
+		switch {
+		case suspect.owner == "":
+			reason = "released"
+		case identity.Replaced(suspect.owner, alive):
+			reason = "owner replaced"
+		case time.Since(suspect.at) > silenceAllowed:
+			reason = "owner silent"
+		default:
+			continue
+		}
+		go watcher.takeOver(ctx, suspect, reason)
 	}
 }
 
-func (watcher *Watcher) takeOver(ctx context.Context, batchID string, orphan sighting, now time.Time) {
+func (watcher *Watcher) takeOver(ctx context.Context, suspect sighting, reason string) {
 	bounded, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
-	err := watcher.runner.TakeOver(bounded, batchID, orphan.owner)
-	watcher.runner.logger.Info("batch taken over", zap.String("batch", batchID), zap.String("from", orphan.owner),
-		zap.Duration("silent", now.Sub(orphan.at)), zap.Error(err))
+	err := watcher.runner.TakeOver(bounded, suspect.batch, suspect.owner)
+	watcher.runner.logger.Info("batch taken over", zap.String("batch", suspect.batch), zap.String("from", suspect.owner),
+		zap.String("reason", reason), zap.Duration("silent", time.Since(suspect.at)), zap.Error(err))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,6 +131,9 @@
 	// LeaseQuiet is how long after one holder's last order to an engine another
 	// must wait before its first.
 	LeaseQuiet Duration `yaml:"lease_quiet"`
+	// ContactBound is how long after an outage of the log the daemon may still
+	// act on what it knew before.
+	ContactBound Duration `yaml:"contact_bound"`
 }
 
 // Log holds logging settings.
@@ -177,6 +180,7 @@
 			BatchRetention:  Duration(30 * time.Minute),
 			PollInterval:    Duration(200 * time.Millisecond),
 			LeaseQuiet:      Duration(3 * time.Second),
+			ContactBound:    Duration(3 * time.Second),
 		},
 		Log: Log{Level: "info"},
 	}
@@ -302,6 +306,7 @@
 	checkPositive(loaded.Timing.BatchRetention, "timing.batch_retention")
 	checkPositive(loaded.Timing.PollInterval, "timing.poll_interval")
 	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
+	checkPositive(loaded.Timing.ContactBound, "timing.contact_bound")
 	switch loaded.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
