--- /dev/null
+++ b/internal/journal/journaltest/journaltest.go
@@ -0,0 +1,317 @@
+// Package journaltest is a journal in memory for tests. It behaves as the
+// platform's log may at its worst: answers are lost, appends take effect late,
+// calls hang or are refused, partitions are dealt anew and records are trimmed.
+package journaltest
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/journal"
+)
+
+// Fault is what befalls one call.
+type Fault int
+
+// Faults of a call.
+const (
+	// None lets the call through.
+	None Fault = iota
+	// Refuse answers that nothing was done.
+	Refuse
+	// Hang never answers; nothing is done.
+	Hang
+	// LoseAnswer does what was asked and never answers.
+	LoseAnswer
+	// Late never answers, and does what was asked when Settle is called, if
+	// its condition still holds then.
+	Late
+)
+
+// Call names a kind of call.
+type Call string
+
+// Calls that faults may befall.
+const (
+	Append Call = "append"
+	Read   Call = "read"
+	Newest Call = "newest"
+	Join   Call = "join"
+)
+
+// Journal is a journal in memory. It is safe for concurrent use.
+type Journal struct {
+	// Befall, if not nil, decides the fault of each call.
+	Befall func(call Call) Fault
+	// Partitions is PartitionsPerTopic.
+	Partitions int
+	// RecordBytes and AppendBytes are MaxRecordBytes and MaxAppendBytes.
+	RecordBytes, AppendBytes int
+
+	mutex      sync.Mutex
+	logs       map[journal.Partition]*log
+	changed    chan struct{}
+	late       []journal.Append
+	generation int64
+	members    map[string]time.Time
+	topics     []string
+}
+
+type log struct {
+	first   int64
+	records [][]byte
+}
+
+func (l *log) end() int64 { return l.first + int64(len(l.records)) }
+
+var _ journal.Journal = (*Journal)(nil)
+
+// New returns an empty journal.
+func New() *Journal {
+	return &Journal{Partitions: 2, RecordBytes: 1 << 16, AppendBytes: 1 << 20, logs: map[journal.Partition]*log{},
+		changed: make(chan struct{}), members: map[string]time.Time{}}
+}
+
+// PartitionsPerTopic implements journal.Journal.
+func (j *Journal) PartitionsPerTopic() int { return j.Partitions }
+
+// MaxRecordBytes implements journal.Journal.
+func (j *Journal) MaxRecordBytes() int { return j.RecordBytes }
+
+// MaxAppendBytes implements journal.Journal.
+func (j *Journal) MaxAppendBytes() int { return j.AppendBytes }
+
+// fault returns what befalls a call; hanging calls have already hung.
+func (j *Journal) fault(ctx context.Context, call Call) (Fault, error) {
+	fault := None
+	if j.Befall != nil {
+		fault = j.Befall(call)
+	}
+	switch fault {
+	case Refuse:
+		return fault, errors.Wrap(journal.ErrNotDone, "refused")
+	case Hang:
+		<-ctx.Done()
+		return fault, errors.Wrap(journal.ErrUnknown, "hung")
+	}
+	return fault, nil
+}
+
+func (j *Journal) log(partition journal.Partition) *log {
+	found := j.logs[partition]
+	if found == nil {
+		found = &log{}
+		j.logs[partition] = found
+	}
+	return found
+}
+
+// Append implements journal.Journal.
+func (j *Journal) Append(ctx context.Context, request journal.Append) (journal.Appended, error) {
+	fault, err := j.fault(ctx, Append)
+	if err != nil {
+		return journal.Appended{}, err
+	}
+	if fault == Late {
+		j.mutex.Lock()
+		j.late = append(j.late, request)
+		j.mutex.Unlock()
+		<-ctx.Done()
+		return journal.Appended{}, errors.Wrap(journal.ErrUnknown, "late")
+	}
+	appended, err := j.put(request)
+	if fault == LoseAnswer {
+		<-ctx.Done()
+		return journal.Appended{}, errors.Wrap(journal.ErrUnknown, "answer lost")
+	}
+	return appended, err
+}
+
+func (j *Journal) put(request journal.Append) (journal.Appended, error) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	target := j.log(request.Partition)
+	if request.ExpectedEnd != nil && *request.ExpectedEnd != target.end() {
+		return journal.Appended{}, errors.Wrap(journal.ErrPosition, "another end")
+	}
+	offset := target.end()
+	target.records = append(target.records, request.Records...)
+	close(j.changed)
+	j.changed = make(chan struct{})
+	return journal.Appended{Offset: offset, End: target.end()}, nil
+}
+
+// Settle lets the late appends take effect now.
+func (j *Journal) Settle() {
+	j.mutex.Lock()
+	late := j.late
+	j.late = nil
+	j.mutex.Unlock()
+	for _, request := range late {
+		_, _ = j.put(request)
+	}
+}
+
+// Trim removes the records before an offset.
+func (j *Journal) Trim(partition journal.Partition, before int64) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	target := j.log(partition)
+	if before > target.first {
+		target.records = target.records[min(before, target.end())-target.first:]
+		target.first = before
+	}
+}
+
+// Records returns all records kept of a partition.
+func (j *Journal) Records(partition journal.Partition) [][]byte {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return append([][]byte(nil), j.log(partition).records...)
+}
+
+// Read implements journal.Journal.
+func (j *Journal) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
+	if _, err := j.fault(ctx, Read); err != nil {
+		return journal.Records{}, err
+	}
+	timer := time.NewTimer(request.Wait)
+	defer timer.Stop()
+	for {
+		j.mutex.Lock()
+		target := j.log(request.Partition)
+		read := journal.Records{End: target.end(), First: target.first}
+		changed := j.changed
+		if request.From < target.first {
+			j.mutex.Unlock()
+			return journal.Records{}, &journal.TrimmedError{First: target.first}
+		}
+		if request.From < target.end() {
+			read.Records = append(read.Records, target.records[request.From-target.first:]...)
+		}
+		j.mutex.Unlock()
+		if len(read.Records) > 0 || request.Wait == 0 {
+			return read, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return read, nil
+		case <-ctx.Done():
+			return journal.Records{}, errors.Wrap(journal.ErrUnknown, ctx.Err().Error())
+		}
+	}
+}
+
+// Newest implements journal.Journal.
+func (j *Journal) Newest(ctx context.Context, partition journal.Partition, afterKey string) (journal.KeyedPage, error) {
+	if _, err := j.fault(ctx, Newest); err != nil {
+		return journal.KeyedPage{}, err
+	}
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	target := j.log(partition)
+	newest := map[string]journal.KeyedRecord{}
+	for i, record := range target.records {
+		keyed, err := j.SplitKeyed(record)
+		if err != nil {
+			return journal.KeyedPage{}, err
+		}
+		keyed.Offset = target.first + int64(i)
+		newest[keyed.Key] = keyed
+	}
+	page := journal.KeyedPage{End: target.end()}
+	for key, record := range newest {
+		if key > afterKey && len(record.Value) > 0 {
+			page.Records = append(page.Records, record)
+		}
+	}
+	sort.Slice(page.Records, func(a, b int) bool { return page.Records[a].Key < page.Records[b].Key })
+	return page, nil
+}
+
+// SplitKeyed implements journal.Journal.
+func (j *Journal) SplitKeyed(record []byte) (journal.KeyedRecord, error) {
+	if len(record) == 0 || len(record) < 1+int(record[0]) {
+		return journal.KeyedRecord{}, errors.New("keyed record too short")
+	}
+	end := 1 + int(record[0])
+	return journal.KeyedRecord{Key: string(record[1:end]), Value: record[end:]}, nil
+}
+
+// Keyed makes a record of a keyed partition.
+func Keyed(key string, value []byte) []byte {
+	return append(append([]byte{byte(len(key))}, key...), value...)
+}
+
+// Join implements journal.Journal. Partitions are dealt evenly, in order.
+func (j *Journal) Join(ctx context.Context, request journal.Join) (journal.Assignment, error) {
+	if _, err := j.fault(ctx, Join); err != nil {
+		return journal.Assignment{}, err
+	}
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.expire()
+	if _, known := j.members[request.Member]; !known {
+		j.generation++
+	}
+	j.members[request.Member] = time.Now().Add(request.Lifetime)
+	j.topics = request.Topics
+	assignment := journal.Assignment{Generation: j.generation}
+	for _, row := range j.deal() {
+		if row.Member == request.Member {
+			assignment.Partitions = append(assignment.Partitions, row.Partition)
+		}
+	}
+	return assignment, nil
+}
+
+// expire drops the members that have been silent. The mutex is held.
+func (j *Journal) expire() {
+	for member, until := range j.members {
+		if time.Now().After(until) {
+			delete(j.members, member)
+			j.generation++
+		}
+	}
+}
+
+// deal gives each partition to a member. The mutex is held.
+func (j *Journal) deal() []journal.Ownership {
+	members := make([]string, 0, len(j.members))
+	for member := range j.members {
+		members = append(members, member)
+	}
+	if len(members) == 0 {
+		return nil
+	}
+	sort.Strings(members)
+	var rows []journal.Ownership
+	for _, topic := range j.topics {
+		for number := 0; number < j.Partitions; number++ {
+			rows = append(rows, journal.Ownership{Partition: journal.Partition{Topic: topic, Number: number}, Member: members[len(rows)%len(members)]})
+		}
+	}
+	return rows
+}
+
+// Leave implements journal.Journal.
+func (j *Journal) Leave(_ context.Context, _, member string) error {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	delete(j.members, member)
+	j.generation++
+	return nil
+}
+
+// Owners implements journal.Journal.
+func (j *Journal) Owners(_ context.Context, _ string) ([]journal.Ownership, error) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.expire()
+	return j.deal(), nil
+}
