--- /dev/null
+++ b/internal/batch/fold_test.go
@@ -0,0 +1,161 @@
+package batch
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+func submission(id string, items int, minVersion int64) *Submission {
+	made := &Submission{ID: id, Host: "host", Path: "/path/", MinVersion: minVersion, Desired: 1}
+	for i := 0; i < items; i++ {
+		made.Items = append(made.Items, Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/path/x", Body: []byte{byte(i)}, Group: fmt.Sprint(i / 2)})
+	}
+	return made
+}
+
+func drawResult(t *rapid.T) Result {
+	return Result{
+		Item:     rapid.IntRange(-1, 6).Draw(t, "item"),
+		Outcome:  Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")),
+		Text:     []byte(rapid.StringN(0, 4, -1).Draw(t, "text")),
+		Versions: rapid.SliceOfN(rapid.Int64Range(1, 4), 0, 2).Draw(t, "versions"),
+	}
+}
+
+// drawRecord draws any record that a daemon, also a stale or paused one, could
+// append.
+func drawRecord(t *rapid.T) []byte {
+	id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "batch")
+	owner := rapid.SampledFrom([]string{"", "one", "two", "three"})
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		return Accepted(submission(id, 5, 2), owner.Draw(t, "owner"))
+	case 1:
+		return Listed(id, []Result{drawResult(t), drawResult(t)})
+	case 2:
+		return TakenOver(id, owner.Draw(t, "from"), owner.Draw(t, "owner"))
+	case 3:
+		return Released(id, owner.Draw(t, "from"), []int{1, 2})
+	case 4:
+		return Beat(id, owner.Draw(t, "owner"))
+	default:
+		return Ended(id)
+	}
+}
+
+// Whatever daemons append, in whatever order: an accepted batch stays, a
+// position keeps its result, an item has one position, results fit the batch,
+// nothing is listed after the end, and the items keep their bodies until then.
+func TestFoldKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := NewState()
+		listed := map[string][]Result{}
+		ended := map[string]bool{}
+		for _, encoded := range rapid.SliceOfN(rapid.Custom(drawRecord), 1, 40).Draw(t, "records") {
+			state.Apply(encoded)
+			for _, id := range []string{"a", "b"} {
+				known, found := state.Get(id)
+				if !found {
+					if _, before := listed[id]; before {
+						t.Fatalf("batch %s is gone", id)
+					}
+					continue
+				}
+				checkBatch(t, known, listed[id], ended[id])
+				listed[id] = append([]Result(nil), known.Results...)
+				ended[id] = known.Ended
+			}
+		}
+	})
+}
+
+func checkBatch(t *rapid.T, known *Batch, before []Result, ended bool) {
+	if len(known.Results) < len(before) || !reflect.DeepEqual(known.Results[:len(before)], append([]Result(nil), before...)) && len(before) > 0 {
+		t.Fatalf("positions changed: %v, then %v", before, known.Results)
+	}
+	if ended && (len(known.Results) != len(before) || !known.Ended) {
+		t.Fatal("a batch went on after its end")
+	}
+	seen := map[int]bool{}
+	for _, result := range known.Results {
+		if seen[result.Item] {
+			t.Fatalf("item %d has two positions", result.Item)
+		}
+		seen[result.Item] = true
+		if result.Item < 0 || result.Item >= known.Total() {
+			t.Fatalf("item %d is not of this batch", result.Item)
+		}
+		for _, version := range result.Versions {
+			if result.Outcome == Done && version < known.MinVersion {
+				t.Fatalf("version %d is too old", version)
+			}
+		}
+	}
+	for i, each := range known.Items {
+		if !known.Ended && (len(each.Body) != 1 || each.Body[0] != byte(i)) {
+			t.Fatal("a body is gone before the end")
+		}
+	}
+}
+
+// Two readers of the same records hold the same state, also when one of them
+// read some in a row and the other one by one, and long records in fragments.
+func TestReadersAgreeAndFragmentsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, cut := NewState(), NewState()
+		for i, encoded := range rapid.SliceOfN(rapid.Custom(drawRecord), 1, 30).Draw(t, "records") {
+			whole.Apply(encoded)
+			for _, part := range Fragment(encoded, fragmentOverhead+40, fmt.Sprint(i)) {
+				cut.Apply(part)
+			}
+		}
+		if !reflect.DeepEqual(whole.batches, cut.batches) {
+			t.Fatal("states differ")
+		}
+		if len(cut.fragments) > 0 {
+			t.Fatal("fragments are left over")
+		}
+	})
+}
+
+func TestOfTwoTakeoversOneCounts(t *testing.T) {
+	is := is.New(t)
+	state := NewState()
+	state.Apply(Accepted(submission("a", 2, 0), "one"))
+	state.Apply(TakenOver("a", "one", "two"))
+	state.Apply(TakenOver("a", "one", "three"))
+	known, _ := state.Get("a")
+	is.Equal(known.Owner, "two")
+}
+
+func TestMalformedRecordsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := NewState()
+		state.Apply(Accepted(submission("a", 2, 0), "one"))
+		state.Apply(rapid.SliceOf(rapid.Byte()).Draw(t, "bytes"))
+		if known, found := state.Get("a"); !found || known.Owner != "one" || len(known.Results) != 0 {
+			t.Fatal("a malformed record changed the state")
+		}
+	})
+}
+
+func FuzzApply(f *testing.F) {
+	f.Add(Accepted(submission("a", 2, 0), "one"))
+	f.Add(Listed("a", []Result{{Item: 1, Outcome: Done, Text: []byte("x"), Versions: []int64{2}}}))
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		state := NewState()
+		state.Apply(Accepted(submission("a", 2, 0), "one"))
+		state.Apply(encoded)
+		if _, found := state.Get("a"); !found {
+			t.Fatal("an accepted batch is gone")
+		}
+	})
+}
