Change weights as batches demand; take a lease back after a restart; prove the lease

Batches allow versions two behind: each accepted batch now tells what it allows (a keyed record that only the lease's holder reads), and an even part of the engines changes at each version. After all machines restarted, orders came 6 s late: a machine whose last run held the lease now takes it back at once, if that run was past its quiet time. Tests: rapid over kills, resignations and faults of calls; four planted bugs (no quiet time, reclaim within it, lease too long, unconditional claims) each fail it.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -123,6 +123,10 @@
 	Newest(ctx context.Context, partition Partition, afterKey string) (KeyedPage, error)
 	// SplitKeyed takes a record of a keyed partition apart.
 	SplitKeyed(record []byte) (KeyedRecord, error)
+	// JoinKeyed makes a record of a keyed partition.
+	JoinKeyed(record KeyedRecord) []byte
+	// KeyedTopic returns the full name of a topic whose records have keys.
+	KeyedTopic(name string) string
 	Join(ctx context.Context, request Join) (Assignment, error)
 	Leave(ctx context.Context, group, member string) error
 	Owners(ctx context.Context, group string) ([]Ownership, error)
--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -248,6 +248,14 @@
 	return append(append([]byte{byte(len(key))}, key...), value...)
 }
 
+// JoinKeyed implements journal.Journal.
+func (j *Journal) JoinKeyed(record journal.KeyedRecord) []byte {
+	return Keyed(record.Key, record.Value)
+}
+
+// KeyedTopic implements journal.Journal.
+func (j *Journal) KeyedTopic(name string) string { return "keyed." + name }
+
 // Join implements journal.Journal. Partitions are dealt evenly, in order.
 func (j *Journal) Join(ctx context.Context, request journal.Join) (journal.Assignment, error) {
 	if _, err := j.fault(ctx, Join); err != nil {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -47,6 +47,9 @@
 	Kind    claimKind `cbor:"1,keyasint"`
 	Holder  string    `cbor:"2,keyasint"`
 	Machine string    `cbor:"3,keyasint"`
+	// Active says that the holder might act when it wrote this: the quiet time
+	// after the holder before it was over.
+	Active bool `cbor:"4,keyasint"`
 }
 
 // Lease is one daemon's part in the election. It is safe for concurrent use.
@@ -73,12 +76,15 @@
 	actUntil  time.Time
 	candidate bool
 	resigning bool
+	// reclaiming lasts from the start until the first look: a lease that the
+	// machine's last run held is taken back at once.
+	reclaiming bool
 }
 
 // New returns a lease on the partition. Holder names this run of the daemon,
 // machine the machine it runs on.
 func New(log journal.Journal, partition journal.Partition, holder, machine string, quiet time.Duration, logger *zap.Logger) *Lease {
-	return &Lease{journal: log, partition: partition, holder: holder, machine: machine, quiet: quiet, logger: logger}
+	return &Lease{journal: log, partition: partition, holder: holder, machine: machine, quiet: quiet, logger: logger, reclaiming: true}
 }
 
 // SetCandidate says whether this daemon should claim the lease when it is free.
@@ -110,9 +116,11 @@
 func (lease *Lease) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		lease.mutex.Lock()
-		held, candidate := lease.held, lease.candidate && !lease.resigning
+		held, candidate, reclaiming := lease.held, lease.candidate && !lease.resigning, lease.reclaiming
 		lease.mutex.Unlock()
 		switch {
+		case reclaiming:
+			lease.reclaim(ctx)
 		case held:
 			lease.renew(ctx)
 			periodic.Pause(ctx, renewEvery)
@@ -125,6 +133,19 @@
 	}
 }
 
+// reclaim takes the lease back if the machine's last run held it last.
+func (lease *Lease) reclaim(ctx context.Context) {
+	lease.watch(ctx)
+	lease.mutex.Lock()
+	looked := lease.any
+	own := looked && lease.next > 0 && lease.last.Machine == lease.machine && lease.last.Kind != resigned
+	lease.reclaiming = !looked
+	lease.mutex.Unlock()
+	if own {
+		lease.claim(ctx)
+	}
+}
+
 // forget drops what was read, as it is not kept up to date.
 func (lease *Lease) forget() {
 	lease.mutex.Lock()
@@ -147,7 +168,10 @@
 }
 
 func (lease *Lease) append(ctx context.Context, kind claimKind, end int64) (journal.Appended, error) {
-	encoded, err := cbor.Marshal(entry{Kind: kind, Holder: lease.holder, Machine: lease.machine})
+	lease.mutex.Lock()
+	active := !time.Now().Before(lease.actFrom)
+	lease.mutex.Unlock()
+	encoded, err := cbor.Marshal(entry{Kind: kind, Holder: lease.holder, Machine: lease.machine, Active: active})
 	if err != nil {
 		return journal.Appended{}, errors.Wrap(err, "lease: encode")
 	}
@@ -280,11 +304,12 @@
 	end := lease.next
 	actFrom := lease.lastAt.Add(Duration + margin + lease.quiet)
 	switch {
-	case end == 0 || lease.last.Machine == lease.machine:
+	case end == 0 || lease.last.Machine == lease.machine && lease.last.Active:
 		actFrom = time.Now()
-	case lease.last.Kind == resigned:
+	case lease.last.Kind == resigned && lease.last.Machine != lease.machine:
 		actFrom = lease.lastAt.Add(lease.quiet + margin)
 	}
+	lease.actFrom = actFrom
 	before := lease.last.Holder
 	lease.mutex.Unlock()
 	sent := time.Now()
@@ -297,6 +322,6 @@
 	defer lease.mutex.Unlock()
 	lease.held, lease.fence, lease.next = true, appended.Offset+1, appended.End
 	lease.last, lease.lastAt = entry{Kind: claimed, Holder: lease.holder, Machine: lease.machine}, time.Now()
-	lease.actFrom, lease.actUntil = actFrom, sent.Add(Duration)
+	lease.actUntil = sent.Add(Duration)
 	lease.logger.Info("lease claimed", zap.Int64("fence", lease.fence), zap.String("from", before), zap.Duration("act_in", time.Until(actFrom)))
 }
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,237 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+const (
+	quiet = 3 * time.Second
+	// actEvery is how often a holder acts in these tests.
+	actEvery = 70 * time.Millisecond
+)
+
+var duty = journal.Partition{Topic: "duty"}
+
+// act is one act under the lease.
+type act struct {
+	machine string
+	fence   int64
+	at      time.Time
+}
+
+// history collects the acts of all runs.
+type history struct {
+	mutex sync.Mutex
+	acts  []act
+}
+
+func (h *history) add(made act) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.acts = append(h.acts, made)
+}
+
+// check holds an act against all before it: fences never fall, belong to one
+// machine each, and another machine has been quiet.
+func (h *history) check() error {
+	holders := map[int64]string{}
+	for i, made := range h.acts {
+		if holder, used := holders[made.fence]; used && holder != made.machine {
+			return fmt.Errorf("fence %d was used by %s and %s", made.fence, holder, made.machine)
+		}
+		holders[made.fence] = made.machine
+		if i == 0 {
+			continue
+		}
+		before := h.acts[i-1]
+		if made.fence < before.fence {
+			return fmt.Errorf("fence %d of %s after %d of %s", made.fence, made.machine, before.fence, before.machine)
+		}
+		if before.machine != made.machine && made.at.Sub(before.at) < quiet {
+			return fmt.Errorf("%s acted %v after %s", made.machine, made.at.Sub(before.at), before.machine)
+		}
+	}
+	return nil
+}
+
+// run is one run of a daemon that acts whenever it may.
+type run struct {
+	lease *Lease
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+}
+
+func start(ctx context.Context, log journal.Journal, machine string, number int, acts *history) *run {
+	bounded, cancel := context.WithCancel(ctx)
+	started := &run{lease: New(log, duty, fmt.Sprintf("%s/%d", machine, number), machine, quiet, zap.NewNop()), stop: cancel}
+	started.done.Add(2)
+	go func() {
+		defer started.done.Done()
+		started.lease.Run(bounded)
+	}()
+	go func() {
+		defer started.done.Done()
+		for bounded.Err() == nil {
+			if fence, _, may := started.lease.Fence(); may {
+				acts.add(act{machine: machine, fence: fence, at: time.Now()})
+			}
+			time.Sleep(actEvery)
+		}
+	}()
+	return started
+}
+
+func (r *run) kill() {
+	r.stop()
+	r.done.Wait()
+}
+
+// Whatever happens to the calls and to the daemons: kills, restarts, calls that
+// hang, are refused, lose their answer or take effect late, and candidates that
+// come and go.
+func TestHoldersNeverActTogether(t *testing.T) {
+	totalActs := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 99), 10, 30).Draw(rt, "steps")
+		faults := rapid.SliceOfN(rapid.IntRange(0, 19), 200, 200).Draw(rt, "faults")
+		var failure error
+		acted := 0
+		synctest.Test(t, func(t *testing.T) {
+			acts := &history{}
+			log := journaltest.New()
+			var mutex sync.Mutex
+			calls := 0
+			log.Befall = func(journaltest.Call) journaltest.Fault {
+				mutex.Lock()
+				defer mutex.Unlock()
+				calls++
+				return faultOf(faults[calls%len(faults)])
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			runs := map[string]*run{}
+			for i, step := range steps {
+				machine := string(rune('a' + step%3))
+				switch {
+				case runs[machine] == nil:
+					runs[machine] = start(ctx, log, machine, i, acts)
+					runs[machine].lease.SetCandidate(step%2 == 0)
+				case step < 30:
+					runs[machine].kill()
+					delete(runs, machine)
+				case step < 40:
+					runs[machine].lease.Resign(ctx)
+				case step < 70:
+					runs[machine].lease.SetCandidate(step%2 == 0)
+				}
+				time.Sleep(time.Duration(step) * 60 * time.Millisecond)
+				log.Settle()
+			}
+			cancel()
+			for _, each := range runs {
+				each.done.Wait()
+			}
+			failure = acts.check()
+			acted = len(acts.acts)
+		})
+		if failure != nil {
+			rt.Fatal(failure)
+		}
+		totalActs += acted
+	})
+	if totalActs < minimumActs {
+		t.Fatalf("only %d acts were checked", totalActs)
+	}
+}
+
+// minimumActs keeps the test from passing because nobody ever acted.
+const minimumActs = 1000
+
+// faultOf makes a quarter of the calls fail, in each of the ways.
+func faultOf(drawn int) journaltest.Fault {
+	switch drawn {
+	case 0:
+		return journaltest.Refuse
+	case 1:
+		return journaltest.Hang
+	case 2, 3:
+		return journaltest.LoseAnswer
+	case 4:
+		return journaltest.Late
+	default:
+		return journaltest.None
+	}
+}
+
+func mayAct(r *run) bool {
+	_, _, may := r.lease.Fence()
+	return may
+}
+
+func TestFirstHolderActsAtOnceAndItsMachineTakesTheLeaseBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log, acts := journaltest.New(), &history{}
+		first := start(ctx, log, "a", 1, acts)
+		first.lease.SetCandidate(true)
+		time.Sleep(time.Second)
+		is.True(mayAct(first))
+		first.kill()
+		other := start(ctx, log, "b", 1, acts)
+		other.lease.SetCandidate(true)
+		again := start(ctx, log, "a", 2, acts)
+		time.Sleep(time.Second)
+		is.True(mayAct(again))
+		is.True(!mayAct(other))
+		again.kill()
+		time.Sleep(Duration + margin + quiet + time.Second)
+		is.True(mayAct(other))
+		other.kill()
+		is.NoErr(acts.check())
+	})
+}
+
+// A machine whose run claimed the lease and was killed within the quiet time
+// after another holder must wait for the rest of it, although the last record
+// is its own.
+func TestReclaimWithinTheQuietTimeWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log, acts := journaltest.New(), &history{}
+		first := start(ctx, log, "a", 1, acts)
+		first.lease.SetCandidate(true)
+		time.Sleep(time.Second)
+		first.kill()
+		second := start(ctx, log, "b", 1, acts)
+		second.lease.SetCandidate(true)
+		time.Sleep(Duration + margin + 300*time.Millisecond)
+		is.True(second.lease.Held())
+		is.True(!mayAct(second))
+		second.kill()
+		third := start(ctx, log, "b", 2, acts)
+		time.Sleep(time.Second)
+		is.True(!mayAct(third))
+		time.Sleep(Duration + margin + quiet)
+		is.True(mayAct(third))
+		third.kill()
+		is.NoErr(acts.check())
+	})
+}
--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/demand"
 	"woodworks/internal/engine"
 	"woodworks/internal/lease"
 	"woodworks/internal/periodic"
@@ -49,6 +50,7 @@
 	table         *replica.Table
 	configuration func() *route.Configuration
 	named         Named
+	demands       *demand.State
 	logger        *zap.Logger
 
 	mutex sync.Mutex
@@ -60,8 +62,8 @@
 }
 
 // New returns a syncer that acts in the name of holder.
-func New(holder string, held *lease.Lease, driver engine.Driver, table *replica.Table, configuration func() *route.Configuration, named Named, logger *zap.Logger) *Syncer {
-	return &Syncer{holder: holder, lease: held, driver: driver, table: table, configuration: configuration, named: named, logger: logger,
+func New(holder string, held *lease.Lease, driver engine.Driver, table *replica.Table, configuration func() *route.Configuration, named Named, demands *demand.State, logger *zap.Logger) *Syncer {
+	return &Syncer{holder: holder, lease: held, driver: driver, table: table, configuration: configuration, named: named, demands: demands, logger: logger,
 		loading: map[string]bool{}, notUntil: map[string]time.Time{}, loadTime: firstLoadGuess}
 }
 
@@ -73,13 +75,35 @@
 }
 
 // Run looks for engines to change while the lease is held, until the context
-// ends.
-func (syncer *Syncer) Run(ctx context.Context) {
+// ends. Demands are followed only meanwhile.
+func (syncer *Syncer) Run(ctx context.Context, follow func(context.Context)) {
+	stop := func() {}
+	following := false
 	periodic.Every(ctx, lookInterval, func(ctx context.Context) {
+		held := syncer.lease.Held()
+		switch {
+		case held && !following:
+			var followContext context.Context
+			followContext, stop = context.WithCancel(ctx)
+			go follow(followContext)
+		case !held && following:
+			stop()
+		}
+		following = held
 		if _, _, may := syncer.lease.Fence(); may {
 			syncer.look(ctx, time.Now())
 		}
 	})
+	stop()
+}
+
+// lagOf is how many versions behind the newest the batches of a model allow.
+func (syncer *Syncer) lagOf(model string) int64 {
+	known, found := syncer.demands.Of(model)
+	if !found {
+		return 0
+	}
+	return known.Lag()
 }
 
 // change is one engine's step to another version.
@@ -101,7 +125,7 @@
 		if !service.Engine || len(service.Models) == 0 {
 			continue
 		}
-		due := changesDue(syncer.table.Replicas(name), service.Models, named, mannerFor(configuration, name))
+		due := changesDue(syncer.table.Replicas(name), service.Models, named, syncer.lagOf, mannerFor(configuration, name))
 		syncer.startDue(ctx, due, now)
 	}
 }
@@ -118,26 +142,52 @@
 	return engine.Continue
 }
 
-// changesDue returns the changes that bring each engine to the newest version
-// of the model that it is there for, those furthest behind first.
-func changesDue(replicas []replica.Replica, models []route.Model, named map[string]int64, manner engine.Manner) []change {
+// changesDue returns the changes that are due for the replicas of a service,
+// those furthest behind first. Each replica is there for one model.
+func changesDue(replicas []replica.Replica, models []route.Model, named map[string]int64, lagOf func(model string) int64, manner engine.Manner) []change {
 	sort.Slice(replicas, func(i, j int) bool { return replicas[i].ID < replicas[j].ID })
 	var due []change
-	for i, each := range replicas {
-		model := models[i*len(models)/len(replicas)].Name
-		version := named[model]
-		if version > each.Versions[model] {
-			due = append(due, change{replica: each, model: model, version: version, manner: manner})
+	for i, model := range models {
+		first, end := i*len(replicas)/len(models), (i+1)*len(replicas)/len(models)
+		if len(replicas) < len(models) {
+			first, end = i%max(len(replicas), 1), min(i%max(len(replicas), 1)+1, len(replicas))
 		}
+		due = append(due, changesOfModel(replicas[first:end], model.Name, named[model.Name], lagOf(model.Name), manner)...)
 	}
-	sort.SliceStable(due, func(i, j int) bool {
-		behindFirst := due[i].version - due[i].replica.Versions[due[i].model]
-		behindSecond := due[j].version - due[j].replica.Versions[due[j].model]
-		if behindFirst != behindSecond {
-			return behindFirst > behindSecond
+	sort.SliceStable(due, func(i, j int) bool { return due[i].behind() > due[j].behind() })
+	return due
+}
+
+func (each change) behind() int64 { return each.version - each.replica.Versions[each.model] }
+
+// changesOfModel returns which of a model's replicas to bring to the newest
+// version now. A replica may wait as long as its version is still allowed for
+// the next batch; an even part of the replicas is changed at each version, so
+// that they do not all become too old at once.
+func changesOfModel(replicas []replica.Replica, model string, version, lag int64, manner engine.Manner) []change {
+	var behind []change
+	newest := 0
+	for _, each := range replicas {
+		if each.Versions[model] >= version {
+			newest++
+			continue
+		}
+		behind = append(behind, change{replica: each, model: model, version: version, manner: manner})
+	}
+	sort.SliceStable(behind, func(i, j int) bool {
+		if behind[i].behind() != behind[j].behind() {
+			return behind[i].behind() > behind[j].behind()
 		}
-		return due[i].replica.InFlight < due[j].replica.InFlight
+		return behind[i].replica.InFlight < behind[j].replica.InFlight
 	})
+	parts := max(int(lag), 1)
+	wanted := (len(replicas)+parts-1)/parts - newest
+	due := behind[:0]
+	for i, each := range behind {
+		if each.behind() >= lag || i < wanted {
+			due = append(due, each)
+		}
+	}
 	return due
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/demand"
 	"woodworks/internal/engine"
 	"woodworks/internal/forward"
 	"woodworks/internal/group"
@@ -73,6 +74,8 @@
 	member           *group.Member
 	lease            *lease.Lease
 	syncer           *modelsync.Syncer
+	demands          *demand.State
+	demandFollower   *journal.KeyedFollower
 	handler          *ingress.Handler
 	front            *frontServer
 	health           *healthServer
@@ -111,11 +114,13 @@
 	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), contact, logger)
 	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Logger: logger}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
-	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator.Configuration, logger)
+	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator, demand.NewPublisher(drivers.Journal, logger), logger)
 	node.member = group.New(drivers.Journal, node.identity, ledger.TopicNames(), logger)
 	node.watcher = runner.NewWatcher(node.runner, node.member)
+	node.demands = demand.NewState()
 	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
-	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, logger)
+	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, node.demands, logger)
+	node.demandFollower = journal.NewKeyedFollower(drivers.Journal, demand.Partition(drivers.Journal), node.demands, contact, logger)
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Ledger: node.ledger, Observer: node.metrics, Logger: logger,
@@ -151,7 +156,8 @@
 	}
 	for _, run := range []func(context.Context){
 		node.operatorFollower.Run, node.replicaFollower.Run, node.member.Run, node.watcher.Run,
-		node.runner.Run, node.lease.Run, node.syncer.Run, node.sweep,
+		node.runner.Run, node.lease.Run, node.sweep,
+		func(ctx context.Context) { node.syncer.Run(ctx, node.demandFollower.Run) },
 	} {
 		go run(node.context)
 	}
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -294,7 +294,7 @@
 
 // route returns the route of the batch by the configuration in force.
 func (job *job) route() (*route.Configuration, *route.Route, bool) {
-	configuration := job.runner.configuration()
+	configuration := job.runner.operator.Configuration()
 	if configuration == nil {
 		return nil, nil, false
 	}
--- a/internal/runner/reward.go
+++ b/internal/runner/reward.go
@@ -30,7 +30,7 @@
 		if err := job.context.Err(); err != nil {
 			return "", err
 		}
-		configuration := job.runner.configuration()
+		configuration := job.runner.operator.Configuration()
 		rewardRoute, ok := configuration.Find(each.Reward.Host, each.Reward.Path)
 		if ok {
 			score, done, err := job.rewardOnce(each, rewardRoute)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/batch"
+	"woodworks/internal/demand"
 	"woodworks/internal/forward"
 	"woodworks/internal/ledger"
 	"woodworks/internal/replica"
@@ -38,18 +39,24 @@
 	retryPause   = 100 * time.Millisecond
 )
 
-// Configuration gives the configuration in force, or nil.
-type Configuration func() *route.Configuration
+// Operator tells the operator's newest word.
+type Operator interface {
+	// Configuration returns the configuration in force, or nil.
+	Configuration() *route.Configuration
+	// Named returns the newest version named of each model.
+	Named() map[string]int64
+}
 
 // Runner runs the batches of one daemon. It is safe for concurrent use.
 type Runner struct {
-	self          string
-	ledger        *ledger.Ledger
-	table         *replica.Table
-	forwarder     *forward.Forwarder
-	configuration Configuration
-	logger        *zap.Logger
-	context       context.Context
+	self      string
+	ledger    *ledger.Ledger
+	table     *replica.Table
+	forwarder *forward.Forwarder
+	operator  Operator
+	demands   *demand.Publisher
+	logger    *zap.Logger
+	context   context.Context
 
 	mutex    sync.Mutex
 	jobs     map[string]*job
@@ -61,9 +68,9 @@
 
 // New returns a runner whose owner name is self. All its work ends with the
 // context.
-func New(ctx context.Context, self string, batches *ledger.Ledger, forwarder *forward.Forwarder, configuration Configuration, logger *zap.Logger) *Runner {
+func New(ctx context.Context, self string, batches *ledger.Ledger, forwarder *forward.Forwarder, operator Operator, demands *demand.Publisher, logger *zap.Logger) *Runner {
 	return &Runner{
-		self: self, ledger: batches, table: forwarder.Table, forwarder: forwarder, configuration: configuration,
+		self: self, ledger: batches, table: forwarder.Table, forwarder: forwarder, operator: operator, demands: demands,
 		logger: logger, context: ctx, jobs: map[string]*job{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -81,6 +88,10 @@
 	if err := runner.appendUntil(ctx, partition, batch.Accepted(submission, runner.self)); err != nil {
 		return err
 	}
+	if submission.Model != "" {
+		known := demand.Demand{MinVersion: submission.MinVersion, Named: runner.operator.Named()[submission.Model]}
+		go runner.demands.Publish(runner.context, submission.Model, known)
+	}
 	runner.running.Add(1)
 	go func() {
 		defer runner.running.Done()
