--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
+
 	"time"
 
 	"github.com/pkg/errors"
@@ -105,7 +105,6 @@
 	header := each.header.Clone()
 	names := job.runner.forwarder.Names
 	header[http.CanonicalHeaderKey(names.RequestID)] = []string{each.ID}
-	header[http.CanonicalHeaderKey(names.Priority)] = []string{strconv.Itoa(min(found.Priority, 9))}
 	return &forward.StreamRequest{
 		RequestID: each.ID, Method: http.MethodPost, Target: each.Path, Host: job.submission.Host,
 		Header: header, Body: each.Body, After: each.lastEvent, HasAfter: each.hasEvent, Deadline: itemDeadline,
