Move items off replicas that turned slow

Cause: replicas at 3.5 times the step time held the last items of a step; new items avoided them, running ones stayed. A cut item is resumed after its last event elsewhere, which costs reading some thousand tokens (about 10 ms). A pace is forgotten after 3 s without events, so that a replica gets another chance.

--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -43,6 +43,9 @@
 	longestAvoid  = 3 * time.Second
 	// forgetAfter is how long what was learned of a replica outlives its entry.
 	forgetAfter = 30 * time.Second
+	// paceHolds is how long a pace is believed without new events: a replica
+	// that was slow gets work again and shows how it is now.
+	paceHolds = 3 * time.Second
 )
 
 // experience is what this daemon has learned of a replica by itself.
@@ -52,6 +55,7 @@
 	avoidUntil time.Time
 	latency    time.Duration
 	pace       time.Duration
+	pacedAt    time.Time
 	versions   map[string]int64
 	goneAt     time.Time
 }
@@ -202,6 +206,9 @@
 func (table *Table) view(entry Entry) Replica {
 	learned := table.experience(entry.ID)
 	viewed := Replica{Entry: entry, InFlight: learned.inFlight, AvoidUntil: learned.avoidUntil, Latency: learned.latency, Pace: learned.pace}
+	if time.Since(learned.pacedAt) > paceHolds {
+		viewed.Pace = 0
+	}
 	viewed.Versions = maps.Clone(learned.versions)
 	return viewed
 }
@@ -236,7 +243,12 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	learned := table.experience(id)
+	now := time.Now()
+	if now.Sub(learned.pacedAt) > paceHolds {
+		learned.pace = 0
+	}
 	learned.pace = average(learned.pace, gap)
+	learned.pacedAt = now
 }
 
 func average(mean, value time.Duration) time.Duration {
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -51,14 +51,8 @@
 // pendingByService lists the items that may start now, in the order in which
 // they should: by rank of the route, age of the batch, rank in the batch.
 func (runner *Runner) pendingByService(now time.Time) map[string][]pending {
-	runner.mutex.Lock()
-	jobs := make([]*job, 0, len(runner.jobs))
-	for _, each := range runner.jobs {
-		jobs = append(jobs, each)
-	}
-	runner.mutex.Unlock()
 	byService := map[string][]pending{}
-	for _, each := range jobs {
+	for _, each := range runner.jobList() {
 		_, found, ok := each.route()
 		if !ok {
 			continue
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -146,6 +146,8 @@
 	pause := failedPause
 	dead := ""
 	switch {
+	case each.moved:
+		pause = 0
 	case errors.Is(cause, forward.ErrDeclined):
 		table.Busy(chosen.ID, declinedPause)
 	case errors.Is(cause, errTooOld):
@@ -169,6 +171,7 @@
 		return
 	}
 	each.state = itemWaiting
+	each.moved = false
 	each.notBefore = time.Now().Add(pause)
 }
 
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -62,7 +62,9 @@
 	// lastReplica ran the item last.
 	lastReplica string
 	// move, if not nil, cuts the run under way so that another replica resumes it.
-	move      func()
+	move func()
+	// moved says that the run under way was cut to be resumed elsewhere.
+	moved     bool
 	startedAt time.Time
 	onReplica string
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -58,9 +58,11 @@
 	logger    *zap.Logger
 	context   context.Context
 
-	mutex    sync.Mutex
-	jobs     map[string]*job
-	wake     chan struct{}
+	mutex sync.Mutex
+	jobs  map[string]*job
+	wake  chan struct{}
+	// movedAt is when items were last moved off slow replicas.
+	movedAt  time.Time
 	stopping atomic.Bool
 	started  atomic.Uint64
 	running  sync.WaitGroup
@@ -197,6 +199,17 @@
 	return runner.appendUntil(ctx, runner.ledger.Of(batchID), batch.Ended(batchID))
 }
 
+// jobList returns the batches that are run here.
+func (runner *Runner) jobList() []*job {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	jobs := make([]*job, 0, len(runner.jobs))
+	for _, each := range runner.jobs {
+		jobs = append(jobs, each)
+	}
+	return jobs
+}
+
 // Load returns how many batches are run here and how many items wait.
 func (runner *Runner) Load() (batches, waiting int) {
 	runner.mutex.Lock()
@@ -223,13 +236,7 @@
 // they are, or when the context ends.
 func (runner *Runner) Release(ctx context.Context) {
 	runner.stopping.Store(true)
-	runner.mutex.Lock()
-	jobs := make([]*job, 0, len(runner.jobs))
-	for _, each := range runner.jobs {
-		jobs = append(jobs, each)
-	}
-	runner.mutex.Unlock()
-	for _, each := range jobs {
+	for _, each := range runner.jobList() {
 		go each.letGo(ctx)
 	}
 	done := make(chan struct{})
@@ -249,6 +256,7 @@
 		changed := runner.table.Changed()
 		if !runner.stopping.Load() {
 			runner.dispatch(time.Now())
+			runner.moveFromSlow(time.Now())
 		}
 		timer := time.NewTimer(wakeInterval)
 		if runner.quiet() {
