--- a/internal/ingress/batches.go
+++ b/internal/ingress/batches.go
@@ -19,6 +19,10 @@
 	submitTimeout = 2500 * time.Millisecond
 	// catchUpTimeout bounds a read of the journal for a reader.
 	catchUpTimeout = 1500 * time.Millisecond
+	refreshTimeout = 100 * time.Millisecond
+	// staleAfter is how old a fold may be to tell a part of the results without
+	// a look for more.
+	staleAfter = 150 * time.Millisecond
 	// pageBytes bounds the texts of one page of results, in bytes.
 	pageBytes = 900 << 10
 	// storeRetryAfter is when to come back after the journal did not answer.
@@ -103,11 +107,16 @@
 func (asked *request) serveResults(call BatchCall) {
 	partition := asked.handler.Ledger.Of(call.BatchID)
 	seen := lookUp(partition, call)
-	if len(seen.Results) == 0 {
+	switch {
+	case len(seen.Results) == 0:
 		if !asked.catchUp(partition) {
 			return
 		}
 		seen = lookUp(partition, call)
+	case seen.Next < seen.Total && time.Since(partition.LastRead()) > staleAfter:
+		// There may be more results by now; those known are true all the same.
+		asked.refresh(partition)
+		seen = lookUp(partition, call)
 	}
 	if seen.found && len(seen.Results) == 0 && call.Wait > 0 && call.After < seen.Total {
 		seen = asked.awaitResults(partition, call)
@@ -158,6 +167,13 @@
 	return true
 }
 
+// refresh reads the journal up to now if it answers soon.
+func (asked *request) refresh(partition *ledger.Partition) {
+	ctx, cancel := context.WithTimeout(asked.request.Context(), refreshTimeout)
+	defer cancel()
+	_ = partition.CatchUp(ctx)
+}
+
 // serveItem answers with the body of an item.
 func (asked *request) serveItem(call BatchCall) {
 	partition := asked.handler.Ledger.Of(call.BatchID)
