Bound the logs and write them in the background

Lines of one event and reason are limited to 200 a second, what is left out is told; a reader that does not read blocks nobody; an error is one line (its stack went out as many).

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -107,6 +107,7 @@
 		case received := <-stops:
 			logger.Info("signal", zap.String("signal", received.String()))
 			running.Stop()
+			_ = logger.Sync()
 			return nil
 		case <-reloads:
 			reload(chosen, loaded, logger)
--- /dev/null
+++ b/internal/logging/bounded.go
@@ -0,0 +1,103 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// queuedBytes bounds what waits to be written.
+	queuedBytes = 1 << 20
+	// flushTime is how long a stop waits for what is queued.
+	flushTime = 300 * time.Millisecond
+)
+
+// AsyncWriter writes in the background and never blocks its callers: what does
+// not fit the queue is dropped and counted. A line says how much was dropped
+// once there is room again.
+type AsyncWriter struct {
+	target io.Writer
+
+	mutex   sync.Mutex
+	waiting bytes.Buffer
+	dropped int
+	wake    chan struct{}
+	busy    bool
+}
+
+// NewAsyncWriter returns a writer and starts its background work, which lasts
+// as long as the process.
+func NewAsyncWriter(target io.Writer) *AsyncWriter {
+	writer := &AsyncWriter{target: target, wake: make(chan struct{}, 1)}
+	go writer.run()
+	return writer
+}
+
+// Write implements io.Writer.
+func (writer *AsyncWriter) Write(line []byte) (int, error) {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	if writer.waiting.Len()+len(line) > queuedBytes {
+		writer.dropped++
+		return len(line), nil
+	}
+	if writer.dropped > 0 {
+		writer.waiting.WriteString("level=warn event=\"log lines dropped\" lines=" + strconv.Itoa(writer.dropped) + "\n")
+		writer.dropped = 0
+	}
+	writer.waiting.Write(line)
+	select {
+	case writer.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped since the last one that was not.
+func (writer *AsyncWriter) Dropped() int {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	return writer.dropped
+}
+
+func (writer *AsyncWriter) run() {
+	for range writer.wake {
+		for {
+			batch := writer.take()
+			if len(batch) == 0 {
+				break
+			}
+			_, _ = writer.target.Write(batch)
+		}
+	}
+}
+
+func (writer *AsyncWriter) take() []byte {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	batch := bytes.Clone(writer.waiting.Bytes())
+	writer.waiting.Reset()
+	writer.busy = len(batch) > 0
+	return batch
+}
+
+// Sync implements zapcore.WriteSyncer. It waits a short while for what is
+// queued.
+func (writer *AsyncWriter) Sync() error {
+	for end := time.Now().Add(flushTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		writer.mutex.Lock()
+		done := writer.waiting.Len() == 0 && !writer.busy
+		writer.mutex.Unlock()
+		if done {
+			break
+		}
+	}
+	return nil
+}
+
+var _ zapcore.WriteSyncer = (*AsyncWriter)(nil)
--- /dev/null
+++ b/internal/logging/limit.go
@@ -0,0 +1,142 @@
+package logging
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// linesPerSecond is how many lines of one event and reason are written in
+	// a second.
+	linesPerSecond = 200
+	// maxKinds bounds the kinds of lines told apart.
+	maxKinds = 500
+)
+
+// reasonKeys are the fields that tell lines of one event apart.
+var reasonKeys = map[string]bool{"reason": true, "outcome": true, "route": true}
+
+// kind is an event with its reason.
+type kind struct{ event, reason string }
+
+// count is what a kind has had in the current second.
+type count struct {
+	written, leftOut int
+}
+
+// limiter bounds the lines of each kind. What was left out is told once the
+// second is over.
+type limiter struct {
+	mutex  sync.Mutex
+	second int64
+	counts map[kind]*count
+}
+
+// boundedCore passes lines on within the limits and writes errors as one line.
+type boundedCore struct {
+	zapcore.Core
+	limiter *limiter
+	now     func() time.Time
+}
+
+func newBoundedCore(core zapcore.Core) zapcore.Core {
+	return &boundedCore{Core: core, limiter: &limiter{counts: map[kind]*count{}}, now: time.Now}
+}
+
+// With implements zapcore.Core.
+func (core *boundedCore) With(fields []zapcore.Field) zapcore.Core {
+	return &boundedCore{Core: core.Core.With(plainErrors(fields)), limiter: core.limiter, now: core.now}
+}
+
+// Check implements zapcore.Core.
+func (core *boundedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if core.Enabled(entry.Level) {
+		return checked.AddCore(entry, core)
+	}
+	return checked
+}
+
+// Write implements zapcore.Core.
+func (core *boundedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	fields = plainErrors(fields)
+	write, leftOut := core.limiter.admit(kindOf(entry.Message, fields), core.now())
+	for _, each := range leftOut {
+		told := entry
+		told.Message = "log lines left out"
+		if err := core.Core.Write(told, []zapcore.Field{zap.String("of", each.event), zap.String("reason", each.reason), zap.Int("lines", each.lines)}); err != nil {
+			return err
+		}
+	}
+	if !write {
+		return nil
+	}
+	return core.Core.Write(entry, fields)
+}
+
+// omission is how many lines of a kind were left out in a second.
+type omission struct {
+	kind
+	lines int
+}
+
+// admit reports whether a line may be written, and what was left out in a
+// second that is over.
+func (limits *limiter) admit(of kind, now time.Time) (bool, []omission) {
+	limits.mutex.Lock()
+	defer limits.mutex.Unlock()
+	var leftOut []omission
+	if second := now.Unix(); second != limits.second {
+		for each, counted := range limits.counts {
+			if counted.leftOut > 0 {
+				leftOut = append(leftOut, omission{each, counted.leftOut})
+			}
+		}
+		limits.second = second
+		clear(limits.counts)
+	}
+	counted := limits.counts[of]
+	if counted == nil {
+		if len(limits.counts) >= maxKinds {
+			of = kind{event: of.event}
+		}
+		if counted = limits.counts[of]; counted == nil {
+			counted = &count{}
+			limits.counts[of] = counted
+		}
+	}
+	if counted.written >= linesPerSecond {
+		counted.leftOut++
+		return false, leftOut
+	}
+	counted.written++
+	return true, leftOut
+}
+
+func kindOf(event string, fields []zapcore.Field) kind {
+	reason := ""
+	for _, field := range fields {
+		if field.Type == zapcore.StringType && reasonKeys[field.Key] {
+			reason += field.String + " "
+		}
+	}
+	return kind{event, reason}
+}
+
+// plainErrors turns errors into their one-line texts: the encoder would add a
+// stack trace of many lines. Fields without an error are dropped.
+func plainErrors(fields []zapcore.Field) []zapcore.Field {
+	plain := make([]zapcore.Field, 0, len(fields))
+	for _, field := range fields {
+		if field.Type != zapcore.ErrorType {
+			plain = append(plain, field)
+			continue
+		}
+		if err, ok := field.Interface.(error); ok && err != nil {
+			plain = append(plain, zap.String(field.Key, err.Error()))
+		}
+	}
+	return plain
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -16,7 +16,9 @@
 )
 
 // New returns a logger that writes to standard output at the given level
-// (debug, info, warn or error) and takes over go-zero's logs.
+// (debug, info, warn or error) and takes over go-zero's logs. Writing never
+// blocks, and lines of one event and reason are bounded; what is left out is
+// counted and told.
 func New(level, node string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
@@ -28,7 +30,7 @@
 	encoding.EncodeTime = func(at time.Time, encoder zapcore.PrimitiveArrayEncoder) {
 		encoder.AppendString(at.UTC().Format("2006-01-02T15:04:05.000Z"))
 	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.Lock(os.Stdout), parsed)
+	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), NewAsyncWriter(os.Stdout), parsed))
 	logger := zap.New(core).With(zap.String("node", node))
 	TakeOver(logger)
 	return logger, nil
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,88 @@
+package logging
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// lines collects what is written.
+type lines struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (l *lines) Write(content []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(content)
+}
+
+func (l *lines) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
+}
+
+func newTestLogger(target io.Writer, now func() time.Time) *zap.Logger {
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.MessageKey = "event"
+	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.AddSync(target), zapcore.InfoLevel)).(*boundedCore)
+	core.now = now
+	return zap.New(core)
+}
+
+func TestAFloodIsBoundedByKindAndTold(t *testing.T) {
+	is := is.New(t)
+	written := &lines{}
+	now := time.Unix(1000, 0)
+	logger := newTestLogger(written, func() time.Time { return now })
+	for i := 0; i < 10*linesPerSecond; i++ {
+		logger.Info("request", zap.String("outcome", "refused"), zap.Int("n", i))
+	}
+	logger.Info("request", zap.String("outcome", "failed"))
+	is.Equal(strings.Count(written.String(), "outcome=refused"), linesPerSecond)
+	is.Equal(strings.Count(written.String(), "outcome=failed"), 1)
+	now = now.Add(time.Second)
+	logger.Info("request", zap.String("outcome", "refused"))
+	is.True(strings.Contains(written.String(), `event="log lines left out" of=request reason="refused " lines=1800`))
+}
+
+func TestAnErrorIsOneLine(t *testing.T) {
+	is := is.New(t)
+	written := &lines{}
+	logger := newTestLogger(written, time.Now)
+	logger.With(zap.Error(errors.New("outer"))).Info("happened", zap.NamedError("cause", errors.Wrap(errors.New("inner"), "around")), zap.Error(nil))
+	is.Equal(strings.Count(written.String(), "\n"), 1)
+	is.True(strings.Contains(written.String(), `error=outer`))
+	is.True(strings.Contains(written.String(), `cause="around: inner"`))
+}
+
+// A reader that never reads stops nothing: what does not fit is dropped, and
+// counted in a line once there is room.
+func TestAStuckReaderBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	reader, stuck := io.Pipe()
+	writer := NewAsyncWriter(stuck)
+	line := []byte(strings.Repeat("x", 1000) + "\n")
+	for i := 0; i < 3*queuedBytes/len(line); i++ {
+		count, err := writer.Write(line)
+		is.NoErr(err)
+		is.Equal(count, len(line))
+	}
+	is.True(writer.Dropped() > 0)
+	read := &lines{}
+	go func() { _, _ = io.Copy(read, reader) }()
+	for !strings.Contains(read.String(), "log lines dropped") {
+		_, _ = writer.Write([]byte("after\n"))
+		time.Sleep(time.Millisecond)
+	}
+}
