--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint fuzz smoke demo chaos scale measure bench
+.PHONY: soak build test lint fuzz smoke demo chaos scale measure bench
 
 build:
 	go build -o bin/ ./cmd/woodworks ./cmd/woodworks-lab
@@ -37,6 +37,11 @@
 chaos: build
 	./bin/woodworks-lab chaos --seed $(SEED) --duration $(DURATION) --site $(SITE)
 
+# Real daemons on the platform's stand-ins under faults from outside.
+soak:
+	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
+	./target/woodworks-soak --seed $(SEED) --duration $(DURATION)
+
 # What the control part of a daemon costs as the floor grows.
 scale: build
 	./bin/woodworks-lab scale --size 10 --size 25 --size 50 --size 100 --size 200 --size 300
--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -59,6 +59,7 @@
 	generation int64
 	members    map[string]time.Time
 	topics     []string
+	turn       int
 }
 
 type log struct {
@@ -301,12 +302,20 @@
 	var rows []journal.Ownership
 	for _, topic := range j.topics {
 		for number := 0; number < j.Partitions; number++ {
-			rows = append(rows, journal.Ownership{Partition: journal.Partition{Topic: topic, Number: number}, Member: members[len(rows)%len(members)]})
+			rows = append(rows, journal.Ownership{Partition: journal.Partition{Topic: topic, Number: number}, Member: members[(len(rows)+j.turn)%len(members)]})
 		}
 	}
 	return rows
 }
 
+// DealAnew gives all partitions to other members at once.
+func (j *Journal) DealAnew() {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.turn++
+	j.generation++
+}
+
 // Leave implements journal.Journal.
 func (j *Journal) Leave(_ context.Context, _, member string) error {
 	j.mutex.Lock()
