Use replicas that vanished together for half the drain bound; shorter stories

The rule leaves DrainMs after an entry's removal; where a service has no replica left, those removed without notice get work for half of it. Found by 'explain', whose story of a batch was hundreds of lines: reads and single replicas are now left out of it, and a failed request names the replicas that it was offered to.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -16,7 +16,11 @@
 // ErrNotFound: no line names the id.
 var ErrNotFound = errors.New("explain: no line names this id")
 
-const maxLineBytes = 1 << 20
+const (
+	maxLineBytes = 1 << 20
+	// routineOutcome is that of a reader who got results.
+	routineOutcome = "results"
+)
 
 // linkKeys are the fields by which lines belong together.
 var linkKeys = []string{"request", "item", "reward", "batch", "replica"}
@@ -134,9 +138,17 @@
 				own[each] = true
 			}
 		}
+		if own[each] && each.get("outcome") == routineOutcome {
+			// Readers come again and again; their answers say nothing new.
+			delete(own, each)
+		}
 		if own[each] {
 			batches[each.get("batch")] = true
-			replicas[each.get("replica")] = true
+			// A batch uses all replicas; only what names one request or item
+			// depends on the state of single ones.
+			if each.get("batch") != id {
+				replicas[each.get("replica")] = true
+			}
 		}
 	}
 	delete(batches, "")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -94,6 +96,8 @@
 	Reason    string
 	// Attempts is how many replicas may have run the request.
 	Attempts int
+	// Tried are the replicas that the request was offered to.
+	Tried []string
 }
 
 // Error implements error.
@@ -205,7 +209,7 @@
 	if reason == "" {
 		reason = errNoReplica.Error()
 	}
-	return &Failure{Certainty: certainty, Reason: reason, Attempts: run.offered}
+	return &Failure{Certainty: certainty, Reason: reason, Attempts: run.offered, Tried: slices.Sorted(maps.Keys(run.tried))}
 }
 
 // mayOffer reports whether another replica may be asked.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -182,7 +182,7 @@
 		asked.fail(http.StatusBadGateway, "failed", err.Error())
 		return
 	}
-	asked.attempts = failure.Attempts
+	asked.attempts, asked.replica = failure.Attempts, strings.Join(failure.Tried, ",")
 	switch {
 	case failure.Certainty == forward.NotRun:
 		asked.refuse(failure.Reason, retryAfter)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 	logger := node.logger
 	drivers.Journal = journal.Observe(drivers.Journal, node.metrics.JournalCall)
 	contact := node.settings.Timing.ContactBound.Std()
-	node.table = replica.NewTable(logger)
+	node.table = replica.NewTable(node.settings.Timing.DrainBound.Std(), logger)
 	node.front = newFrontServer(logger)
 	node.operator = operation.NewState(drivers.Decoder, node.front.configured, logger)
 	node.operatorFollower = journal.NewKeyedFollower(drivers.Journal, drivers.OperatorRecords, node.operator, contact, logger)
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -58,11 +58,16 @@
 	pacedAt    time.Time
 	versions   map[string]int64
 	goneAt     time.Time
+	// last is the entry that was removed at goneAt.
+	last Entry
 }
 
 // Table is the daemon's view of all replicas. It is safe for concurrent use.
 type Table struct {
 	logger *zap.Logger
+	// removedGrace is how long a replica that left the list may still get work
+	// if its service has no other.
+	removedGrace time.Duration
 
 	mutex    sync.Mutex
 	entries  map[string]Entry
@@ -71,9 +76,10 @@
 	changed  chan struct{}
 }
 
-// NewTable returns an empty table.
-func NewTable(logger *zap.Logger) *Table {
-	return &Table{logger: logger, entries: map[string]Entry{}, learned: map[string]*experience{}, changed: make(chan struct{})}
+// NewTable returns an empty table. DrainBound is how long after a replica has
+// left the list new work may still reach it.
+func NewTable(drainBound time.Duration, logger *zap.Logger) *Table {
+	return &Table{logger: logger, removedGrace: drainBound / 2, entries: map[string]Entry{}, learned: map[string]*experience{}, changed: make(chan struct{})}
 }
 
 // Replace sets the whole list.
@@ -126,12 +132,13 @@
 }
 
 func (table *Table) remove(id string) {
-	if _, known := table.entries[id]; !known {
+	before, known := table.entries[id]
+	if !known {
 		return
 	}
 	delete(table.entries, id)
 	if learned := table.learned[id]; learned != nil {
-		learned.goneAt = time.Now()
+		learned.goneAt, learned.last = time.Now(), before
 	}
 	table.logger.Info("replica gone from the list", zap.String("replica", id))
 }
@@ -178,6 +185,27 @@
 			found = append(found, table.view(entry))
 		}
 	}
+	if len(found) == 0 {
+		return table.justRemoved(service)
+	}
+	return found
+}
+
+// justRemoved returns the replicas of a service that left the list a moment
+// ago without having said that they leave. After an outage of the platform all
+// entries may be missing until the replicas have written them again. The mutex
+// is held.
+func (table *Table) justRemoved(service string) []Replica {
+	var found []Replica
+	now := time.Now()
+	for _, learned := range table.learned {
+		if learned.goneAt.IsZero() || now.Sub(learned.goneAt) > table.removedGrace {
+			continue
+		}
+		if learned.last.Service == service && !learned.last.Draining {
+			found = append(found, table.view(learned.last))
+		}
+	}
 	return found
 }
 
--- /dev/null
+++ b/internal/replica/table_test.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+const drainBound = 2 * time.Second
+
+func entry(id string) Entry { return Entry{ID: id, Service: "s", Address: "a", Zone: "z", Slots: 4} }
+
+// After an outage of the platform the list may be empty until the replicas have
+// written their entries again: they go on getting work for half the drain bound
+// (bench: qarmoud-arena trouble-2, "no replica" after the store was back).
+func TestReplicasThatVanishTogetherGetWorkForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(drainBound, zap.NewNop())
+		table.Replace([]Entry{entry("a"), entry("b")})
+		table.Replace(nil)
+		is.Equal(len(table.Replicas("s")), 2)
+		is.Equal(len(table.Replicas("other")), 0)
+		time.Sleep(drainBound/2 + time.Millisecond)
+		is.Equal(len(table.Replicas("s")), 0)
+	})
+}
+
+func TestARemovedReplicaGetsNothingWhileOthersAreThere(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(drainBound, zap.NewNop())
+	table.Replace([]Entry{entry("a"), entry("b")})
+	table.Remove("a")
+	is.Equal(len(table.Replicas("s")), 1)
+	leaving := entry("b")
+	leaving.Draining = true
+	table.Set(leaving)
+	table.Remove("b")
+	for _, each := range table.Replicas("s") {
+		is.True(each.ID != "b")
+	}
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(drainBound, zap.NewNop())
+		highest := int64(0)
+		for _, version := range rapid.SliceOfN(rapid.Int64Range(1, 9), 1, 20).Draw(t, "versions") {
+			if rapid.Bool().Draw(t, "listed") {
+				listed := entry("a")
+				listed.Versions = map[string]int64{"m": version}
+				table.Set(listed)
+			} else {
+				table.HoldsVersion("a", "m", version)
+			}
+			highest = max(highest, version)
+		}
+		table.Set(entry("a"))
+		known, _ := table.Get("a")
+		if known.Versions["m"] != highest {
+			t.Fatalf("version %d, highest seen %d", known.Versions["m"], highest)
+		}
+	})
+}
+
+// A pick never takes a replica that was tried, takes one that need not be
+// avoided if there is one, and takes some if any is left.
+func TestPick(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		tried := map[string]bool{}
+		var candidates []Replica
+		sound := 0
+		for i, state := range rapid.SliceOfN(rapid.IntRange(0, 3), 0, 6).Draw(t, "states") {
+			made := Replica{Entry: entry(string(rune('a' + i))), InFlight: rapid.IntRange(0, 9).Draw(t, "in flight")}
+			switch state {
+			case 0:
+				tried[made.ID] = true
+			case 1:
+				made.AvoidUntil = now.Add(time.Second)
+			default:
+				sound++
+			}
+			candidates = append(candidates, made)
+		}
+		chosen, found := Pick(candidates, tried, "z", now)
+		switch {
+		case found != (len(candidates) > len(tried)):
+			t.Fatal("found none though some are left, or one though none is")
+		case found && tried[chosen.ID]:
+			t.Fatal("took a replica that was tried")
+		case found && sound > 0 && now.Before(chosen.AvoidUntil):
+			t.Fatal("took a replica to be avoided though others are there")
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,6 +134,9 @@
 	// ContactBound is how long after an outage of the log the daemon may still
 	// act on what it knew before.
 	ContactBound Duration `yaml:"contact_bound"`
+	// DrainBound is how long after a replica has left the list, or said that it
+	// will, new work may still reach it.
+	DrainBound Duration `yaml:"drain_bound"`
 }
 
 // Log holds logging settings.
@@ -181,6 +184,7 @@
 			PollInterval:    Duration(200 * time.Millisecond),
 			LeaseQuiet:      Duration(3 * time.Second),
 			ContactBound:    Duration(3 * time.Second),
+			DrainBound:      Duration(2 * time.Second),
 		},
 		Log: Log{Level: "info"},
 	}
@@ -307,6 +311,7 @@
 	checkPositive(loaded.Timing.PollInterval, "timing.poll_interval")
 	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
 	checkPositive(loaded.Timing.ContactBound, "timing.contact_bound")
+	checkPositive(loaded.Timing.DrainBound, "timing.drain_bound")
 	switch loaded.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
