Deal engines to models by the work of their batches

A batch's demand now tells its expected tokens; shares follow a running mean and are kept while they are about right.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -25,6 +25,8 @@
 	MinVersion int64 `cbor:"1,keyasint"`
 	// Named is the newest version named when the batch was accepted.
 	Named int64 `cbor:"2,keyasint"`
+	// Work is how many tokens the batch should make.
+	Work int64 `cbor:"3,keyasint"`
 }
 
 // Lag is how many versions behind the newest the batch allowed.
@@ -60,7 +62,11 @@
 	}
 }
 
-// State is the newest demand of each model. It implements journal.KeyedHandler.
+// workSmoothing is the part of a new batch's difference in work that counts at
+// once: batches of a model differ, its share of the engines should not.
+const workSmoothing = 4
+
+// State is the newest demand of each model, its work a running mean. It implements journal.KeyedHandler.
 type State struct {
 	mutex   sync.Mutex
 	demands map[string]Demand
@@ -84,6 +90,9 @@
 	}
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
+	if before, known := state.demands[record.Key]; known && before.Work > 0 {
+		demand.Work = before.Work + (demand.Work-before.Work)/workSmoothing
+	}
 	state.demands[record.Key] = demand
 }
 
--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -59,12 +59,14 @@
 	notUntil map[string]time.Time
 	loadTime time.Duration
 	orders   uint64
+	// shares is how many replicas of a service are for each of its models.
+	shares map[string][]int
 }
 
 // New returns a syncer that acts in the name of holder.
 func New(holder string, held *lease.Lease, driver engine.Driver, table *replica.Table, configuration func() *route.Configuration, named Named, demands *demand.State, logger *zap.Logger) *Syncer {
 	return &Syncer{holder: holder, lease: held, driver: driver, table: table, configuration: configuration, named: named, demands: demands, logger: logger,
-		loading: map[string]bool{}, notUntil: map[string]time.Time{}, loadTime: firstLoadGuess}
+		loading: map[string]bool{}, notUntil: map[string]time.Time{}, shares: map[string][]int{}, loadTime: firstLoadGuess}
 }
 
 // Orders returns how many orders were given.
@@ -125,7 +127,8 @@
 		if !service.Engine || len(service.Models) == 0 {
 			continue
 		}
-		due := changesDue(syncer.table.Replicas(name), service.Models, named, syncer.lagOf, mannerFor(configuration, name))
+		replicas := syncer.table.Replicas(name)
+		due := changesDue(replicas, service.Models, syncer.sharesOf(name, service.Models, len(replicas)), named, syncer.lagOf, mannerFor(configuration, name))
 		syncer.startDue(ctx, due, now)
 	}
 }
@@ -143,16 +146,20 @@
 }
 
 // changesDue returns the changes that are due for the replicas of a service,
-// those furthest behind first. Each replica is there for one model.
-func changesDue(replicas []replica.Replica, models []route.Model, named map[string]int64, lagOf func(model string) int64, manner engine.Manner) []change {
+// those furthest behind first. Each replica is there for one model; shares says
+// how many are for each.
+func changesDue(replicas []replica.Replica, models []route.Model, shares []int, named map[string]int64, lagOf func(model string) int64, manner engine.Manner) []change {
 	sort.Slice(replicas, func(i, j int) bool { return replicas[i].ID < replicas[j].ID })
 	var due []change
+	first := 0
 	for i, model := range models {
-		first, end := i*len(replicas)/len(models), (i+1)*len(replicas)/len(models)
-		if len(replicas) < len(models) {
-			first, end = i%max(len(replicas), 1), min(i%max(len(replicas), 1)+1, len(replicas))
+		end := min(first+shares[i], len(replicas))
+		if len(replicas) > 0 && len(replicas) < len(models) {
+			// Too few for one model each: a replica is there for several.
+			first, end = i%len(replicas), i%len(replicas)+1
 		}
 		due = append(due, changesOfModel(replicas[first:end], model.Name, named[model.Name], lagOf(model.Name), manner)...)
+		first = end
 	}
 	sort.SliceStable(due, func(i, j int) bool { return due[i].behind() > due[j].behind() })
 	return due
--- /dev/null
+++ b/internal/modelsync/modelsync_test.go
@@ -0,0 +1,100 @@
+package modelsync
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/engine"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+func replicasAt(versions ...int64) []replica.Replica {
+	var made []replica.Replica
+	for i, version := range versions {
+		made = append(made, replica.Replica{Entry: replica.Entry{ID: fmt.Sprintf("r%02d", i), Service: "s", Slots: 4, Versions: map[string]int64{"m": version}}})
+	}
+	return made
+}
+
+// Changed as soon as they are due, no replica is ever older than the batches of
+// the next version allow, and each changes once in as many versions as the lag.
+func TestReplicasStayWithinTheLagWithFewChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lag := rapid.Int64Range(0, 4).Draw(t, "lag")
+		count := rapid.IntRange(1, 9).Draw(t, "replicas")
+		replicas := replicasAt(make([]int64, count)...)
+		for i := range replicas {
+			replicas[i].Versions["m"] = 1
+		}
+		changes := 0
+		const versions = 24
+		for version := int64(2); version <= versions; version++ {
+			for _, each := range replicas {
+				if behind := version - each.Versions["m"]; behind > max(lag, 1) {
+					t.Fatalf("version %d when %d is named, lag %d", each.Versions["m"], version, lag)
+				}
+			}
+			for _, each := range changesOfModel(replicas, "m", version, lag, engine.Continue) {
+				each.replica.Versions["m"] = version
+				changes++
+			}
+		}
+		most := versions * (count/int(max(lag, 1)) + 1)
+		if changes > most {
+			t.Fatalf("%d changes of %d replicas in %d versions, lag %d", changes, count, versions, lag)
+		}
+	})
+}
+
+func TestSharesFollowTheWork(t *testing.T) {
+	is := is.New(t)
+	is.Equal(allot([]float64{14, 34, 38}, 9), []int{2, 3, 4})
+	is.Equal(allot([]float64{0, 0, 0}, 9), []int{3, 3, 3})
+	is.Equal(allot([]float64{1, 1000}, 4), []int{1, 3})
+	is.Equal(allot([]float64{1, 1, 1}, 2), []int{1, 1, 0})
+	is.True(near([]int{2, 3, 4}, []float64{15, 33, 38}))
+	is.True(!near([]int{3, 3, 3}, []float64{14, 34, 38}))
+}
+
+func TestSharesDealAllReplicasOut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		work := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 6).Draw(t, "work")
+		replicas := rapid.IntRange(0, 40).Draw(t, "replicas")
+		shares := allot(work, replicas)
+		if total(shares) != replicas {
+			t.Fatalf("%v of %d replicas", shares, replicas)
+		}
+		for _, share := range shares {
+			if share == 0 && replicas >= len(work) {
+				t.Fatalf("a model without a replica: %v", shares)
+			}
+		}
+	})
+}
+
+func TestEachModelHasAReplicaThoughThereAreFewerReplicas(t *testing.T) {
+	is := is.New(t)
+	models := []route.Model{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	named := map[string]int64{"a": 2, "b": 2, "c": 2}
+	due := changesDue(replicasAt(1, 1), models, allot(make([]float64, 3), 2), named, func(string) int64 { return 0 }, engine.Continue)
+	changed := map[string]bool{}
+	for _, each := range due {
+		changed[each.model] = true
+	}
+	is.Equal(len(changed), 3)
+}
+
+func TestChangesComeFurthestBehindFirst(t *testing.T) {
+	is := is.New(t)
+	due := changesDue(replicasAt(5, 3, 4, 6), []route.Model{{Name: "m"}}, []int{4}, map[string]int64{"m": 6}, func(string) int64 { return 1 }, engine.Continue)
+	is.Equal(len(due), 3)
+	is.Equal(due[0].replica.ID, "r01")
+	is.Equal(due[1].replica.ID, "r02")
+}
--- /dev/null
+++ b/internal/modelsync/shares.go
@@ -0,0 +1,102 @@
+package modelsync
+
+import (
+	"math"
+
+	"woodworks/internal/route"
+)
+
+// changeFrom is by how many replicas a model's due share must differ from what
+// it has for the shares to change: a replica that changes its model loads
+// weights and loses what it has kept.
+const changeFrom = 0.75
+
+// sharesOf returns how many replicas of a service are for each of its models:
+// parts by the work of their batches, kept while they are about right.
+func (syncer *Syncer) sharesOf(service string, models []route.Model, replicas int) []int {
+	work := make([]float64, len(models))
+	for i, model := range models {
+		if known, found := syncer.demands.Of(model.Name); found {
+			work[i] = float64(known.Work)
+		}
+	}
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	kept := syncer.shares[service]
+	if len(kept) == len(models) && total(kept) == replicas && near(kept, work) {
+		return kept
+	}
+	syncer.shares[service] = allot(work, replicas)
+	return syncer.shares[service]
+}
+
+func total(shares []int) int {
+	sum := 0
+	for _, share := range shares {
+		sum += share
+	}
+	return sum
+}
+
+// near reports whether each share is within changeFrom of what work asks for.
+func near(shares []int, work []float64) bool {
+	for i, ideal := range ideals(work, total(shares)) {
+		if math.Abs(ideal-float64(shares[i])) > changeFrom && (shares[i] > 1 || ideal > 1) {
+			return false
+		}
+	}
+	return true
+}
+
+// ideals are the parts of the replicas that the work asks for, which need not be
+// whole. Work that is not known counts as the mean of that which is.
+func ideals(work []float64, replicas int) []float64 {
+	sum, known := 0.0, 0
+	for _, each := range work {
+		if each > 0 {
+			sum += each
+			known++
+		}
+	}
+	mean := 1.0
+	if known > 0 {
+		mean = sum / float64(known)
+	}
+	parts := make([]float64, len(work))
+	all := 0.0
+	for i, each := range work {
+		parts[i] = each
+		if each <= 0 {
+			parts[i] = mean
+		}
+		all += parts[i]
+	}
+	for i := range parts {
+		parts[i] *= float64(replicas) / all
+	}
+	return parts
+}
+
+// allot deals whole replicas out: one to each model where there are enough, the
+// rest one by one to the model that has the least for its work.
+func allot(work []float64, replicas int) []int {
+	shares := make([]int, len(work))
+	wanted := ideals(work, replicas)
+	left := replicas
+	for i := range shares {
+		if left > 0 {
+			shares[i] = 1
+			left--
+		}
+	}
+	for ; left > 0; left-- {
+		neediest := 0
+		for i := range shares {
+			if wanted[i]/float64(shares[i]) > wanted[neediest]/float64(shares[neediest]) {
+				neediest = i
+			}
+		}
+		shares[neediest]++
+	}
+	return shares
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	if submission.Model != "" {
-		known := demand.Demand{MinVersion: submission.MinVersion, Named: runner.operator.Named()[submission.Model]}
+		known := demand.Demand{MinVersion: submission.MinVersion, Named: runner.operator.Named()[submission.Model], Work: runner.expectedWork(submission)}
 		go runner.demands.Publish(runner.context, submission.Model, known)
 	}
 	runner.running.Add(1)
@@ -102,6 +102,15 @@
 	return nil
 }
 
+// expectedWork is how many tokens a batch should make.
+func (runner *Runner) expectedWork(submission *batch.Submission) int64 {
+	work := int64(0)
+	for _, each := range makeItems(submission, runner) {
+		work += each.cost
+	}
+	return work
+}
+
 // appendUntil appends a record again until the outcome is certain or the
 // context ends. Doubles of all our records are harmless in the fold.
 func (runner *Runner) appendUntil(ctx context.Context, partition *ledger.Partition, record []byte) error {
