Prove the ledger by histories and the exchanges by hostile peers

porcupine over daemons that accept and ask while answers are lost and effects late: what was acknowledged or shown is never denied.

--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,220 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+func submission(id string) *batch.Submission {
+	return &batch.Submission{ID: id, Items: []batch.Item{{ID: id + "-0", Body: []byte("b")}}}
+}
+
+func exists(partition *Partition, id string) bool {
+	found := false
+	partition.View(func(state *batch.State) { _, found = state.Get(id) })
+	return found
+}
+
+// operation is one call of a history: an acceptance, or a question whether a
+// batch exists.
+type operation struct {
+	accept bool
+	// known says that the outcome of an acceptance is certain.
+	known bool
+	// found is the answer to a question.
+	found bool
+}
+
+// existence is the model of one batch: it is not there, then it is for ever.
+// Only an acceptance brings it about.
+var existence = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, input, output any) (bool, any) {
+		called := input.(operation)
+		if called.accept {
+			return true, true
+		}
+		return output.(operation).found == state.(bool), state
+	},
+	Equal: func(first, second any) bool { return first == second },
+}
+
+// recorder collects a history.
+type recorder struct {
+	mutex   sync.Mutex
+	history []porcupine.Operation
+	start   time.Time
+}
+
+func (r *recorder) add(client int, began time.Time, done operation, open bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	end := time.Since(r.start).Nanoseconds()
+	if open {
+		// An outcome that is not known may come about at any later time.
+		end = int64(1) << 62
+	}
+	r.history = append(r.history, porcupine.Operation{ClientId: client, Input: done, Output: done, Call: began.Sub(r.start).Nanoseconds(), Return: end})
+}
+
+// Daemons that accept and ask at the same time, while answers are lost, calls
+// hang and appends take effect late, tell one history: a batch that was
+// acknowledged or shown is never denied again.
+func TestWhatWasShownIsNeverDenied(t *testing.T) {
+	checked := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, 11), 60, 60).Draw(rt, "faults")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 900), 24, 24).Draw(rt, "pauses")
+		history := recordHistory(t, faults, pauses)
+		checked += len(history)
+		if result := porcupine.CheckOperationsTimeout(existence, history, 10*time.Second); result == porcupine.Illegal {
+			rt.Fatalf("no order of these calls explains what was told: %+v", history)
+		}
+	})
+	if checked < 1000 {
+		t.Fatalf("only %d calls were checked", checked)
+	}
+}
+
+func recordHistory(t *testing.T, faults, pauses []int) []porcupine.Operation {
+	seen := &recorder{}
+	synctest.Test(t, func(t *testing.T) {
+		seen.start = time.Now()
+		log := journaltest.New()
+		var mutex sync.Mutex
+		calls := 0
+		log.Befall = func(call journaltest.Call) journaltest.Fault {
+			mutex.Lock()
+			defer mutex.Unlock()
+			calls++
+			drawn := faults[calls%len(faults)]
+			if call == journaltest.Read && drawn > 1 {
+				return journaltest.None
+			}
+			return map[int]journaltest.Fault{0: journaltest.Refuse, 1: journaltest.Hang, 2: journaltest.LoseAnswer, 3: journaltest.Late}[drawn]
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var clients sync.WaitGroup
+		const daemons = 3
+		for client := 0; client < daemons; client++ {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				playClient(ctx, client, New(ctx, log, zap.NewNop()), pauses, seen)
+			}()
+		}
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(1300 * time.Millisecond)
+				log.Settle()
+			}
+		}()
+		clients.Wait()
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+	return seen.history
+}
+
+// playClient accepts the batch once if it is the first client, and asks for it.
+func playClient(ctx context.Context, client int, batches *Ledger, pauses []int, seen *recorder) {
+	const id = "batch"
+	partition := batches.Of(id)
+	for i := client; i < len(pauses); i += 3 {
+		time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
+		began := time.Now()
+		if client == 0 && i%2 == 0 {
+			err := partition.Append(ctx, batch.Accepted(submission(id), fmt.Sprint("owner", client)))
+			if !errors.Is(err, ErrNotDone) {
+				seen.add(client, began, operation{accept: true, known: err == nil}, err != nil)
+			}
+			continue
+		}
+		if exists(partition, id) {
+			seen.add(client, began, operation{found: true}, false)
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, readTimeout)
+		err := partition.CatchUp(bounded)
+		cancel()
+		if err == nil {
+			seen.add(client, began, operation{found: exists(partition, id)}, false)
+		}
+	}
+}
+
+func TestLongRecordsAreReadWhole(t *testing.T) {
+	is := is.New(t)
+	log := journaltest.New()
+	log.RecordBytes = 600
+	long := submission("long")
+	long.Items[0].Body = make([]byte, 10_000)
+	first, second := New(t.Context(), log, zap.NewNop()), New(t.Context(), log, zap.NewNop())
+	is.NoErr(first.Of("long").Append(t.Context(), batch.Accepted(long, "o")))
+	is.NoErr(second.Of("long").CatchUp(t.Context()))
+	is.True(exists(second.Of("long"), "long"))
+	narrow := journaltest.New()
+	narrow.RecordBytes, narrow.AppendBytes = 600, 5_000
+	is.True(errors.Is(New(t.Context(), narrow, zap.NewNop()).Of("long").Append(t.Context(), batch.Accepted(long, "o")), ErrTooLarge))
+}
+
+// A fold goes on at the first record that is kept; what it knew, it knows still.
+func TestFoldsGoOnAfterATrim(t *testing.T) {
+	is := is.New(t)
+	log := journaltest.New()
+	batches := New(t.Context(), log, zap.NewNop())
+	partition := batches.Of("a")
+	is.NoErr(partition.Append(t.Context(), batch.Accepted(submission("a"), "o")))
+	late := New(t.Context(), log, zap.NewNop()).Partition(partition.Name())
+	is.NoErr(partition.Append(t.Context(), batch.Accepted(submission("b"), "o")))
+	log.Trim(partition.Name(), 1)
+	is.NoErr(late.CatchUp(t.Context()))
+	is.True(!exists(late, "a"))
+	is.True(exists(late, "b"))
+	is.NoErr(partition.CatchUp(t.Context()))
+	is.True(exists(partition, "a"))
+}
+
+func TestUnusedFoldsAreDropped(t *testing.T) {
+	is := is.New(t)
+	batches := New(t.Context(), journaltest.New(), zap.NewNop())
+	used := batches.Of("a")
+	release := used.Follow()
+	batches.Of("b")
+	batches.Sweep(time.Now().Add(2 * dropAfter))
+	is.Equal(len(batches.Known()), 1)
+	release()
+	batches.Sweep(time.Now().Add(2 * dropAfter))
+	is.Equal(len(batches.Known()), 0)
+}
+
+// Records that come twice, by a read and by the answer to an append, are folded
+// once, and those after them are not skipped.
+func TestRecordsAreFoldedOnce(t *testing.T) {
+	is := is.New(t)
+	partition := New(t.Context(), journaltest.New(), zap.NewNop()).Of("a")
+	first, second := batch.Accepted(submission("a"), "o"), batch.Accepted(submission("b"), "o")
+	partition.fold(0, [][]byte{first})
+	partition.fold(0, [][]byte{first})
+	partition.fold(5, [][]byte{second})
+	is.True(!exists(partition, "b"))
+	partition.fold(0, [][]byte{first, second})
+	is.True(exists(partition, "b"))
+	is.Equal(partition.next, int64(2))
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,234 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// peer is a server that answers each connection by a script.
+func peer(t *testing.T, script func(conn net.Conn, reader *bufio.Reader, number int)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn), number)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func newTestPool() *Pool {
+	return NewPool(Options{ConnectTimeout: time.Second, UnackedTimeout: time.Second})
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodPost, Target: "/x?a=%2F", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("body"), EchoName: "X-Id", EchoValue: id}
+}
+
+// ask sends a request and returns the whole body.
+func ask(pool *Pool, address, id string) (string, error) {
+	answer, err := pool.Exchange(context.Background(), address, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func readRequest(reader *bufio.Reader) (string, bool) {
+	asked, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", false
+	}
+	_, _ = io.Copy(io.Discard, asked.Body)
+	return asked.Header.Get("X-Id"), true
+}
+
+func answerText(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	is := is.New(t)
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader, number int) {
+		for {
+			id, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, answerText(id, fmt.Sprint(number)))
+		}
+	})
+	pool := newTestPool()
+	for i := 0; i < 5; i++ {
+		body, err := ask(pool, address, fmt.Sprint(i))
+		is.NoErr(err)
+		is.Equal(body, "0")
+	}
+	is.Equal(pool.Dials(), uint64(1))
+}
+
+// An answer that comes late, where the next one is due, is passed over; the
+// connection is not used again.
+func TestLateAnswersAreNotMistaken(t *testing.T) {
+	is := is.New(t)
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader, number int) {
+		id, _ := readRequest(reader)
+		if number == 0 {
+			_, _ = io.WriteString(conn, answerText("earlier", "wrong"))
+		}
+		_, _ = io.WriteString(conn, answerText(id, "right"))
+		_, _ = readRequest(reader)
+	})
+	pool := newTestPool()
+	body, err := ask(pool, address, "a")
+	is.NoErr(err)
+	is.Equal(body, "right")
+	_, err = ask(pool, address, "b")
+	is.NoErr(err)
+	is.Equal(pool.Dials(), uint64(2))
+}
+
+// Bytes after a whole answer end the connection's use.
+func TestStrayBytesEndAConnection(t *testing.T) {
+	is := is.New(t)
+	sent := make(chan struct{})
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader, number int) {
+		id, _ := readRequest(reader)
+		_, _ = io.WriteString(conn, answerText(id, "first"))
+		if number == 0 {
+			_, _ = io.WriteString(conn, answerText("b", "stray"))
+			close(sent)
+		}
+		_, _ = readRequest(reader)
+	})
+	pool := newTestPool()
+	_, err := ask(pool, address, "a")
+	is.NoErr(err)
+	<-sent
+	body, err := ask(pool, address, "b")
+	is.NoErr(err)
+	is.Equal(body, "first")
+}
+
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"no head": "HTTP/1.1 200",
+		"garbage": "this is no answer\r\n\r\n",
+		"nothing": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := peer(t, func(conn net.Conn, reader *bufio.Reader, _ int) {
+				_, _ = readRequest(reader)
+				_, _ = io.WriteString(conn, text)
+			})
+			_, err := ask(newTestPool(), address, "a")
+			is.True(errors.Is(err, ErrNoAnswer))
+		})
+	}
+}
+
+// An answer without a length ends with its connection; a reset is no end.
+func TestResetsAreNoEnd(t *testing.T) {
+	is := is.New(t)
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader, number int) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		if number == 1 {
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	pool := newTestPool()
+	body, err := ask(pool, address, "a")
+	is.NoErr(err)
+	is.Equal(body, "all of it")
+	_, err = ask(pool, address, "b")
+	is.True(errors.Is(err, ErrNoAnswer))
+}
+
+// A peer may answer before it has read a long body. The connection is not used
+// again, and nothing but the body is ever sent on it.
+func TestEarlyAnswersDoNotMixRequests(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 4)
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader, _ int) {
+		asked, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answerText(asked.Header.Get("X-Id"), "early"))
+		body, _ := io.ReadAll(asked.Body)
+		got <- strings.Trim(string(body), "y")
+	})
+	pool := newTestPool()
+	for i := 0; i < 2; i++ {
+		long := request(fmt.Sprint(i))
+		long.Body = []byte(strings.Repeat("y", 8<<20))
+		answer, err := pool.Exchange(context.Background(), address, long)
+		is.NoErr(err)
+		body, err := io.ReadAll(answer)
+		is.NoErr(err)
+		is.Equal(string(body), "early")
+		answer.Close()
+	}
+	for i := 0; i < 2; i++ {
+		is.Equal(<-got, "")
+	}
+}
+
+func TestADeadPortIsNotSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = ask(newTestPool(), address, "a")
+	is.True(errors.Is(err, ErrNotSent))
+}
+
+// The end of the context cuts the connection, so that the peer stops working.
+func TestTheContextsEndCutsTheConnection(t *testing.T) {
+	is := is.New(t)
+	cut := make(chan struct{})
+	address := peer(t, func(_ net.Conn, reader *bufio.Reader, _ int) {
+		_, _ = readRequest(reader)
+		_, _ = reader.ReadByte()
+		close(cut)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() {
+		_, err := newTestPool().Exchange(ctx, address, request("a"))
+		done <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	cancel()
+	is.True(<-done != nil)
+	<-cut
+}
