--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -114,11 +114,12 @@
 // Bytes after a whole answer end the connection's use.
 func TestStrayBytesEndAConnection(t *testing.T) {
 	is := is.New(t)
-	sent := make(chan struct{})
+	answered, sent := make(chan struct{}), make(chan struct{})
 	address := peer(t, func(conn net.Conn, reader *bufio.Reader, number int) {
 		id, _ := readRequest(reader)
 		_, _ = io.WriteString(conn, answerText(id, "first"))
 		if number == 0 {
+			<-answered
 			_, _ = io.WriteString(conn, answerText("b", "stray"))
 			close(sent)
 		}
@@ -127,7 +128,9 @@
 	pool := newTestPool()
 	_, err := ask(pool, address, "a")
 	is.NoErr(err)
+	close(answered)
 	<-sent
+	// Loopback hands the bytes over before the peer's write returns.
 	body, err := ask(pool, address, "b")
 	is.NoErr(err)
 	is.Equal(body, "first")
