Let one daemon run the batches of a model

The group now deals shares of the models; the accepting daemon names the member as owner and tells it by a record; a watcher takes over after 0.7 s without a first sign of life.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -21,6 +21,10 @@
 	lifetime     = 1500 * time.Millisecond
 	joinInterval = 450 * time.Millisecond
 	joinTimeout  = time.Second
+	// ownersHold is how long the list of owners is believed within a generation,
+	// ownersTimeout how long it is waited for.
+	ownersHold    = 2 * time.Second
+	ownersTimeout = 150 * time.Millisecond
 )
 
 // Member is this daemon's membership. It is safe for concurrent use.
@@ -38,6 +42,10 @@
 	partitions map[journal.Partition]bool
 	changed    chan struct{}
 	lost       bool
+	// owners is who had which partition at ownersOf, read at ownersAt.
+	owners   map[journal.Partition]string
+	ownersOf int64
+	ownersAt time.Time
 }
 
 // New returns a membership that asks for a share of the topics' partitions.
@@ -96,6 +104,32 @@
 	member.partitions = partitions
 }
 
+// OwnerOf returns the member that has a partition, as of a moment ago.
+func (member *Member) OwnerOf(ctx context.Context, partition journal.Partition) (string, bool) {
+	member.mutex.Lock()
+	fresh := member.ownersOf == member.generation && time.Since(member.ownersAt) < ownersHold
+	owner, known := member.owners[partition]
+	member.mutex.Unlock()
+	if fresh {
+		return owner, known
+	}
+	bounded, cancel := context.WithTimeout(ctx, ownersTimeout)
+	defer cancel()
+	rows, err := member.journal.Owners(bounded, name)
+	if err != nil {
+		return "", false
+	}
+	owners := make(map[journal.Partition]string, len(rows))
+	for _, row := range rows {
+		owners[row.Partition] = row.Member
+	}
+	member.mutex.Lock()
+	defer member.mutex.Unlock()
+	member.owners, member.ownersOf, member.ownersAt = owners, member.generation, time.Now()
+	owner, known = owners[partition]
+	return owner, known
+}
+
 // Alive returns the members that hold partitions now.
 func (member *Member) Alive(ctx context.Context) ([]string, error) {
 	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,7 @@
 	runner           *runner.Runner
 	watcher          *runner.Watcher
 	member           *group.Member
+	assigner         *runner.Assigner
 	lease            *lease.Lease
 	syncer           *modelsync.Syncer
 	demands          *demand.State
@@ -115,8 +116,9 @@
 	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), contact, logger)
 	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Logger: logger, Observe: node.metrics.Attempt}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
-	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator, demand.NewPublisher(drivers.Journal, logger), logger)
-	node.member = group.New(drivers.Journal, node.identity, ledger.TopicNames(), logger)
+	node.member = group.New(drivers.Journal, node.identity, append(ledger.TopicNames(), runner.RunnersTopic), logger)
+	node.assigner = runner.NewAssigner(drivers.Journal, node.member, node.identity, logger)
+	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator, demand.NewPublisher(drivers.Journal, logger), node.assigner, logger)
 	node.watcher = runner.NewWatcher(node.runner, node.member)
 	node.demands = demand.NewState()
 	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
@@ -158,6 +160,7 @@
 	for _, run := range []func(context.Context){
 		node.operatorFollower.Run, node.replicaFollower.Run, node.member.Run, node.watcher.Run,
 		node.runner.Run, node.lease.Run, node.sweep,
+		func(ctx context.Context) { node.assigner.Run(ctx, node.runner.AdoptWhenSeen) },
 		func(ctx context.Context) { node.syncer.Run(ctx, node.demandFollower.Run) },
 	} {
 		go run(node.context)
--- /dev/null
+++ b/internal/runner/assign.go
@@ -0,0 +1,139 @@
+package runner
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/journal"
+	"woodworks/internal/periodic"
+)
+
+// RunnersTopic has a partition for each share of the models. The member of the
+// group that has a partition runs the batches of its models: one daemon then
+// keeps the connections to a model's engines and knows their load.
+const RunnersTopic = "woodworks.runners"
+
+const (
+	assignTimeout = time.Second
+	assignWait    = time.Second
+	assignPause   = 200 * time.Millisecond
+)
+
+// assignment tells a daemon that it owns a batch.
+type assignment struct {
+	Batch string `cbor:"1,keyasint"`
+	Owner string `cbor:"2,keyasint"`
+}
+
+// Dealt tells who has a partition of the group.
+type Dealt interface {
+	Partitions() map[journal.Partition]bool
+	OwnerOf(ctx context.Context, partition journal.Partition) (string, bool)
+}
+
+// Assigner chooses the owners of new batches and hears of those assigned here.
+// It only decides who works: a batch whose owner does not hear of it is taken
+// over by the watcher of its partition.
+type Assigner struct {
+	journal journal.Journal
+	dealt   Dealt
+	self    string
+	logger  *zap.Logger
+}
+
+// NewAssigner returns an assigner.
+func NewAssigner(log journal.Journal, dealt Dealt, self string, logger *zap.Logger) *Assigner {
+	return &Assigner{journal: log, dealt: dealt, self: self, logger: logger}
+}
+
+// partitionOf returns the partition that a batch's model belongs to.
+func (assigner *Assigner) partitionOf(submission *batch.Submission) journal.Partition {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(submission.Host))
+	_, _ = hash.Write([]byte(submission.Model))
+	return journal.Partition{Topic: RunnersTopic, Number: int(hash.Sum32() % uint32(max(assigner.journal.PartitionsPerTopic(), 1)))}
+}
+
+// Choose returns the daemon that should own a batch.
+func (assigner *Assigner) Choose(ctx context.Context, submission *batch.Submission) string {
+	owner, known := assigner.dealt.OwnerOf(ctx, assigner.partitionOf(submission))
+	if !known {
+		return assigner.self
+	}
+	return owner
+}
+
+// Tell lets another daemon know that it owns a batch.
+func (assigner *Assigner) Tell(ctx context.Context, submission *batch.Submission, owner string) {
+	encoded, err := cbor.Marshal(assignment{Batch: submission.ID, Owner: owner})
+	if err != nil {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, assignTimeout)
+	defer cancel()
+	_, err = assigner.journal.Append(bounded, journal.Append{Partition: assigner.partitionOf(submission), Records: [][]byte{encoded}})
+	assigner.logger.Info("batch assigned", zap.String("batch", submission.ID), zap.String("to", owner), zap.Error(err))
+}
+
+// Run calls adopt for each batch that is assigned to this daemon, until the
+// context ends.
+func (assigner *Assigner) Run(ctx context.Context, adopt func(batchID string)) {
+	following := map[journal.Partition]context.CancelFunc{}
+	periodic.Every(ctx, watchInterval, func(ctx context.Context) {
+		dealt := assigner.dealt.Partitions()
+		for name := range dealt {
+			if name.Topic == RunnersTopic && following[name] == nil {
+				bounded, cancel := context.WithCancel(ctx)
+				following[name] = cancel
+				go assigner.follow(bounded, name, adopt)
+			}
+		}
+		for name, cancel := range following {
+			if !dealt[name] {
+				cancel()
+				delete(following, name)
+			}
+		}
+	})
+	for _, cancel := range following {
+		cancel()
+	}
+}
+
+// follow reads the assignments of one partition. Old ones are read as well: a
+// batch that is over, or is another daemon's, is not adopted.
+func (assigner *Assigner) follow(ctx context.Context, name journal.Partition, adopt func(batchID string)) {
+	next := int64(0)
+	for ctx.Err() == nil {
+		records, err := assigner.read(ctx, name, next)
+		var trimmed *journal.TrimmedError
+		if errors.As(err, &trimmed) {
+			next = trimmed.First
+			continue
+		}
+		if err != nil {
+			periodic.Pause(ctx, assignPause)
+			continue
+		}
+		for _, record := range records {
+			next++
+			var told assignment
+			if cbor.Unmarshal(record, &told) == nil && told.Owner == assigner.self {
+				go adopt(told.Batch)
+			}
+		}
+	}
+}
+
+func (assigner *Assigner) read(ctx context.Context, name journal.Partition, from int64) ([][]byte, error) {
+	bounded, cancel := context.WithTimeout(ctx, assignWait+assignTimeout)
+	defer cancel()
+	read, err := assigner.journal.Read(bounded, journal.Read{Partition: name, From: from, Wait: assignWait})
+	return read.Records, err
+}
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -186,6 +186,7 @@
 	release := job.partition.Follow()
 	defer release()
 	go job.listResults()
+	go job.beat()
 	beat := time.NewTicker(heartbeatInterval)
 	defer beat.Stop()
 	for {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -55,6 +55,7 @@
 	forwarder *forward.Forwarder
 	operator  Operator
 	demands   *demand.Publisher
+	assigner  *Assigner
 	logger    *zap.Logger
 	context   context.Context
 
@@ -70,14 +71,14 @@
 
 // New returns a runner whose owner name is self. All its work ends with the
 // context.
-func New(ctx context.Context, self string, batches *ledger.Ledger, forwarder *forward.Forwarder, operator Operator, demands *demand.Publisher, logger *zap.Logger) *Runner {
+func New(ctx context.Context, self string, batches *ledger.Ledger, forwarder *forward.Forwarder, operator Operator, demands *demand.Publisher, assigner *Assigner, logger *zap.Logger) *Runner {
 	return &Runner{
-		self: self, ledger: batches, table: forwarder.Table, forwarder: forwarder, operator: operator, demands: demands,
+		self: self, ledger: batches, table: forwarder.Table, forwarder: forwarder, operator: operator, demands: demands, assigner: assigner,
 		logger: logger, context: ctx, jobs: map[string]*job{}, wake: make(chan struct{}, 1),
 	}
 }
 
-// Accept makes a batch exist, owned by this daemon, and starts it. A batch
+// Accept makes a batch exist, owned by the daemon that should run it. A batch
 // that exists already stays as it is. After nil it is certain that the batch
 // exists; after ErrNotDone that this call has not made it exist.
 func (runner *Runner) Accept(ctx context.Context, submission *batch.Submission) error {
@@ -87,18 +88,20 @@
 	partition := runner.ledger.Of(submission.ID)
 	release := partition.Follow()
 	defer release()
-	if err := runner.appendUntil(ctx, partition, batch.Accepted(submission, runner.self)); err != nil {
+	owner := runner.assigner.Choose(ctx, submission)
+	if err := runner.appendUntil(ctx, partition, batch.Accepted(submission, owner)); err != nil {
 		return err
 	}
+	if owner != runner.self {
+		go runner.assigner.Tell(runner.context, submission, owner)
+	}
 	if submission.Model != "" {
 		known := demand.Demand{MinVersion: submission.MinVersion, Named: runner.operator.Named()[submission.Model], Work: runner.expectedWork(submission)}
 		go runner.demands.Publish(runner.context, submission.Model, known)
 	}
-	runner.running.Add(1)
-	go func() {
-		defer runner.running.Done()
-		runner.adoptWhenSeen(submission.ID, partition)
-	}()
+	if owner == runner.self {
+		go runner.AdoptWhenSeen(submission.ID)
+	}
 	return nil
 }
 
@@ -136,8 +139,13 @@
 	}
 }
 
-// adoptWhenSeen starts a batch once the fold shows that this daemon owns it.
-func (runner *Runner) adoptWhenSeen(batchID string, partition *ledger.Partition) {
+// AdoptWhenSeen starts a batch once the fold shows that this daemon owns it.
+func (runner *Runner) AdoptWhenSeen(batchID string) {
+	if !runner.begin() {
+		return
+	}
+	defer runner.running.Done()
+	partition := runner.ledger.Of(batchID)
 	release := partition.Follow()
 	defer release()
 	for runner.context.Err() == nil {
@@ -150,6 +158,18 @@
 	}
 }
 
+// begin counts work that a stop must wait for, or refuses it if the stop has
+// begun.
+func (runner *Runner) begin() bool {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	if runner.stopping.Load() {
+		return false
+	}
+	runner.running.Add(1)
+	return true
+}
+
 // Adopt starts a batch if the fold says that this daemon owns it and it is
 // open.
 func (runner *Runner) Adopt(batchID string) {
@@ -157,12 +177,13 @@
 	var adopted *job
 	runner.mutex.Lock()
 	_, under := runner.jobs[batchID]
-	if !under && runner.context.Err() == nil {
+	if !under && runner.context.Err() == nil && !runner.stopping.Load() {
 		partition.View(func(state *batch.State) {
 			known, found := state.Get(batchID)
 			if found && known.Open() && known.Owner == runner.self {
 				adopted = newJob(runner, partition, known)
 				runner.jobs[batchID] = adopted
+				runner.running.Add(1)
 			}
 		})
 	}
@@ -174,7 +195,6 @@
 		zap.Int("listed", adopted.listedAtStart), zap.Int64("step", adopted.submission.Step), zap.String("model", adopted.submission.Model),
 		zap.Int64("min_version", adopted.submission.MinVersion), zap.Int("desired", adopted.submission.Desired),
 		zap.String("topic", partition.Name().Topic), zap.Int("partition", partition.Name().Number))
-	runner.running.Add(1)
 	go func() {
 		defer runner.running.Done()
 		adopted.run()
@@ -244,7 +264,9 @@
 // record that says so, and the items under way are finished. It returns when
 // they are, or when the context ends.
 func (runner *Runner) Release(ctx context.Context) {
+	runner.mutex.Lock()
 	runner.stopping.Store(true)
+	runner.mutex.Unlock()
 	for _, each := range runner.jobList() {
 		go each.letGo(ctx)
 	}
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -17,6 +17,8 @@
 	// silenceAllowed is how long an owner may give no sign of life before
 	// another daemon takes its batch over.
 	silenceAllowed = 1500 * time.Millisecond
+	// firstSign is how long a new owner may take to give its first sign of life.
+	firstSign = 700 * time.Millisecond
 	// silenceSuspect is after how long an owner's machine is looked for among
 	// those alive: a new run there proves that the owner is gone.
 	silenceSuspect  = 500 * time.Millisecond
@@ -77,7 +79,7 @@
 func (watcher *Watcher) follow() {
 	dealt := watcher.group.Partitions()
 	for name := range dealt {
-		if watcher.watched[name] == nil {
+		if name.Topic != RunnersTopic && watcher.watched[name] == nil {
 			watcher.watched[name] = &watched{release: watcher.runner.ledger.Partition(name).Follow(), owners: map[string]sighting{}}
 		}
 	}
@@ -145,6 +147,8 @@
 			reason = "released"
 		case identity.Replaced(suspect.owner, alive):
 			reason = "owner replaced"
+		case suspect.signs == 0 && time.Since(suspect.at) > firstSign:
+			reason = "owner has not begun"
 		case time.Since(suspect.at) > silenceAllowed:
 			reason = "owner silent"
 		default:
