Leave room for clients beside reward calls; spread plain requests over zones

The way to another zone now counts by the measured latency only; reward calls fill 0.6 of the slots at most; a second replica is asked after 3 times the usual latency.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -48,9 +48,9 @@
 	declinedPause = 60 * time.Millisecond
 	// firstHedge and hedgeFactor say when a second replica is asked although
 	// the first has not failed: after the factor times its usual latency.
-	firstHedge  = 250 * time.Millisecond
-	hedgeFactor = 5
-	leastHedge  = 100 * time.Millisecond
+	firstHedge  = 200 * time.Millisecond
+	hedgeFactor = 3
+	leastHedge  = 60 * time.Millisecond
 )
 
 // Call is one request to a service.
@@ -245,7 +245,7 @@
 func (run *running) choose() (replica.Replica, bool) {
 	now := time.Now()
 	for _, service := range run.call.Services {
-		if chosen, found := replica.Pick(run.forwarder.Table.Replicas(service), run.tried, run.forwarder.Zone, now); found {
+		if chosen, found := replica.Pick(run.forwarder.Table.Replicas(service), run.tried, now); found {
 			return chosen, true
 		}
 	}
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -91,7 +91,7 @@
 			}
 			candidates = append(candidates, made)
 		}
-		chosen, found := Pick(candidates, tried, "z", now)
+		chosen, found := Pick(candidates, tried, now)
 		switch {
 		case found != (len(candidates) > len(tried)):
 			t.Fatal("found none though some are left, or one though none is")
--- a/internal/runner/reward.go
+++ b/internal/runner/reward.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/forward"
+	"woodworks/internal/periodic"
 	"woodworks/internal/route"
 )
 
@@ -17,6 +18,10 @@
 	rewardDeadline = 2 * time.Second
 	rewardPause    = 50 * time.Millisecond
 	longRewardWait = time.Second
+	// rewardShare is the part of a service's slots that reward calls may fill:
+	// they come in bursts, and clients' requests must find room beside them.
+	rewardShare = 0.6
+	roomPause   = 8 * time.Millisecond
 )
 
 // errRewardFails: the reward call's replica said at every attempt that it failed.
@@ -32,6 +37,10 @@
 		}
 		configuration := job.runner.operator.Configuration()
 		rewardRoute, ok := configuration.Find(each.Reward.Host, each.Reward.Path)
+		if ok && !job.runner.rewardRoom(rewardRoute) {
+			periodic.Pause(job.context, roomPause)
+			continue
+		}
 		if ok {
 			score, done, err := job.rewardOnce(each, rewardRoute)
 			if done {
@@ -48,6 +57,16 @@
 	}
 }
 
+// rewardRoom reports whether a reward call may go to a service now.
+func (runner *Runner) rewardRoom(found *route.Route) bool {
+	slots, inFlight := 0, 0
+	for _, each := range runner.table.Replicas(found.Shares[0].Service) {
+		slots += max(each.Slots, 1)
+		inFlight += each.InFlight
+	}
+	return float64(inFlight) < max(rewardShare*float64(slots), 1)
+}
+
 // rewardOnce makes one attempt at the reward call.
 func (job *job) rewardOnce(each *item, found *route.Route) (score string, done bool, err error) {
 	timeout := rewardDeadline
