--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: soak build test lint fuzz smoke demo chaos scale measure bench
+.PHONY: soak soak-smoke build test lint fuzz smoke demo chaos scale measure bench
 
 build:
 	go build -o bin/ ./cmd/woodworks ./cmd/woodworks-lab
@@ -21,6 +21,10 @@
 	go test -run '^$$' -fuzz FuzzDecodeFrame -fuzztime $(FUZZ) ./internal/backend/engine
 	go test -run '^$$' -fuzz FuzzDecodeStrict -fuzztime $(FUZZ) ./internal/gateway
 	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZ) ./internal/catalog
+	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZ) ./internal/batch
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ) ./internal/explain
+	go test -run '^$$' -fuzz FuzzNext -fuzztime $(FUZZ) ./internal/eventstream
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ) ./platform
 
 # A short run of real processes that asserts safety only.
 smoke: build
@@ -42,6 +46,11 @@
 	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
 	./target/woodworks-soak --seed $(SEED) --duration $(DURATION)
 
+# A short soak with a fixed seed that asserts safety only.
+soak-smoke:
+	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
+	./target/woodworks-soak --seed 1 --duration 8s --safety-only
+
 # What the control part of a daemon costs as the floor grows.
 scale: build
 	./bin/woodworks-lab scale --size 10 --size 25 --size 50 --size 100 --size 200 --size 300
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -20,10 +20,11 @@
 // loadSettings reads the file over the defaults and the flags over the file.
 func loadSettings(chosen *options) (settings.Settings, error) {
 	loaded := settings.Defaults()
+	var fileFaults error
 	if chosen.config != "" {
-		var err error
-		if loaded, err = settings.Load(chosen.config); err != nil {
-			return settings.Settings{}, withCode(ExitUsage, err)
+		loaded, fileFaults = settings.Load(chosen.config)
+		if errors.Is(fileFaults, settings.ErrUnreadable) {
+			return loaded, withCode(ExitUsage, fileFaults)
 		}
 	}
 	override := func(value string, target *string) {
@@ -38,10 +39,20 @@
 	override(chosen.listenIntern, &loaded.Listen.Internal)
 	override(chosen.listenPeer, &loaded.Listen.Peer)
 	override(chosen.logLevel, &loaded.Log.Level)
-	if err := loaded.Check(); err != nil {
-		return settings.Settings{}, withCode(ExitUsage, err)
+	return loaded, withCode(ExitUsage, together(fileFaults, loaded.Check()))
+}
+
+// together is one error of what is wrong with a file's keys and with the values,
+// so that nobody mends one fault to learn of the next.
+func together(fileFaults, valueFaults error) error {
+	switch {
+	case fileFaults == nil:
+		return valueFaults
+	case valueFaults == nil:
+		return fileFaults
+	default:
+		return errors.Errorf("%v; %v", fileFaults, valueFaults)
 	}
-	return loaded, nil
 }
 
 func runServe(chosen *options) error {
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,87 @@
+package eventstream
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+const versionField = "X-Weights"
+
+// all reads a stream to its end.
+func all(source io.Reader) ([]Event, error) {
+	reader := NewReader(source, versionField)
+	var events []Event
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, event)
+	}
+}
+
+// Whole events come out as they went in, however the bytes are cut into reads,
+// and a stream that is cut off anywhere gives only whole events and no proper
+// end unless the cut is between events.
+func TestEventsAreWholeOrNotThere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(0, 6).Draw(t, "count")
+		var text strings.Builder
+		ends := map[int]int{0: 0}
+		for i := 1; i <= count; i++ {
+			if rapid.Bool().Draw(t, "names a version") {
+				fmt.Fprintf(&text, "x-weights: %d\n", i)
+			}
+			data := strings.Repeat(rapid.StringMatching(`[a-z]{0,9}`).Draw(t, "data"), rapid.IntRange(1, 2000).Draw(t, "times"))
+			fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", i, data)
+			ends[text.Len()] = i
+		}
+		cut := rapid.IntRange(0, text.Len()).Draw(t, "cut")
+		events, err := all(iotest.OneByteReader(strings.NewReader(text.String()[:cut])))
+		whole, between := ends[cut]
+		if between != errors.Is(err, io.EOF) && cut > 0 {
+			t.Fatalf("cut at %d of %d: %v", cut, text.Len(), err)
+		}
+		if between && len(events) != whole {
+			t.Fatalf("%d events of %d", len(events), whole)
+		}
+		var raw bytes.Buffer
+		for i, event := range events {
+			raw.Write(event.Raw)
+			if event.ID != int64(i+1) {
+				t.Fatalf("event %d has id %d", i+1, event.ID)
+			}
+		}
+		if !strings.HasPrefix(text.String(), raw.String()) {
+			t.Fatal("the raw bytes are not those that came")
+		}
+	})
+}
+
+func TestDataOfManyLinesAndVersions(t *testing.T) {
+	is := is.New(t)
+	events, err := all(strings.NewReader(": comment\n\nx-weights: 7\nid: 3\ndata: a\ndata: b\n\n"))
+	is.Equal(err, io.EOF)
+	is.Equal(len(events), 1)
+	is.Equal(string(events[0].Data), "a\nb")
+	is.Equal(events[0].Version, int64(7))
+	_, err = all(strings.NewReader("id: x\ndata: a\n\n"))
+	is.True(errors.Is(err, ErrMalformed))
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n"))
+	f.Fuzz(func(_ *testing.T, text []byte) { _, _ = all(bytes.NewReader(text)) })
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,7 +152,7 @@
 func (duration *Duration) UnmarshalYAML(node *yaml.Node) error {
 	parsed, err := time.ParseDuration(node.Value)
 	if err != nil {
-		return errors.Errorf("line %d: %q is not a duration such as 5s", node.Line, node.Value)
+		return &yaml.TypeError{Errors: []string{fmt.Sprintf("line %d: %q is not a duration such as 5s", node.Line, node.Value)}}
 	}
 	*duration = Duration(parsed)
 	return nil
@@ -190,6 +190,9 @@
 	}
 }
 
+// ErrUnreadable: the file cannot be read at all.
+var ErrUnreadable = errors.New("settings: cannot read file")
+
 // Fault is one wrong setting.
 type Fault struct {
 	Key    string
@@ -213,17 +216,19 @@
 }
 
 // Load reads the file at path over the defaults. It does not check values, so
-// that flags can still replace them; call Check afterwards.
+// that flags can still replace them; call Check afterwards. With an error on
+// single keys it returns what else the file says, so that all faults can be
+// told at once.
 func Load(path string) (Settings, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, errors.Wrap(err, "settings: cannot read file")
+		return Settings{}, errors.Wrap(ErrUnreadable, err.Error())
 	}
 	return Parse(content)
 }
 
 // Parse decodes YAML content over the defaults. Unknown keys and wrong types
-// are refused, all of them in one error.
+// are refused, all of them in one error; the other keys are decoded all the same.
 func Parse(content []byte) (Settings, error) {
 	loaded := Defaults()
 	decoder := yaml.NewDecoder(bytes.NewReader(content))
@@ -234,7 +239,7 @@
 	}
 	var typeError *yaml.TypeError
 	if errors.As(err, &typeError) {
-		return Settings{}, errors.Errorf("settings: %s", strings.Join(typeError.Errors, "; "))
+		return loaded, errors.Errorf("settings: %s", strings.Join(typeError.Errors, "; "))
 	}
 	return Settings{}, errors.Errorf("settings: %s", strings.ReplaceAll(err.Error(), "\n", " "))
 }
