Start the longest items first, whatever their group; repeat orders sooner

Cause: the groups with the longest items were started last, as the trainer waits for 90 % of the groups; but groups that were not whole come again, must be whole, and are just those. An order without an answer was waited for 1 s and repeated after 0.4 s more.

--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -21,7 +21,7 @@
 
 const (
 	lookInterval = 100 * time.Millisecond
-	callTimeout  = time.Second
+	callTimeout  = 400 * time.Millisecond
 	// firstLoadGuess is how long a change of weights is expected to take
 	// before one was measured.
 	firstLoadGuess = 800 * time.Millisecond
@@ -29,7 +29,7 @@
 	pollPause = 200 * time.Millisecond
 	// loadTimeout is how long a change may take before it is ordered again.
 	loadTimeout = 8 * time.Second
-	failedPause = 400 * time.Millisecond
+	failedPause = 100 * time.Millisecond
 	// actMargin is how much of the lease must be left for an order to be sent.
 	actMargin = 250 * time.Millisecond
 	// parallelLoads is how many engines of a service change at a time.
@@ -291,7 +291,11 @@
 	if !may || time.Until(until) < actMargin {
 		return errNoLease
 	}
-	bounded, cancel := context.WithDeadline(ctx, until.Add(-actMargin/2))
+	latest := until.Add(-actMargin / 2)
+	if soon := time.Now().Add(callTimeout); soon.Before(latest) {
+		latest = soon
+	}
+	bounded, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	syncer.mutex.Lock()
 	syncer.orders++
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -118,7 +118,7 @@
 		items[i] = &item{index: i, Item: submission.Items[i], header: headerOf(submission.Items[i].Headers)}
 		items[i].cost = expectedLength(items[i], runner)
 	}
-	rankItems(items, submission.Desired)
+	rankItems(items)
 	return items
 }
 
@@ -144,37 +144,11 @@
 	return each.Tokens
 }
 
-// rankItems orders the items: those of the groups that can be whole soonest,
-// as many groups as the caller waits for, before the others; within these the
-// longest first, as they decide when the last group is whole.
-func rankItems(items []*item, desired int) {
-	longest := map[string]int64{}
-	for _, each := range items {
-		longest[each.Group] = max(longest[each.Group], each.cost)
-	}
-	groups := make([]string, 0, len(longest))
-	for group := range longest {
-		groups = append(groups, group)
-	}
-	sort.Slice(groups, func(i, j int) bool {
-		if longest[groups[i]] != longest[groups[j]] {
-			return longest[groups[i]] < longest[groups[j]]
-		}
-		return groups[i] < groups[j]
-	})
-	later := map[string]bool{}
-	if desired > 0 && desired < len(groups) {
-		for _, group := range groups[desired:] {
-			later[group] = true
-		}
-	}
+// rankItems orders the items: the longest first, as they decide when the last
+// group is whole.
+func rankItems(items []*item) {
 	ordered := append([]*item(nil), items...)
-	sort.SliceStable(ordered, func(i, j int) bool {
-		if later[ordered[i].Group] != later[ordered[j].Group] {
-			return !later[ordered[i].Group]
-		}
-		return ordered[i].cost > ordered[j].cost
-	})
+	sort.SliceStable(ordered, func(i, j int) bool { return ordered[i].cost > ordered[j].cost })
 	for rank, each := range ordered {
 		each.rank = rank
 	}
