--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -21,6 +21,9 @@
 	lifetime     = 1500 * time.Millisecond
 	joinInterval = 450 * time.Millisecond
 	joinTimeout  = time.Second
+	// leaveTimeout bounds one try to leave.
+	leaveTimeout = 500 * time.Millisecond
+	leavePause   = 100 * time.Millisecond
 	// ownersHold is how long the list of owners is believed within a generation,
 	// ownersTimeout how long it is waited for.
 	ownersHold    = 2 * time.Second
@@ -97,6 +100,9 @@
 	}
 	member.mutex.Lock()
 	defer member.mutex.Unlock()
+	if member.leaving.Load() {
+		return
+	}
 	if assignment.Generation != member.generation {
 		member.logger.Info("partitions dealt", zap.Int64("generation", assignment.Generation), zap.Int("partitions", len(partitions)))
 	}
@@ -149,11 +155,26 @@
 	return alive, nil
 }
 
-// Leave gives this daemon's partitions to others at once.
+// Leave gives this daemon's partitions to others at once. It is repeated until
+// it is done or the context ends: the partitions of a member that did not leave
+// lie idle until its lifetime is over.
 func (member *Member) Leave(ctx context.Context) {
 	member.leaving.Store(true)
-	bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+	member.mutex.Lock()
+	member.partitions = nil
+	member.mutex.Unlock()
+	for tries := 1; ; tries++ {
+		err := member.leaveOnce(ctx)
+		if err == nil || ctx.Err() != nil {
+			member.logger.Info("group left", zap.Int("tries", tries), zap.Error(err))
+			return
+		}
+		periodic.Pause(ctx, leavePause)
+	}
+}
+
+func (member *Member) leaveOnce(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	err := member.journal.Leave(bounded, name, member.member)
-	member.logger.Info("group left", zap.Error(err))
+	return member.journal.Leave(bounded, name, member.member)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,8 +230,8 @@
 	released := make(chan struct{})
 	go func() {
 		defer close(released)
-		node.lease.Resign(ctx)
-		node.member.Leave(ctx)
+		go node.lease.Resign(ctx)
+		go node.member.Leave(ctx)
 		node.runner.Release(ctx)
 	}()
 	node.front.drain()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -141,11 +141,13 @@
 
 // AdoptWhenSeen starts a batch once the fold shows that this daemon owns it.
 func (runner *Runner) AdoptWhenSeen(batchID string) {
+	partition := runner.ledger.Of(batchID)
 	if !runner.begin() {
+		// The one who named this daemon did not know that it stops.
+		_ = partition.Append(runner.context, batch.Released(batchID, runner.self, nil))
 		return
 	}
 	defer runner.running.Done()
-	partition := runner.ledger.Of(batchID)
 	release := partition.Follow()
 	defer release()
 	for runner.context.Err() == nil {
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -162,6 +162,10 @@
 	bounded, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
 	err := watcher.runner.TakeOver(bounded, suspect.batch, suspect.owner)
-	watcher.runner.logger.Info("batch taken over", zap.String("batch", suspect.batch), zap.String("from", suspect.owner),
+	event := "batch taken over"
+	if err != nil {
+		event = "batch not taken over"
+	}
+	watcher.runner.logger.Info(event, zap.String("batch", suspect.batch), zap.String("from", suspect.owner),
 		zap.String("reason", reason), zap.Duration("silent", time.Since(suspect.at)), zap.Error(err))
 }
