--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -66,7 +66,6 @@
 	// moved says that the run under way was cut to be resumed elsewhere.
 	moved     bool
 	startedAt time.Time
-	onReplica string
 }
 
 // job is one batch that this daemon runs.
