--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -41,6 +41,7 @@
 	Read   Call = "read"
 	Newest Call = "newest"
 	Join   Call = "join"
+	Leave  Call = "leave"
 )
 
 // Journal is a journal in memory. It is safe for concurrent use.
@@ -317,7 +318,10 @@
 }
 
 // Leave implements journal.Journal.
-func (j *Journal) Leave(_ context.Context, _, member string) error {
+func (j *Journal) Leave(ctx context.Context, _, member string) error {
+	if _, err := j.fault(ctx, Leave); err != nil {
+		return err
+	}
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	delete(j.members, member)
