--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,7 +129,7 @@
 		Runner: node.runner, Ledger: node.ledger, Observer: node.metrics, Logger: logger,
 	}
 	node.front.handler = node.handler
-	node.health = &healthServer{ready: node.ready, metrics: node.metrics.Handler()}
+	node.health = &healthServer{ready: node.ready, metrics: node.metrics.Handler(), logger: logger}
 	node.registerMetrics()
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -183,6 +183,7 @@
 type healthServer struct {
 	ready   func() (bool, string)
 	metrics http.Handler
+	logger  *zap.Logger
 }
 
 func (health *healthServer) listen(readyAddress, metricsAddress string) error {
@@ -199,7 +200,11 @@
 	if metricsAddress == "" {
 		return nil
 	}
-	return serveHealth(metricsAddress, health.metrics)
+	// Without metrics a daemon still serves.
+	if err := serveHealth(metricsAddress, health.metrics); err != nil {
+		health.logger.Error("metrics not served", zap.String("address", metricsAddress), zap.Error(err))
+	}
+	return nil
 }
 
 func serveHealth(address string, handler http.Handler) error {
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -80,3 +80,14 @@
 	is.Equal(<-answer, "whole")
 	<-done
 }
+
+// An address for metrics that is taken does not keep a daemon from serving.
+func TestAMetricsAddressInUseIsNotFatal(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	health := &healthServer{ready: func() (bool, string) { return true, "" }, metrics: http.NotFoundHandler(), logger: zap.NewNop()}
+	is.NoErr(health.listen("127.0.0.1:0", taken.Addr().String()))
+	is.True(health.listen(taken.Addr().String(), "") != nil)
+}
