Change more engines at a time while many wait

The width now grows by one with each change that took less than 1.5 times the shortest, while more than four engines wait for each place, and shrinks by 0.3 of itself with each slower one; small sites stay at two.

--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -33,8 +33,6 @@
 	longestPause = 2 * time.Second
 	// actMargin is how much of the lease must be left for an order to be sent.
 	actMargin = 250 * time.Millisecond
-	// parallelLoads is how many engines of a service change at a time.
-	parallelLoads = 2
 )
 
 // errNoLease: the lease does not let this daemon act now.
@@ -66,6 +64,7 @@
 	dealt  map[string]string
 	// failures counts the failed tries of a replica in a row.
 	failures map[string]int
+	width    width
 }
 
 // New returns a syncer that acts in the name of holder.
@@ -197,9 +196,10 @@
 func (syncer *Syncer) startDue(ctx context.Context, due []change, now time.Time) {
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
+	syncer.width.waiting = len(due)
 	for _, each := range due {
 		id := each.replica.ID
-		if len(syncer.loading) >= parallelLoads {
+		if len(syncer.loading) >= syncer.width.places() {
 			return
 		}
 		if syncer.loading[id] || now.Before(syncer.notUntil[id]) {
@@ -273,6 +273,7 @@
 func (syncer *Syncer) learn(took time.Duration) {
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
+	syncer.width.done(took)
 	syncer.loadTime += (took - syncer.loadTime) / 4
 	syncer.loadTime -= pollPause / 8
 }
