--- a/cmd/woodworks-soak/main.go
+++ b/cmd/woodworks-soak/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"woodworks/platform/soak"
+	"woodworks/platform/platformtest/soak"
 )
 
 // Exit codes.
