Keep only as many engines at the newest versions as batches need

A batch's demand now tells its items; a model keeps twice the engines that run a batch at once, three at least. Test: TestOnlyAsManyEnginesAreKeptAsBatchesNeed.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -27,6 +27,8 @@
 	Named int64 `cbor:"2,keyasint"`
 	// Work is how many tokens the batch should make.
 	Work int64 `cbor:"3,keyasint"`
+	// Items is how many items the batch has.
+	Items int `cbor:"4,keyasint"`
 }
 
 // Lag is how many versions behind the newest the batch allowed.
--- a/internal/modelsync/modelsync_test.go
+++ b/internal/modelsync/modelsync_test.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"woodworks/internal/demand"
 	"woodworks/internal/engine"
+	"woodworks/internal/journal"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
 	"woodworks/internal/testseed"
@@ -157,6 +161,26 @@
 	is.Equal(deals[1][0].ID, "r00")
 }
 
+// A deployment with far more engines than its batches fill keeps only some of
+// them at the newest versions (sweep of qarmoud-arena at 300 machines: orders
+// cost half of the day's worth).
+func TestOnlyAsManyEnginesAreKeptAsBatchesNeed(t *testing.T) {
+	is := is.New(t)
+	is.Equal(enough(48, 8), 12)
+	is.Equal(enough(1, 8), leastEngines)
+	is.Equal(enough(100, 0), 25)
+	models := []route.Model{{Name: "m"}}
+	demands := demand.NewState()
+	encoded, err := cbor.Marshal(demand.Demand{MinVersion: 1, Named: 3, Work: 100, Items: 16})
+	is.NoErr(err)
+	demands.Apply(journal.KeyedRecord{Key: "m", Value: encoded})
+	syncer := New("h", nil, nil, nil, nil, nil, demands, zap.NewNop())
+	replicas := replicasAt(make([]int64, 50)...)
+	deals := syncer.dealsOf("s", models, replicas)
+	is.Equal(len(deals[0]), enough(16, replicas[0].Slots))
+	is.Equal(len(syncer.dealsOf("s", models, replicas[:3])[0]), 3)
+}
+
 func TestPausesGrowWithFailures(t *testing.T) {
 	is := is.New(t)
 	is.Equal(pauseAfter(1), failedPause)
--- a/internal/modelsync/shares.go
+++ b/internal/modelsync/shares.go
@@ -14,6 +14,35 @@
 // weights and loses what it has kept.
 const changeFrom = 0.75
 
+const (
+	// headroom is how many times the engines that run a whole batch at once are
+	// kept at a model's versions: each costs orders and loads at every other one.
+	headroom = 2
+	// leastEngines are kept for a model in any case, as some may fail.
+	leastEngines = 3
+	defaultSlots = 8
+)
+
+// enough returns how many engines a model needs for batches of so many items.
+func enough(items, slots int) int {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return max((headroom*items+slots-1)/slots, leastEngines)
+}
+
+// capped limits each model's share to what its batches need.
+func (syncer *Syncer) capped(shares []int, models []route.Model, slots int) []int {
+	limited := make([]int, len(shares))
+	for i, model := range models {
+		limited[i] = shares[i]
+		if known, found := syncer.demands.Of(model.Name); found && known.Items > 0 {
+			limited[i] = min(shares[i], enough(known.Items, slots))
+		}
+	}
+	return limited
+}
+
 // sharesOf returns how many replicas of a service are for each of its models:
 // parts by the work of their batches, kept while they are about right.
 func (syncer *Syncer) sharesOf(service string, models []route.Model, replicas int) []int {
@@ -109,6 +138,9 @@
 // go: a change of model costs a load and what it has kept.
 func (syncer *Syncer) dealsOf(service string, models []route.Model, replicas []replica.Replica) [][]replica.Replica {
 	shares := syncer.sharesOf(service, models, len(replicas))
+	if len(replicas) > 0 {
+		shares = syncer.capped(shares, models, replicas[0].Slots)
+	}
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
 	deals := deal(replicas, models, shares, syncer.dealt)
@@ -124,7 +156,7 @@
 
 // deal gives each replica to a model: first to the one it had, then to the one
 // whose newest version it holds, as a holder of the lease before may have dealt
-// it so. Where there are fewer replicas than models, a replica is there for
+// it so. Replicas beyond the shares are for none. Where there are fewer replicas than models, a replica is there for
 // several.
 func deal(replicas []replica.Replica, models []route.Model, shares []int, before map[string]string) [][]replica.Replica {
 	sorted := slices.Clone(replicas)
@@ -154,7 +186,9 @@
 				chosen = i
 			}
 		}
-		deals[chosen] = append(deals[chosen], each)
+		if chosen >= 0 {
+			deals[chosen] = append(deals[chosen], each)
+		}
 	}
 	return deals
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -96,7 +96,7 @@
 		go runner.assigner.Tell(runner.context, submission, owner)
 	}
 	if submission.Model != "" {
-		known := demand.Demand{MinVersion: submission.MinVersion, Named: runner.operator.Named()[submission.Model], Work: runner.expectedWork(submission)}
+		known := demand.Demand{MinVersion: submission.MinVersion, Named: runner.operator.Named()[submission.Model], Work: runner.expectedWork(submission), Items: len(submission.Items)}
 		go runner.demands.Publish(runner.context, submission.Model, known)
 	}
 	if owner == runner.self {
