--- a/internal/modelsync/modelsync_test.go
+++ b/internal/modelsync/modelsync_test.go
@@ -166,9 +166,9 @@
 // cost half of the day's worth).
 func TestOnlyAsManyEnginesAreKeptAsBatchesNeed(t *testing.T) {
 	is := is.New(t)
-	is.Equal(enough(48, 8), 12)
+	is.Equal(enough(48, 8), 24)
 	is.Equal(enough(1, 8), leastEngines)
-	is.Equal(enough(100, 0), 25)
+	is.Equal(enough(100, 0), 50)
 	models := []route.Model{{Name: "m"}}
 	demands := demand.NewState()
 	encoded, err := cbor.Marshal(demand.Demand{MinVersion: 1, Named: 3, Work: 100, Items: 16})
--- a/internal/modelsync/shares.go
+++ b/internal/modelsync/shares.go
@@ -17,7 +17,7 @@
 const (
 	// headroom is how many times the engines that run a whole batch at once are
 	// kept at a model's versions: each costs orders and loads at every other one.
-	headroom = 2
+	headroom = 4
 	// leastEngines are kept for a model in any case, as some may fail.
 	leastEngines = 3
 	defaultSlots = 8
