--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -53,7 +53,7 @@
 	return ""
 }
 
-// Read takes the log lines out of a text. What stands before the first
+// read takes the log lines out of a text. What stands before the first
 // key=value pair of a line, and lines without an event, are passed over.
 func read(source io.Reader, lines []*line) ([]*line, error) {
 	scanner := bufio.NewScanner(source)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -43,7 +43,6 @@
 	mutex      sync.Mutex
 	generation int64
 	partitions map[journal.Partition]bool
-	changed    chan struct{}
 	lost       bool
 	// owners is who had which partition at ownersOf, read at ownersAt.
 	owners   map[journal.Partition]string
@@ -53,7 +52,7 @@
 
 // New returns a membership that asks for a share of the topics' partitions.
 func New(log journal.Journal, member string, topics []string, logger *zap.Logger) *Member {
-	return &Member{journal: log, member: member, topics: topics, logger: logger, changed: make(chan struct{})}
+	return &Member{journal: log, member: member, topics: topics, logger: logger}
 }
 
 // Partitions returns the partitions dealt to this daemon.
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -16,8 +16,6 @@
 	DeadlineMs string
 	// ExpectReplica is the id of the only replica that may run the request.
 	ExpectReplica string
-	// ReplicaID is the id of the replica that answers.
-	ReplicaID string
 	// NotExecuted marks an answer whose request was not run.
 	NotExecuted string
 	// Stamp is a replica's signature under its answer.
@@ -26,10 +24,6 @@
 	LastEventID string
 	// Versions is the version of the weights that made an answer.
 	Versions string
-	// ExpectVersion is the only version of the weights that may run the request.
-	ExpectVersion string
-	// Priority is the rank of a request at an engine, 0 the most urgent.
-	Priority string
 	// TokenUsage is the size of a prompt and of the longest answer, in tokens.
 	TokenUsage string
 	// LengthHint is the estimated length of the answer, in tokens.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -32,7 +32,7 @@
 	// retryAfter is when a refused client should come back, if nothing better
 	// is known.
 	retryAfter = 250 * time.Millisecond
-	// readyBodyChunk bounds one copy of an answer's rest, in bytes.
+	// copyBufferBytes bounds one copy of an answer's rest, in bytes.
 	copyBufferBytes = 32 << 10
 )
 
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -57,9 +57,8 @@
 		if !ok {
 			continue
 		}
-		for _, service := range found.Order(each.submission.ID)[:1] {
-			byService[service] = append(byService[service], each.startable(found, now)...)
-		}
+		service := found.Order(each.submission.ID)[0]
+		byService[service] = append(byService[service], each.startable(found, now)...)
 	}
 	for _, waiting := range byService {
 		sort.SliceStable(waiting, func(i, j int) bool { return before(waiting[i], waiting[j]) })
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -17,7 +17,6 @@
 	"woodworks/internal/forward"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
-	"woodworks/internal/upstream"
 )
 
 const (
@@ -148,14 +147,10 @@
 	switch {
 	case each.moved:
 		pause = 0
-	case errors.Is(cause, forward.ErrDeclined):
-		table.Busy(chosen.ID, declinedPause)
-	case errors.Is(cause, errTooOld):
+	case errors.Is(cause, forward.ErrDeclined), errors.Is(cause, errTooOld):
 		table.Busy(chosen.ID, declinedPause)
 	case errors.As(cause, &status):
 		dead = job.failureStatus(each, status.Status, found)
-	case errors.Is(cause, upstream.ErrNotSent):
-		table.Failed(chosen.ID)
 	default:
 		table.Failed(chosen.ID)
 	}
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -115,7 +115,7 @@
 	items := make([]*item, len(submission.Items))
 	for i := range submission.Items {
 		items[i] = &item{index: i, Item: submission.Items[i], header: headerOf(submission.Items[i].Headers)}
-		items[i].cost = expectedLength(items[i], runner)
+		items[i].cost = runner.expectedLength(items[i].header, items[i].Tokens)
 	}
 	rankItems(items)
 	return items
@@ -130,17 +130,18 @@
 	return header
 }
 
-// expectedLength is the number of tokens that an item's answer should have.
-func expectedLength(each *item, runner *Runner) int64 {
+// expectedLength is the number of tokens that an item's answer should have, by
+// its headers, or else by its tokens in all.
+func (runner *Runner) expectedLength(header http.Header, tokens int64) int64 {
 	names := runner.forwarder.Names
-	if hint, err := strconv.ParseInt(each.header.Get(names.LengthHint), 10, 64); err == nil && hint > 0 {
+	if hint, err := strconv.ParseInt(header.Get(names.LengthHint), 10, 64); err == nil && hint > 0 {
 		return hint
 	}
-	_, most, found := strings.Cut(each.header.Get(names.TokenUsage), ",")
+	_, most, found := strings.Cut(header.Get(names.TokenUsage), ",")
 	if longest, err := strconv.ParseInt(strings.TrimSpace(most), 10, 64); found && err == nil {
 		return longest
 	}
-	return each.Tokens
+	return tokens
 }
 
 // rankItems orders the items: the longest first, as they decide when the last
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -108,8 +108,8 @@
 // expectedWork is how many tokens a batch should make.
 func (runner *Runner) expectedWork(submission *batch.Submission) int64 {
 	work := int64(0)
-	for _, each := range makeItems(submission, runner) {
-		work += each.cost
+	for i := range submission.Items {
+		work += runner.expectedLength(headerOf(submission.Items[i].Headers), submission.Items[i].Tokens)
 	}
 	return work
 }
