Own log service with partitions, conditional appends, keyed values and groups; permits by records in the log

A first form held a mutex across reads and ignored the caller's context meanwhile; the test hung on it.

--- /dev/null
+++ b/internal/logservice/client.go
@@ -0,0 +1,140 @@
+package logservice
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/upstream"
+)
+
+const (
+	connectTimeout = time.Second
+	unackedTimeout = 1500 * time.Millisecond
+	// keyedPrefix starts the names of topics whose records have keys.
+	keyedPrefix = "keyed."
+)
+
+// Shape is what the settings tell of the service.
+type Shape struct {
+	Partitions  int
+	RecordBytes int
+	AppendBytes int
+}
+
+// Client is the service's client. It is safe for concurrent use.
+type Client struct {
+	pool  *upstream.Pool
+	addr  string
+	shape Shape
+}
+
+var _ journal.Journal = (*Client)(nil)
+
+// New returns a client of the service at addr. Its connections come from the IP
+// of local (IP:port), "" for any.
+func New(addr netip.AddrPort, local string, shape Shape) *Client {
+	options := upstream.Options{LocalAddress: local, ConnectTimeout: connectTimeout, UnackedTimeout: unackedTimeout}
+	return &Client{pool: upstream.NewPool(options), addr: addr.String(), shape: shape}
+}
+
+// call sends one call and decodes its answer.
+func call[Answer any](ctx context.Context, c *Client, name string, request any) (Answer, error) {
+	var answer Answer
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return answer, errors.Wrap(journal.ErrNotDone, err.Error())
+	}
+	resp, err := c.pool.Exchange(ctx, c.addr, &upstream.Request{
+		Method: http.MethodPost, Target: pathPrefix + name, Host: c.addr, Header: http.Header{"Content-Type": {contentType}}, Body: body,
+	})
+	if errors.Is(err, upstream.ErrNotSent) {
+		return answer, errors.Wrap(journal.ErrNotDone, err.Error())
+	}
+	if err != nil {
+		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
+	}
+	defer resp.Close()
+	content, err := io.ReadAll(resp)
+	if err != nil {
+		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
+	}
+	if resp.Status != http.StatusOK {
+		var refused refusal
+		if err := cbor.Unmarshal(content, &refused); err != nil {
+			return answer, errors.Wrapf(journal.ErrUnknown, "status %d", resp.Status)
+		}
+		return answer, refused.error()
+	}
+	if err := cbor.Unmarshal(content, &answer); err != nil {
+		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
+	}
+	return answer, nil
+}
+
+// none is an empty answer.
+type none struct{}
+
+// Append implements journal.Journal.
+func (c *Client) Append(ctx context.Context, request journal.Append) (journal.Appended, error) {
+	return call[journal.Appended](ctx, c, callAppend, request)
+}
+
+// Read implements journal.Journal.
+func (c *Client) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
+	return call[journal.Records](ctx, c, callRead, request)
+}
+
+// Newest implements journal.Journal.
+func (c *Client) Newest(ctx context.Context, p journal.Partition, afterKey string) (journal.KeyedPage, error) {
+	return call[journal.KeyedPage](ctx, c, callNewest, newestRequest{Partition: p, AfterKey: afterKey})
+}
+
+// Join implements journal.Journal.
+func (c *Client) Join(ctx context.Context, request journal.Join) (journal.Assignment, error) {
+	return call[journal.Assignment](ctx, c, callJoin, request)
+}
+
+// Leave implements journal.Journal.
+func (c *Client) Leave(ctx context.Context, group, member string) error {
+	_, err := call[none](ctx, c, callLeave, memberRequest{Group: group, Member: member})
+	return err
+}
+
+// Owners implements journal.Journal.
+func (c *Client) Owners(ctx context.Context, group string) ([]journal.Ownership, error) {
+	return call[[]journal.Ownership](ctx, c, callOwners, memberRequest{Group: group})
+}
+
+// SplitKeyed implements journal.Journal.
+func (c *Client) SplitKeyed(record []byte) (journal.KeyedRecord, error) {
+	if len(record) == 0 || len(record) < 1+int(record[0]) {
+		return journal.KeyedRecord{}, errors.New("log service: keyed record too short")
+	}
+	end := 1 + int(record[0])
+	return journal.KeyedRecord{Key: string(record[1:end]), Value: record[end:]}, nil
+}
+
+// JoinKeyed implements journal.Journal.
+func (c *Client) JoinKeyed(record journal.KeyedRecord) []byte {
+	joined := append([]byte{byte(len(record.Key))}, record.Key...)
+	return append(joined, record.Value...)
+}
+
+// KeyedTopic implements journal.Journal.
+func (c *Client) KeyedTopic(name string) string { return keyedPrefix + name }
+
+// PartitionsPerTopic implements journal.Journal.
+func (c *Client) PartitionsPerTopic() int { return c.shape.Partitions }
+
+// MaxRecordBytes implements journal.Journal.
+func (c *Client) MaxRecordBytes() int { return c.shape.RecordBytes }
+
+// MaxAppendBytes implements journal.Journal.
+func (c *Client) MaxAppendBytes() int { return c.shape.AppendBytes }
--- /dev/null
+++ b/internal/logservice/handler.go
@@ -0,0 +1,81 @@
+package logservice
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"woodworks/internal/journal"
+)
+
+// Handler serves a journal under the protocol of this package.
+type Handler struct{ Journal journal.Journal }
+
+// ServeHTTP implements http.Handler.
+func (h Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name, ours := strings.CutPrefix(r.URL.Path, pathPrefix)
+	if !ours || r.Method != http.MethodPost {
+		http.NotFound(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	j := h.Journal
+	switch name {
+	case callAppend:
+		answer(w, r, body, j.Append)
+	case callRead:
+		answer(w, r, body, j.Read)
+	case callNewest:
+		answer(w, r, body, func(ctx context.Context, asked newestRequest) (journal.KeyedPage, error) {
+			return j.Newest(ctx, asked.Partition, asked.AfterKey)
+		})
+	case callJoin:
+		answer(w, r, body, j.Join)
+	case callLeave:
+		answer(w, r, body, func(ctx context.Context, asked memberRequest) (none, error) {
+			return none{}, j.Leave(ctx, asked.Group, asked.Member)
+		})
+	case callOwners:
+		answer(w, r, body, func(ctx context.Context, asked memberRequest) ([]journal.Ownership, error) {
+			return j.Owners(ctx, asked.Group)
+		})
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// answer decodes a call, does it and writes what came of it. A call whose
+// outcome is unknown gets no answer: the connection is cut.
+func answer[Request, Answer any](w http.ResponseWriter, r *http.Request, body []byte, do func(context.Context, Request) (Answer, error)) {
+	var asked Request
+	if err := cbor.Unmarshal(body, &asked); err != nil {
+		write(w, http.StatusBadRequest, refusal{Reason: reasonNotDone, Text: "body: " + err.Error()})
+		return
+	}
+	done, err := do(r.Context(), asked)
+	if err == nil {
+		write(w, http.StatusOK, done)
+		return
+	}
+	refused, certain := refusalOf(err)
+	if !certain {
+		panic(http.ErrAbortHandler)
+	}
+	write(w, http.StatusConflict, refused)
+}
+
+func write(w http.ResponseWriter, status int, value any) {
+	encoded, err := cbor.Marshal(value)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(status)
+	_, _ = w.Write(encoded)
+}
--- /dev/null
+++ b/internal/logservice/logservice_test.go
@@ -0,0 +1,140 @@
+package logservice
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+)
+
+// serve returns a client of a journal in memory behind a listener.
+func serve(t *testing.T) (*Client, *journaltest.Journal) {
+	t.Helper()
+	log := journaltest.New()
+	server := httptest.NewServer(Handler{Journal: log})
+	t.Cleanup(server.Close)
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return New(addr, "", Shape{Partitions: 2, RecordBytes: 1 << 16, AppendBytes: 1 << 20}), log
+}
+
+func bounded(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestRecordsComeBackAsTheyWereAppended(t *testing.T) {
+	is := is.New(t)
+	client, _ := serve(t)
+	ctx := context.Background()
+	p := journal.Partition{Topic: "t", Number: 1}
+	appended, err := client.Append(ctx, journal.Append{Partition: p, Records: [][]byte{[]byte("a"), {}, []byte("c")}})
+	is.NoErr(err)
+	is.Equal(appended, journal.Appended{Offset: 0, End: 3})
+	read, err := client.Read(ctx, journal.Read{Partition: p, From: 1})
+	is.NoErr(err)
+	is.Equal(read.End, int64(3))
+	is.Equal(len(read.Records), 2)
+	is.Equal(string(read.Records[1]), "c")
+}
+
+func TestAConditionalAppendFindsAnotherEnd(t *testing.T) {
+	is := is.New(t)
+	client, log := serve(t)
+	p := journal.Partition{Topic: "t"}
+	end := int64(1)
+	_, err := client.Append(context.Background(), journal.Append{Partition: p, Records: [][]byte{[]byte("a")}, ExpectedEnd: &end})
+	is.True(errors.Is(err, journal.ErrPosition))
+	is.Equal(len(log.Records(p)), 0)
+}
+
+func TestTrimmedOffsetsNameTheFirstKept(t *testing.T) {
+	is := is.New(t)
+	client, log := serve(t)
+	p := journal.Partition{Topic: "t"}
+	_, err := client.Append(context.Background(), journal.Append{Partition: p, Records: [][]byte{[]byte("a"), []byte("b")}})
+	is.NoErr(err)
+	log.Trim(p, 1)
+	_, err = client.Read(context.Background(), journal.Read{Partition: p})
+	var trimmed *journal.TrimmedError
+	is.True(errors.As(err, &trimmed))
+	is.Equal(trimmed.First, int64(1))
+}
+
+func TestNewestValuesByKey(t *testing.T) {
+	is := is.New(t)
+	client, _ := serve(t)
+	p := journal.Partition{Topic: client.KeyedTopic("k")}
+	for _, value := range []string{"1", "2"} {
+		record := client.JoinKeyed(journal.KeyedRecord{Key: "a", Value: []byte(value)})
+		_, err := client.Append(context.Background(), journal.Append{Partition: p, Records: [][]byte{record}})
+		is.NoErr(err)
+	}
+	page, err := client.Newest(context.Background(), p, "")
+	is.NoErr(err)
+	is.Equal(len(page.Records), 1)
+	is.Equal(string(page.Records[0].Value), "2")
+	is.Equal(page.Records[0].Offset, int64(1))
+}
+
+func TestMembersShareThePartitions(t *testing.T) {
+	is := is.New(t)
+	client, _ := serve(t)
+	ctx := context.Background()
+	for _, member := range []string{"a", "b"} {
+		_, err := client.Join(ctx, journal.Join{Group: "g", Member: member, Topics: []string{"t"}, Lifetime: time.Minute})
+		is.NoErr(err)
+	}
+	owners, err := client.Owners(ctx, "g")
+	is.NoErr(err)
+	is.Equal(len(owners), 2)
+	is.True(owners[0].Member != owners[1].Member)
+	is.NoErr(client.Leave(ctx, "g", "a"))
+}
+
+// What a call without an answer did is not known; a refused one did nothing.
+func TestErrorsSayWhatIsCertain(t *testing.T) {
+	cases := []struct {
+		fault journaltest.Fault
+		want  error
+	}{
+		{journaltest.Refuse, journal.ErrNotDone},
+		{journaltest.LoseAnswer, journal.ErrUnknown},
+		{journaltest.Late, journal.ErrUnknown},
+		{journaltest.Hang, journal.ErrUnknown},
+	}
+	for _, one := range cases {
+		is := is.New(t)
+		client, log := serve(t)
+		log.Befall = func(journaltest.Call) journaltest.Fault { return one.fault }
+		_, err := client.Append(bounded(t), journal.Append{Partition: journal.Partition{Topic: "t"}, Records: [][]byte{[]byte("a")}})
+		is.True(errors.Is(err, one.want))
+	}
+}
+
+func TestAServiceThatIsNotThereTookNothing(t *testing.T) {
+	is := is.New(t)
+	client := New(netip.MustParseAddrPort("127.0.0.1:1"), "", Shape{})
+	_, err := client.Append(bounded(t), journal.Append{Partition: journal.Partition{Topic: "t"}})
+	is.True(errors.Is(err, journal.ErrNotDone))
+}
+
+func TestMalformedCallsAreRefused(t *testing.T) {
+	is := is.New(t)
+	log := journaltest.New()
+	recorded := httptest.NewRecorder()
+	Handler{Journal: log}.ServeHTTP(recorded, httptest.NewRequest("POST", pathPrefix+callAppend, strings.NewReader("no cbor")))
+	is.Equal(recorded.Code, 400)
+	recorded = httptest.NewRecorder()
+	Handler{Journal: log}.ServeHTTP(recorded, httptest.NewRequest("GET", pathPrefix+callAppend, nil))
+	is.Equal(recorded.Code, 404)
+}
--- /dev/null
+++ b/internal/permit/fold.go
@@ -0,0 +1,86 @@
+package permit
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// kind says what a record tells.
+type kind int
+
+const (
+	kindClaim kind = iota + 1
+	kindOutcome
+)
+
+// record is one record of a permit partition.
+type record struct {
+	Kind     kind   `cbor:"1,keyasint"`
+	Key      string `cbor:"2,keyasint"`
+	Claimant string `cbor:"3,keyasint"`
+	// Digest is that of the request's content, for a claim.
+	Digest uint64 `cbor:"4,keyasint,omitempty"`
+	// AtMs is the claimant's time of day, in milliseconds.
+	AtMs    int64   `cbor:"5,keyasint"`
+	Outcome Outcome `cbor:"6,keyasint,omitempty"`
+}
+
+func (r record) encode() []byte {
+	encoded, err := cbor.Marshal(r)
+	if err != nil {
+		panic(err) // a record is always encodable
+	}
+	return encoded
+}
+
+// Outcome is what the request's one run came to.
+type Outcome struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+	Body        []byte `cbor:"3,keyasint"`
+	// Replica is the back end that ran the request.
+	Replica string `cbor:"4,keyasint"`
+}
+
+// holding is what is known of one key.
+type holding struct {
+	claimant string
+	digest   uint64
+	at       time.Time
+	outcome  *Outcome
+}
+
+// state is the fold of one partition: of the claims of a key the first counts,
+// of the outcomes the first that its claimant gave.
+type state map[string]*holding
+
+// apply folds the next record. One that is malformed or comes too late changes
+// nothing, for every reader alike.
+func (s state) apply(encoded []byte) {
+	var r record
+	if cbor.Unmarshal(encoded, &r) != nil || r.Key == "" || r.Claimant == "" {
+		return
+	}
+	held := s[r.Key]
+	switch r.Kind {
+	case kindClaim:
+		if held == nil {
+			s[r.Key] = &holding{claimant: r.Claimant, digest: r.Digest, at: time.UnixMilli(r.AtMs)}
+		}
+	case kindOutcome:
+		if held != nil && held.claimant == r.Claimant && held.outcome == nil {
+			outcome := r.Outcome
+			held.outcome = &outcome
+		}
+	}
+}
+
+// forget drops the keys that were claimed before a time.
+func (s state) forget(before time.Time) {
+	for key, held := range s {
+		if held.at.Before(before) {
+			delete(s, key)
+		}
+	}
+}
