--- a/cmd/woodworks/main.go
+++ b/cmd/woodworks/main.go
@@ -8,7 +8,12 @@
 	"os"
 
 	"woodworks/internal/cli"
+	"woodworks/internal/settings"
+	"woodworks/internal/standalone"
 	"woodworks/platform"
 )
 
-func main() { os.Exit(cli.Main(os.Args[1:], platform.Connect, os.Stdout, os.Stderr)) }
+func main() {
+	drivers := cli.Drivers{settings.DriverStore: platform.Connect, settings.DriverLog: standalone.Connect}
+	os.Exit(cli.Main(os.Args[1:], drivers, os.Stdout, os.Stderr))
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,7 +59,6 @@
 	region       string
 	listenPublic string
 	listenIntern string
-	listenPeer   string
 	logLevel     string
 	server       string
 	key          string
@@ -72,7 +71,7 @@
 	version      uint64
 	machine      string
 	undo         bool
-	connect      node.Connect
+	drivers      Drivers
 	explainID    string
 	logFiles     []string
 	stdout       io.Writer
@@ -90,10 +89,12 @@
 	keyVariable   = "WOODWORKS_KEY"
 )
 
-// Main runs the command line and returns the exit code. Connect makes the
-// drivers of the platform; without it only the product's own services are there.
-func Main(arguments []string, connect node.Connect, stdout, stderr io.Writer) int {
-	chosen := &options{connect: connect, server: defaultServer, output: "text", key: os.Getenv(keyVariable), stdout: stdout, stderr: stderr}
+// Drivers are the platforms that this build knows, by their name in the settings.
+type Drivers map[string]node.Connect
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string, drivers Drivers, stdout, stderr io.Writer) int {
+	chosen := &options{drivers: drivers, server: defaultServer, output: "text", key: os.Getenv(keyVariable), stdout: stdout, stderr: stderr}
 	parser := flaggy.NewParser("woodworks")
 	parser.Description = "a rollout service for reinforcement learning"
 	parser.Version = Version
@@ -168,7 +169,6 @@
 	serve.String(&chosen.region, "", "region", "region, over the file")
 	serve.String(&chosen.listenPublic, "", "listen-public", "public IP:port, over the file")
 	serve.String(&chosen.listenIntern, "", "listen-internal", "internal IP:port, over the file")
-	serve.String(&chosen.listenPeer, "", "listen-peer", "peer IP:port, over the file")
 	serve.String(&chosen.logLevel, "", "log-level", "debug, info, warn or error, over the file")
 	parser.AttachSubcommand(serve, 1)
 
@@ -186,11 +186,6 @@
 	remoteFlags(drain, chosen)
 	parser.AttachSubcommand(drain, 1)
 
-	gone := leaf("gone", "state that a daemon's run is over for good", "woodworks gone d1#18ed60265bdbbfe4")
-	gone.AddPositionalValue(&chosen.machine, "daemon", 1, true, "node identity, as status shows it")
-	remoteFlags(gone, chosen)
-	parser.AttachSubcommand(gone, 1)
-
 	why := leaf("explain", "tell from logs what befell a request, item, batch or replica", "woodworks explain 9c41d07be2a35f68 --log edge-1.log --log edge-2.log")
 	why.AddPositionalValue(&chosen.explainID, "id", 1, true, "id as it stands in the logs")
 	why.StringSlice(&chosen.logFiles, "l", "log", "log file; without one, standard input is read")
@@ -198,7 +193,7 @@
 
 	version := leaf("version", "print the release", "")
 	parser.AttachSubcommand(version, 1)
-	return append(commands, command{status, runStatus}, command{drain, runDrain}, command{gone, runGone}, command{why, runExplain}, command{version, runVersion})
+	return append(commands, command{status, runStatus}, command{drain, runDrain}, command{why, runExplain}, command{version, runVersion})
 }
 
 func attachPolicy(parser *flaggy.Parser, chosen *options) []command {
@@ -206,7 +201,7 @@
 	check := leaf("check", "compile a policy and say what is wrong", "woodworks policy check assessor.star")
 	test := leaf("test", "run a policy's test_* functions offline", "woodworks policy test assessor.star")
 	publish := leaf("publish", "publish a policy on the log", "woodworks policy publish assessor.star --name assessor --replaces 12")
-	history := leaf("history", "show what became of published policies", "woodworks policy history")
+	history := leaf("history", "show the changes that the log still has", "woodworks policy history")
 	diff := leaf("diff", "compare a file with the policy in force", "woodworks policy diff assessor.star --name assessor")
 	for _, node := range []*flaggy.Subcommand{check, test, publish, diff} {
 		node.AddPositionalValue(&chosen.file, "file", 1, true, "policy source (Starlark)")
@@ -215,7 +210,7 @@
 		node.String(&chosen.documentName, "", "name", "document name; by default the file's name without .star")
 		remoteFlags(node, chosen)
 	}
-	publish.String(&chosen.replaces, "", "replaces", "offset of the version this replaces; by default the one in force")
+	publish.String(&chosen.replaces, "", "replaces", "version of the document that this replaces; by default the one in force")
 	remoteFlags(history, chosen)
 	test.String(&chosen.output, "o", "output", "text or json")
 	for _, node := range []*flaggy.Subcommand{check, test, publish, history, diff} {
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -15,9 +17,8 @@
 
 	"github.com/pkg/errors"
 
-	"woodworks/internal/catalog"
 	"woodworks/internal/client"
-	"woodworks/internal/daemon"
+	"woodworks/internal/gateway"
 	"woodworks/internal/operator"
 	"woodworks/internal/policy"
 	"woodworks/internal/rollout"
@@ -97,16 +98,16 @@
 		return err
 	}
 	body := struct {
-		Name     string  `json:"name"`
-		Source   string  `json:"source"`
-		Replaces *uint64 `json:"replaces,omitempty"`
+		Name     string `json:"name"`
+		Source   string `json:"source"`
+		Replaces *int64 `json:"replaces,omitempty"`
 	}{Name: chosen.nameOfDocument(), Source: source}
 	if chosen.replaces != "" {
-		offset, err := strconv.ParseUint(chosen.replaces, 10, 64)
+		version, err := strconv.ParseInt(chosen.replaces, 10, 64)
 		if err != nil {
-			return usagef("--replaces: %q is not an offset", chosen.replaces)
+			return usagef("--replaces: %q is not a version", chosen.replaces)
 		}
-		body.Replaces = &offset
+		body.Replaces = &version
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
 	defer cancel()
@@ -115,25 +116,14 @@
 		return err
 	}
 	return chosen.print(publication, func(writer io.Writer) {
-		_, _ = fmt.Fprintf(writer, "policy %s is in force at offset %d\n", body.Name, publication.Offset)
+		_, _ = fmt.Fprintf(writer, "policy %s is in force as version %d\n", body.Name, publication.Version)
 	})
 }
 
-// policies is the answer to GET /v1/policies.
-type policies struct {
-	Offset    uint64 `json:"offset"`
-	Documents []struct {
-		Name   string `json:"name"`
-		Offset uint64 `json:"offset"`
-		Source string `json:"source"`
-	} `json:"documents"`
-	History []catalog.HistoryEntry `json:"history"`
-}
-
-func (chosen *options) fetchPolicies() (policies, error) {
+func (chosen *options) fetchPolicies() (gateway.PolicyList, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
 	defer cancel()
-	var fetched policies
+	var fetched gateway.PolicyList
 	err := chosen.client().JSON(ctx, http.MethodGet, "/v1/policies", nil, &fetched)
 	return fetched, err
 }
@@ -145,9 +135,9 @@
 	}
 	return chosen.print(fetched.History, func(writer io.Writer) {
 		table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
-		_, _ = fmt.Fprintln(table, "OFFSET\tNAME\tAUTHOR\tREPLACES\tVERDICT\tREASON")
-		for _, entry := range fetched.History {
-			_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%s\t%s\n", entry.Offset, entry.Name, entry.Author, entry.Replaces, entry.Verdict, entry.Reason)
+		_, _ = fmt.Fprintln(table, "VERSION\tDOCUMENT\tAUTHOR")
+		for _, change := range fetched.History {
+			_, _ = fmt.Fprintf(table, "%d\t%s\t%s\n", change.Version, change.Changed, change.Author)
 		}
 		_ = table.Flush()
 	})
@@ -181,27 +171,23 @@
 func runStatus(chosen *options) error {
 	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
 	defer cancel()
-	var status daemon.Status
+	var status gateway.Status
 	if err := chosen.client().JSON(ctx, http.MethodGet, "/v1/status", nil, &status); err != nil {
 		return err
 	}
 	return chosen.print(status, func(writer io.Writer) { printStatus(writer, status) })
 }
 
-func printStatus(writer io.Writer, status daemon.Status) {
+func printStatus(writer io.Writer, status gateway.Status) {
 	table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintf(table, "daemon\t%s\tzone %s\tregion %s\n", status.ID, status.Zone, status.Region)
-	_, _ = fmt.Fprintf(table, "configuration\toffset %d\tconfirmed %s ago\tepoch %d\n", status.ConfigOffset, status.ConfirmedAgo, status.Epoch)
-	_, _ = fmt.Fprintf(table, "work\t%d in flight\t%d chunks, %d generated here\t%d records\n", status.InFlight, status.Chunks, status.ActiveChunks, status.Records)
-	for _, trainer := range status.Trainers {
-		_, _ = fmt.Fprintf(table, "trainer\t%s\tversion %d\t\n", trainer.Name, trainer.Version)
-	}
-	for _, member := range status.Members {
-		_, _ = fmt.Fprintf(table, "member\t%s\t%s\t%s leaving=%t gone=%t\n", member.ID, member.Zone, member.Health, member.Leaving, member.Gone)
+	_, _ = fmt.Fprintf(table, "daemon\t%s\tready=%t\t%s\n", status.Daemon, status.Ready, status.Reason)
+	age := time.Duration(status.ConfigurationAgeMs) * time.Millisecond
+	_, _ = fmt.Fprintf(table, "configuration\tversion %d\tconfirmed %s ago\t\n", status.ConfigurationVersion, age)
+	for _, model := range slices.Sorted(maps.Keys(status.Named)) {
+		_, _ = fmt.Fprintf(table, "weights\t%s\tversion %d\t\n", model, status.Named[model])
 	}
-	for _, replica := range status.Replicas {
-		_, _ = fmt.Fprintf(table, "replica\t%s\t%s\tusable=%t leaving=%t version=%d load=%d/%d\n",
-			replica.Machine, replica.Service, replica.Usable, replica.Leaving, replica.Version, replica.Load, replica.Slots)
+	for _, each := range status.Replicas {
+		_, _ = fmt.Fprintf(table, "replica\t%s\t%s\tdraining=%t in_flight=%d versions=%v\n", each.ID, each.Service, each.Draining, each.InFlight, each.Versions)
 	}
 	_ = table.Flush()
 }
@@ -225,18 +211,6 @@
 	})
 }
 
-func runGone(chosen *options) error {
-	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
-	defer cancel()
-	body := struct {
-		Daemon string `json:"daemon"`
-	}{chosen.machine}
-	if err := chosen.client().JSON(ctx, http.MethodPost, "/v1/gone", body, nil); err != nil {
-		return err
-	}
-	return chosen.print(body, func(writer io.Writer) { _, _ = fmt.Fprintf(writer, "%s is taken to be gone\n", chosen.machine) })
-}
-
 func runRolloutSubmit(chosen *options) error {
 	source, err := chosen.readFile()
 	if err != nil {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"woodworks/internal/daemon"
 	"woodworks/internal/logging"
 	"woodworks/internal/node"
 	"woodworks/internal/settings"
@@ -37,7 +36,6 @@
 	override(chosen.region, &loaded.Region)
 	override(chosen.listenPublic, &loaded.Listen.Public)
 	override(chosen.listenIntern, &loaded.Listen.Internal)
-	override(chosen.listenPeer, &loaded.Listen.Peer)
 	override(chosen.logLevel, &loaded.Log.Level)
 	return loaded, withCode(ExitUsage, together(fileFaults, loaded.Check()))
 }
@@ -68,45 +66,28 @@
 	if err != nil {
 		return err
 	}
-	stops := make(chan os.Signal, 2)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
-	if loaded.Platform.Driver == settings.DriverStore {
-		return serveHosted(chosen, loaded, logger, stops)
-	}
-	running, err := daemon.New(loaded, logger)
-	if err != nil {
-		return err
-	}
-	if err := running.Start(); err != nil {
-		return err
-	}
-	received := <-stops
-	logger.Info("signal", zap.String("signal", received.String()))
-	done := make(chan error, 1)
-	go func() { done <- running.Stop() }()
-	select {
-	case err := <-done:
-		return err
-	case <-stops:
-		return errors.New("stopped at once by a second signal; requests in flight were cut off")
-	}
+	return serveDaemon(chosen, loaded, logger)
 }
 
 // memoryShare is the part of the memory bound that the heap may fill before
 // collecting gets eager.
 const memoryShare = 0.7
 
-// serveHosted runs a daemon on a platform whose store keeps all that lasts.
-func serveHosted(chosen *options, loaded settings.Settings, logger *zap.Logger, stops <-chan os.Signal) error {
-	if chosen.connect == nil {
+// serveDaemon runs a daemon until it is told to stop. A second signal while it
+// stops ends it at once.
+func serveDaemon(chosen *options, loaded settings.Settings, logger *zap.Logger) error {
+	connect := chosen.drivers[loaded.Platform.Driver]
+	if connect == nil {
 		return usagef("platform.driver: this build has no driver %q", loaded.Platform.Driver)
 	}
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	if loaded.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.Limits.MemoryMB) * (1 << 20)))
 	}
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	running, err := node.New(loaded, chosen.connect, logger)
+	running, err := node.New(loaded, connect, logger)
 	if err != nil {
 		return err
 	}
@@ -117,15 +98,29 @@
 		select {
 		case received := <-stops:
 			logger.Info("signal", zap.String("signal", received.String()))
-			running.Stop()
-			_ = logger.Sync()
-			return nil
+			return stop(running, logger, stops)
 		case <-reloads:
 			reload(chosen, loaded, logger)
 		}
 	}
 }
 
+// stop ends a daemon by plan.
+func stop(running *node.Node, logger *zap.Logger, stops <-chan os.Signal) error {
+	done := make(chan struct{})
+	go func() {
+		running.Stop()
+		close(done)
+	}()
+	select {
+	case <-done:
+		_ = logger.Sync()
+		return nil
+	case <-stops:
+		return errors.New("stopped at once by a second signal; requests in flight were cut off")
+	}
+}
+
 // reload checks the settings file again. What a running daemon stands on
 // cannot change; the line says what would after a restart.
 func reload(chosen *options, loaded settings.Settings, logger *zap.Logger) {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -13,13 +13,20 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"woodworks/internal/calls"
 	"woodworks/internal/gateway"
 	"woodworks/internal/rollout"
 )
 
+// serviceName is the name under which httpc knows all our clients.
+const serviceName = "woodworks"
+
+// httpc's circuit breaker keeps state by name and refuses by chance: a daemon
+// that is away would make calls to the others fail.
+func init() { breaker.NoBreakerFor(serviceName) }
+
 // ErrNoAnswer means that no whole answer came. The request may have run.
 var ErrNoAnswer = errors.New("client: no whole answer")
 
@@ -45,7 +52,7 @@
 func New(base, key string) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
 	httpClient := &http.Client{Transport: transport}
-	return &Client{base: base, key: key, service: httpc.NewServiceWithClient("woodworks", httpClient)}
+	return &Client{base: base, key: key, service: httpc.NewServiceWithClient(serviceName, httpClient)}
 }
 
 // Answer is one whole HTTP answer.
@@ -123,16 +130,6 @@
 	return problem, found
 }
 
-// StreamLine is one line of a streamed sample.
-type StreamLine struct {
-	Version  uint64            `json:"version"`
-	Tokens   []uint32          `json:"tokens"`
-	End      string            `json:"end"`
-	Total    int               `json:"total"`
-	Segments []rollout.Segment `json:"segments"`
-	Error    *gateway.Problem  `json:"error"`
-}
-
 // Sample is one streamed sample that came whole.
 type Sample struct {
 	Tokens   []uint32
@@ -168,7 +165,7 @@
 	var sample Sample
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	for {
-		var line StreamLine
+		var line gateway.SampleLine
 		if err := decoder.Decode(&line); err != nil {
 			return Sample{}, errors.Wrap(ErrNoAnswer, "stream without its last line")
 		}
@@ -187,37 +184,21 @@
 	}
 }
 
-// Submitted is the answer to a submitted batch.
-type Submitted struct {
-	Trainer string `json:"trainer"`
-	Name    string `json:"name"`
-	Samples int    `json:"samples"`
-	Cursor  string `json:"cursor"`
-}
-
 // Submit submits a batch.
-func (client *Client) Submit(ctx context.Context, request rollout.Request) (Submitted, error) {
-	var answer Submitted
+func (client *Client) Submit(ctx context.Context, request rollout.Request) (gateway.Submitted, error) {
+	var answer gateway.Submitted
 	err := client.JSON(ctx, http.MethodPost, "/v1/rollouts", request, &answer)
 	return answer, err
 }
 
-// Pulled is the answer to a pull.
-type Pulled struct {
-	Samples []rollout.Result `json:"samples"`
-	Cursor  string           `json:"cursor"`
-	Open    int              `json:"open"`
-	Done    bool             `json:"done"`
-}
-
 // Pull asks for samples after a cursor.
-func (client *Client) Pull(ctx context.Context, trainer, name, cursor string, version uint64, limit int, wait time.Duration) (Pulled, error) {
+func (client *Client) Pull(ctx context.Context, trainer, name, cursor string, version uint64, limit int, wait time.Duration) (gateway.Pulled, error) {
 	query := url.Values{}
 	query.Set("cursor", cursor)
 	query.Set("training_version", strconv.FormatUint(version, 10))
 	query.Set("max", strconv.Itoa(limit))
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	var answer Pulled
+	var answer gateway.Pulled
 	path := "/v1/rollouts/" + url.PathEscape(trainer) + "/" + url.PathEscape(name) + "/samples?" + query.Encode()
 	err := client.JSON(ctx, http.MethodGet, path, nil, &answer)
 	return answer, err
@@ -234,7 +215,7 @@
 
 // Call calls an operation of a plain service. The result says what became of
 // it; with ErrNoAnswer that is not known.
-func (client *Client) Call(ctx context.Context, service, operation, requestKey string, body []byte) (Answer, calls.Result, error) {
+func (client *Client) Call(ctx context.Context, service, operation, requestKey string, body []byte) (Answer, gateway.Outcome, error) {
 	header := http.Header{}
 	header.Set("Content-Type", "application/json")
 	if requestKey != "" {
@@ -243,7 +224,7 @@
 	path := "/v1/services/" + url.PathEscape(service) + "/" + url.PathEscape(operation)
 	answer, err := client.Do(ctx, http.MethodPost, path, header, body)
 	if err != nil {
-		return Answer{}, calls.Unknown, err
+		return Answer{}, gateway.Unknown, err
 	}
-	return answer, calls.Result(answer.Header.Get(gateway.OutcomeHeader)), nil
+	return answer, gateway.Outcome(answer.Header.Get(gateway.OutcomeHeader)), nil
 }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -1,374 +1,286 @@
-// Package delivery is the entry side of rollouts: any daemon takes in a batch,
-// spreads its chunks over their homes, and hands finished samples to the
-// trainer. It keeps nothing between two requests; what was delivered is in the
-// trainer's cursor.
+// Package delivery takes trainers' batches in and hands their samples over:
+// each once, none over the trainer's bound.
+//
+// A batch is a batch job of the ledger. What was handed over stands in the
+// trainer's own cursor, so that no daemon needs to remember it. A sample that
+// is too old when it is asked for is made again by a further job, a round; of
+// two daemons that ask for the same round the first counts.
+//
+// # Usage
+//
+//	header, err := desk.Submit(ctx, trainer, request)
+//	delivered, err := desk.Deliver(ctx, trainer, delivery.Pull{Cursor: rollout.NewCursor(header), Version: 7})
 package delivery
 
 import (
 	"context"
-	"sort"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
-	"woodworks/internal/announce"
-	"woodworks/internal/chunkhome"
-	"woodworks/internal/membership"
-	"woodworks/internal/peer"
-	"woodworks/internal/policy"
+	"woodworks/internal/batch"
+	"woodworks/internal/ledger"
 	"woodworks/internal/rollout"
+	"woodworks/internal/runner"
 )
 
 // Errors of this layer.
 var (
-	// ErrConflict means that another batch has the name.
-	ErrConflict = errors.New("delivery: the name belongs to a batch with other content")
-	// ErrUnknownBatch means that no daemon holds the batch, or a part of it.
-	ErrUnknownBatch = errors.New("delivery: no daemon holds this batch whole")
-	// ErrNotPlaced means that no chunk of the batch was taken in.
-	ErrNotPlaced = errors.New("delivery: the batch was not taken in")
-	// ErrPartlyPlaced means that some chunks were taken in and may run.
-	ErrPartlyPlaced = errors.New("delivery: the batch was taken in only in part")
+	// ErrConflict: the name is that of a batch of other content.
+	ErrConflict = errors.New("delivery: another batch has this name")
+	// ErrUnknownBatch: there is no such batch.
+	ErrUnknownBatch = errors.New("delivery: no such batch")
+	// ErrUnavailable: the journal did not answer; nothing was changed.
+	ErrUnavailable = errors.New("delivery: the journal did not answer")
+	// ErrUnsure: the batch may have been taken in.
+	ErrUnsure = errors.New("delivery: the batch may have been taken in")
+	// ErrTooManyRounds: samples became too old, or failed, in every round.
+	ErrTooManyRounds = errors.New("delivery: samples were not usable in any round")
 )
 
 const (
-	placeTimeout = 3 * time.Second
-	findTimeout  = time.Second
-	// holderTries is how many daemons in rank are asked for a chunk.
-	holderTries = 3
-	// awaitSlack is added to a wait before the call is given up.
-	awaitSlack = time.Second
-	// linger gathers results that finish close together into one answer.
-	linger = 15 * time.Millisecond
-	// placeConcurrency bounds the chunks placed at a time.
-	placeConcurrency = 16
+	// maxRounds bounds how often samples of a batch are made again.
+	maxRounds = 64
+	// catchUpTimeout bounds one read of the journal for a caller.
+	catchUpTimeout = 1500 * time.Millisecond
+	// submitTimeout bounds how long a batch is held while the journal does not
+	// answer.
+	submitTimeout = 2500 * time.Millisecond
+	// lookInterval bounds the time between two looks for results.
+	lookInterval = 500 * time.Millisecond
 )
 
-// Peers is what this package needs of the membership.
-type Peers interface {
-	Self() membership.Member
-	Serving() []membership.Member
-	Members() []membership.Member
+// Trainer is what the policy in force says of one trainer.
+type Trainer struct {
+	Name string
+	// Newest is the newest version that is named of the trainer's model.
+	Newest int64
+	// Accepts judges a sample by its oldest version while a version is trained.
+	Accepts func(oldest, trained int64) bool
 }
 
-// Policies gives the policies in force.
-type Policies interface{ Policy() *policy.Set }
+// lowest is the oldest version that the trainer accepts while it trains one.
+func (t Trainer) lowest(trained int64) int64 {
+	lowest := trained
+	for lowest > 1 && t.Accepts(lowest-1, trained) {
+		lowest--
+	}
+	return max(lowest, 1)
+}
+
+// Runner makes batch jobs exist.
+type Runner interface {
+	Accept(ctx context.Context, job *batch.Submission) error
+	End(ctx context.Context, jobID string) error
+}
 
-// Desk takes in batches and delivers samples. It is safe for concurrent use.
+// Desk is safe for concurrent use.
 type Desk struct {
-	peers    Peers
-	policies Policies
-	board    *announce.Board
-	home     *chunkhome.Home
-	pool     *peer.Pool
-	// chunkSamples is the size of the chunks of batches taken in here.
-	chunkSamples int
+	ledger *ledger.Ledger
+	runner Runner
+	names  rollout.ItemHeaders
+	logger *zap.Logger
 }
 
 // New returns a desk.
-func New(peers Peers, policies Policies, board *announce.Board, home *chunkhome.Home, pool *peer.Pool, chunkSamples int) *Desk {
-	return &Desk{peers: peers, policies: policies, board: board, home: home, pool: pool, chunkSamples: chunkSamples}
+func New(jobs *ledger.Ledger, run Runner, names rollout.ItemHeaders, logger *zap.Logger) *Desk {
+	return &Desk{ledger: jobs, runner: run, names: names, logger: logger}
 }
 
-// Submit takes in a checked request. Submitting the same request again is
-// harmless, also while it runs.
-func (desk *Desk) Submit(ctx context.Context, request rollout.Request) (rollout.Header, error) {
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+// Submit takes a checked batch in. The same batch may be submitted again.
+func (d *Desk) Submit(ctx context.Context, t Trainer, request rollout.Request) (rollout.Header, error) {
+	header := rollout.HeaderOf(request)
+	minVersion := max(t.lowest(t.Newest), int64(request.MinVersion))
+	job := rollout.First(request, header, minVersion, d.names)
+	job.AcceptedAtMs = time.Now().UnixMilli()
+	bounded, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	header := rollout.HeaderOf(request, desk.chunkSamples)
-	if existing, err := desk.Find(ctx, request.Trainer, request.Name); err == nil {
-		if existing.Digest != header.Digest {
-			return rollout.Header{}, ErrConflict
-		}
-		header = existing
-	}
-	// The first chunk settles who has the name before others are placed.
-	if err := desk.place(ctx, rollout.SpecOf(request, header, 0)); err != nil {
-		return rollout.Header{}, err
+	err := d.runner.Accept(bounded, job)
+	switch {
+	case errors.Is(err, runner.ErrNotDone):
+		return header, errors.Wrap(ErrUnavailable, err.Error())
+	case err != nil:
+		return header, errors.Wrap(ErrUnsure, err.Error())
 	}
-	if err := desk.placeRest(ctx, request, header); err != nil {
-		return rollout.Header{}, errors.Wrap(ErrPartlyPlaced, err.Error())
+	known, err := d.Find(ctx, header.Trainer, header.Name)
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		return header, errors.Wrap(ErrUnsure, err.Error())
+	case err != nil:
+		return header, err
+	case known.Digest != header.Digest:
+		return header, ErrConflict
 	}
+	d.logger.Info("batch taken in", zap.String("batch", job.ID), zap.Int("samples", header.Samples), zap.Int64("min_version", minVersion))
 	return header, nil
 }
 
-func (desk *Desk) placeRest(ctx context.Context, request rollout.Request, header rollout.Header) error {
-	tokens := make(chan struct{}, placeConcurrency)
-	failures := make(chan error, header.Chunks())
-	var placing sync.WaitGroup
-	for index := 1; index < header.Chunks(); index++ {
-		tokens <- struct{}{}
-		placing.Add(1)
-		go func() {
-			defer placing.Done()
-			defer func() { <-tokens }()
-			if err := desk.place(ctx, rollout.SpecOf(request, header, index)); err != nil {
-				failures <- err
-			}
-		}()
+// Find returns the header of a batch.
+func (d *Desk) Find(ctx context.Context, trainer, name string) (rollout.Header, error) {
+	first, err := d.job(ctx, rollout.JobID(trainer, name, 0))
+	if err != nil {
+		return rollout.Header{}, err
+	}
+	if first == nil {
+		return rollout.Header{}, ErrUnknownBatch
 	}
-	placing.Wait()
-	close(failures)
-	return <-failures
+	digest, _ := rollout.DigestOf(&first.Submission)
+	return rollout.Header{Trainer: trainer, Name: name, Digest: digest, Samples: len(first.Items)}, nil
 }
 
-// place gives a chunk to its home and to the holder of the copy. It succeeds
-// if two daemons hold it, or the only one there is.
-func (desk *Desk) place(ctx context.Context, spec rollout.ChunkSpec) error {
-	holders := chunkhome.Holders(spec.ID, desk.peers.Serving())
-	wanted := min(2, len(holders))
-	placed := 0
-	for _, holder := range holders {
-		reply, err := desk.placeAt(ctx, holder, spec)
-		if err == nil && reply.Conflict {
-			return ErrConflict
-		}
-		if err == nil && !reply.Full {
-			placed++
-		}
-		if placed == wanted {
-			return nil
-		}
+// End ends all rounds of a batch: no more samples are made.
+func (d *Desk) End(ctx context.Context, trainer, name string) error {
+	seen, err := d.look(ctx, trainer, name)
+	if err != nil {
+		return err
 	}
-	if placed == 0 {
-		return ErrNotPlaced
+	for round := range seen.rounds {
+		bounded, cancel := context.WithTimeout(ctx, submitTimeout)
+		err := d.runner.End(bounded, rollout.JobID(trainer, name, round))
+		cancel()
+		if err != nil {
+			return errors.Wrap(ErrUnavailable, err.Error())
+		}
 	}
-	// One holder is enough to go on; it copies the chunk when it can.
 	return nil
 }
 
-func (desk *Desk) placeAt(ctx context.Context, holder membership.Member, spec rollout.ChunkSpec) (chunkhome.PlaceReply, error) {
-	if holder.ID == desk.peers.Self().ID {
-		err := desk.home.Place(spec)
-		return chunkhome.PlaceReply{
-			Conflict: errors.Is(err, chunkhome.ErrConflict),
-			Full:     errors.Is(err, chunkhome.ErrFull),
-		}, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+// job returns a copy of a batch job as of now, or nil if there is none.
+func (d *Desk) job(ctx context.Context, id string) (*batch.Batch, error) {
+	partition := d.ledger.Of(id)
+	bounded, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	return ask[chunkhome.PlaceReply](ctx, desk, holder, "Place", spec)
+	if err := partition.CatchUp(bounded); err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	var found *batch.Batch
+	partition.View(func(state *batch.State) {
+		if known, ok := state.Get(id); ok {
+			copied := *known
+			found = &copied
+		}
+	})
+	return found, nil
 }
 
-func ask[Reply any](ctx context.Context, desk *Desk, holder membership.Member, method string, request any) (Reply, error) {
-	return peer.Ask[Reply](ctx, desk.pool, holder.Address, peer.Bulk, chunkhome.RPCName+"."+method, request)
+// sight is a batch as it stands.
+type sight struct {
+	first  *batch.Batch
+	rounds []rollout.Round
 }
 
-// holders returns the daemons that may hold a chunk: first those that should,
-// then leaving ones that may not have handed it over yet.
-func (desk *Desk) holders(id rollout.ChunkID) []membership.Member {
-	holders := chunkhome.Holders(id, desk.peers.Serving())
-	holders = holders[:min(holderTries, len(holders))]
-	for _, member := range desk.peers.Members() {
-		if member.Reachable() && member.Leaving {
-			holders = append(holders, member)
+// look reads all rounds of a batch.
+func (d *Desk) look(ctx context.Context, trainer, name string) (sight, error) {
+	var seen sight
+	for round := 0; ; round++ {
+		job, err := d.job(ctx, rollout.JobID(trainer, name, round))
+		if err != nil {
+			return sight{}, err
 		}
-	}
-	return holders
-}
-
-// Find returns the header of a batch.
-func (desk *Desk) Find(ctx context.Context, trainer, name string) (rollout.Header, error) {
-	first := rollout.ChunkID{Trainer: trainer, Name: name}
-	for _, holder := range desk.holders(first) {
-		if holder.ID == desk.peers.Self().ID {
-			if header, known := desk.home.Find(trainer, name); known {
-				return header, nil
-			}
-			continue
+		if job == nil {
+			break
 		}
-		callContext, cancel := context.WithTimeout(ctx, findTimeout)
-		reply, err := ask[chunkhome.FindReply](callContext, desk, holder, "Find", chunkhome.FindRequest{Trainer: trainer, Name: name})
-		cancel()
-		if err == nil && reply.Known {
-			return reply.Header, nil
+		if round == 0 {
+			seen.first = job
 		}
+		seen.rounds = append(seen.rounds, rollout.RoundOf(job))
+	}
+	if seen.first == nil {
+		return sight{}, ErrUnknownBatch
 	}
-	return rollout.Header{}, ErrUnknownBatch
+	return seen, nil
 }
 
-// Pull is a trainer's request for samples.
+// Pull asks for samples after a cursor.
 type Pull struct {
 	Cursor rollout.Cursor
-	// Version is the weight version that the trainer now trains.
-	Version uint64
-	// Limit is the most samples in one answer.
-	Limit int
-	Wait  time.Duration
+	// Version is the version that the trainer now trains, 0 for the newest named.
+	Version int64
+	Limit   int
+	Wait    time.Duration
 }
 
-// Delivery is the answer to a pull.
+// Delivery is what a pull got. The samples and the cursor belong together.
 type Delivery struct {
 	Samples []rollout.Result
-	// Cursor is what the next pull must carry to acknowledge these samples.
-	Cursor rollout.Cursor
-	// Open is how many samples of the batch the trainer still lacks after this.
+	Cursor  rollout.Cursor
+	// Open counts the samples that are still to come.
 	Open int
 }
 
-// Deliver waits for samples and returns them. It returns an empty delivery if
-// none became ready in time. The judgement by the policy is made again here,
-// right before the answer, as this daemon may have been paused since the home
-// made it.
-func (desk *Desk) Deliver(ctx context.Context, pull Pull) (Delivery, error) {
-	deadline := time.Now().Add(pull.Wait)
+// Deliver hands over samples, and waits for the first as long as the pull says.
+// Samples that became too old are made again.
+func (d *Desk) Deliver(ctx context.Context, t Trainer, pull Pull) (Delivery, error) {
+	end := time.Now().Add(pull.Wait)
+	trained := max(pull.Version, t.Newest, 1)
 	header := pull.Cursor.Header
-	empty := Delivery{Cursor: pull.Cursor, Open: header.Samples - pull.Cursor.Count()}
-	if empty.Open == 0 {
-		return empty, nil
-	}
 	for {
-		// A home that has not yet heard of a newer version learns it here.
-		announced, _ := desk.board.TrainerVersionOf(header.Trainer)
-		pull.Version = max(pull.Version, announced)
-		ready, err := desk.awaitAny(ctx, pull, time.Until(deadline))
+		seen, err := d.look(ctx, header.Trainer, header.Name)
 		if err != nil {
 			return Delivery{}, err
 		}
-		results := desk.acceptable(header, pull, desk.collect(ctx, pull, ready))
-		if len(results) > 0 {
-			return handOver(pull, results), nil
-		}
-		if ctx.Err() != nil || !time.Now().Before(deadline) {
-			return empty, nil
+		if digest, ok := rollout.DigestOf(&seen.first.Submission); !ok || digest != header.Digest || len(seen.first.Listed) != header.Samples {
+			return Delivery{}, ErrUnknownBatch
 		}
-	}
-}
-
-func handOver(pull Pull, results []rollout.Result) Delivery {
-	sort.Slice(results, func(i, j int) bool { return results[i].Index < results[j].Index })
-	indices := make([]int, len(results))
-	for i, result := range results {
-		indices[i] = result.Index
-	}
-	cursor := pull.Cursor.Take(indices...)
-	return Delivery{Samples: results, Cursor: cursor, Open: cursor.Header.Samples - cursor.Count()}
-}
-
-// acceptable keeps the results that the trainer lacks, may still be given, and
-// has not been given in this answer.
-func (desk *Desk) acceptable(header rollout.Header, pull Pull, results []rollout.Result) []rollout.Result {
-	announced, _ := desk.board.TrainerVersionOf(header.Trainer)
-	judge := chunkhome.Judge(desk.policies.Policy(), header.Trainer, 0, max(announced, pull.Version))
-	seen := map[int]bool{}
-	var kept []rollout.Result
-	for _, result := range results {
-		valid := result.Index >= 0 && result.Index < header.Samples
-		if !valid || seen[result.Index] || pull.Cursor.Taken(result.Index) || !judge(result.OldestVersion()) {
-			continue
+		plan := rollout.Plan(pull.Cursor, seen.rounds, func(oldest int64) bool { return t.Accepts(oldest, trained) }, pull.Limit)
+		if err := d.makeAgain(ctx, t, header, seen, plan.Again, trained); err != nil {
+			return Delivery{}, err
 		}
-		seen[result.Index] = true
-		kept = append(kept, result)
-	}
-	return kept
-}
-
-// located is a chunk with results, and where.
-type located struct {
-	id     rollout.ChunkID
-	holder membership.Member
-}
-
-// awaitAny waits until some chunk has results, and returns those that have. It
-// fails if a chunk with open samples is held nowhere.
-func (desk *Desk) awaitAny(ctx context.Context, pull Pull, wait time.Duration) ([]located, error) {
-	ctx, cancel := context.WithTimeout(ctx, max(wait, 0)+awaitSlack)
-	defer cancel()
-	header := pull.Cursor.Header
-	type answer struct {
-		found located
-		reply chunkhome.AwaitReply
-	}
-	answers := make(chan answer, header.Chunks())
-	asked := 0
-	for index := range header.Chunks() {
-		first, end := header.ChunkRange(index)
-		taken := pull.Cursor.TakenIn(index)
-		if len(taken) == end-first {
-			continue
+		if len(plan.Ready) > 0 || plan.Open == 0 || time.Now().After(end) {
+			return deliver(pull.Cursor, plan, seen.first), nil
 		}
-		asked++
-		go func() {
-			request := chunkhome.AwaitRequest{ID: header.ChunkID(index), Taken: taken, Version: pull.Version, Wait: max(wait, 0)}
-			holder, reply := desk.awaitChunk(ctx, request)
-			answers <- answer{found: located{id: request.ID, holder: holder}, reply: reply}
-		}()
-	}
-	var ready []located
-	unknown := 0
-	var lingerOver <-chan time.Time
-	for received := 0; received < asked; received++ {
-		select {
-		case got := <-answers:
-			if !got.reply.Known {
-				unknown++
-			}
-			if got.reply.Ready > 0 {
-				ready = append(ready, got.found)
-			}
-			if len(ready) == 1 && lingerOver == nil {
-				lingerOver = time.After(linger)
-			}
-		case <-lingerOver:
-			return ready, nil
+		if err := d.wait(ctx, header, len(seen.rounds)-1, end); err != nil {
+			return Delivery{}, errors.Wrap(ErrUnavailable, err.Error())
 		}
 	}
-	if len(ready) == 0 && unknown > 0 && ctx.Err() == nil {
-		return nil, ErrUnknownBatch
-	}
-	return ready, nil
 }
 
-// awaitChunk waits at the first daemon in rank that holds the chunk.
-func (desk *Desk) awaitChunk(ctx context.Context, request chunkhome.AwaitRequest) (membership.Member, chunkhome.AwaitReply) {
-	for _, holder := range desk.holders(request.ID) {
-		if holder.ID == desk.peers.Self().ID {
-			waitContext, cancel := context.WithTimeout(ctx, request.Wait)
-			ready, open, known := desk.home.Await(waitContext, request.ID, request.Taken, request.Version)
-			cancel()
-			if known {
-				return holder, chunkhome.AwaitReply{Known: true, Ready: ready, Open: open}
-			}
-			continue
-		}
-		reply, err := ask[chunkhome.AwaitReply](ctx, desk, holder, "Await", request)
-		if err == nil && reply.Known {
-			return holder, reply
-		}
+func deliver(cursor rollout.Cursor, plan rollout.Planned, first *batch.Batch) Delivery {
+	indices := make([]int, len(plan.Ready))
+	for i := range plan.Ready {
+		plan.Ready[i].Complete(&first.Submission)
+		indices[i] = plan.Ready[i].Index
 	}
-	return membership.Member{}, chunkhome.AwaitReply{}
+	return Delivery{Samples: plan.Ready, Cursor: cursor.Take(indices...), Open: plan.Open}
 }
 
-// collect fetches results from the chunks that have some.
-func (desk *Desk) collect(ctx context.Context, pull Pull, ready []located) []rollout.Result {
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	parts := make(chan []rollout.Result, len(ready))
-	for _, chunk := range ready {
-		go func() { parts <- desk.collectChunk(ctx, pull, chunk) }()
+// makeAgain asks for a further round. That another daemon asked first, or that
+// the journal did not answer, is seen at the next look.
+func (d *Desk) makeAgain(ctx context.Context, t Trainer, header rollout.Header, seen sight, samples []int, trained int64) error {
+	if len(samples) == 0 {
+		return nil
 	}
-	var results []rollout.Result
-	for range ready {
-		for _, result := range <-parts {
-			if len(results) < pull.Limit {
-				results = append(results, result)
-			}
-		}
+	if seen.first.Ended {
+		return errors.Wrap(ErrUnknownBatch, "the batch was ended")
+	}
+	round := len(seen.rounds)
+	if round > maxRounds {
+		return ErrTooManyRounds
 	}
-	return results
+	job := rollout.Next(&seen.first.Submission, header, round, samples, t.lowest(trained))
+	job.AcceptedAtMs = time.Now().UnixMilli()
+	bounded, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	err := d.runner.Accept(bounded, job)
+	d.logger.Info("samples made again", zap.String("batch", job.ID), zap.Int("samples", len(samples)), zap.Int64("trained", trained),
+		zap.Int64("min_version", job.MinVersion), zap.Error(err))
+	return nil
 }
 
-func (desk *Desk) collectChunk(ctx context.Context, pull Pull, chunk located) []rollout.Result {
-	taken := pull.Cursor.TakenIn(chunk.id.Index)
-	if chunk.holder.ID == desk.peers.Self().ID {
-		results, _ := desk.home.Collect(ctx, chunk.id, taken, pull.Version, pull.Limit)
-		return results
+// wait returns when the newest round has changed, after a while, or at the end
+// of the pull.
+func (d *Desk) wait(ctx context.Context, header rollout.Header, round int, end time.Time) error {
+	partition := d.ledger.Of(rollout.JobID(header.Trainer, header.Name, round))
+	release := partition.Follow()
+	defer release()
+	timer := time.NewTimer(min(time.Until(end), lookInterval))
+	defer timer.Stop()
+	select {
+	case <-partition.Changed():
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	request := chunkhome.CollectRequest{ID: chunk.id, Taken: taken, Version: pull.Version, Limit: pull.Limit}
-	reply, err := ask[chunkhome.CollectReply](ctx, desk, chunk.holder, "Collect", request)
-	if err != nil || reply.ID != chunk.id {
-		return nil
-	}
-	return reply.Results
+	return nil
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,6 +69,11 @@
 	MaxAttempts int
 	// Hedge allows a second replica to be asked while the first is silent.
 	Hedge bool
+	// HedgeAfter is when to do so, 0 for what its usual latency suggests.
+	HedgeAfter time.Duration
+	// MayRetry, if not nil, is asked before a further replica is offered the
+	// call, with the number of offers so far.
+	MayRetry func(offers int) bool
 }
 
 // Answer is a replica's whole answer, or its beginning with the rest to come.
@@ -158,11 +163,11 @@
 				run.drain(answer.Replica)
 				return answer, nil
 			}
-			if run.open == 0 && run.mayOffer() {
+			if run.open == 0 && run.mayRetry() {
 				hedge.Reset(run.offer(ctx))
 			}
 		case <-hedge.C:
-			if run.call.Hedge && run.mayOffer() {
+			if run.call.Hedge && run.mayRetry() {
 				hedge.Reset(run.offer(ctx))
 			}
 		case <-ctx.Done():
@@ -223,6 +228,11 @@
 	return run.call.Repeatable || run.offered+run.open == 0
 }
 
+// mayRetry reports whether another replica is asked now.
+func (run *running) mayRetry() bool {
+	return run.mayOffer() && (run.call.MayRetry == nil || run.call.MayRetry(run.offered+run.notRun+run.open))
+}
+
 // offer sends the call to the next replica, if there is one, and returns after
 // which time another should be asked as well.
 func (run *running) offer(ctx context.Context) time.Duration {
@@ -235,6 +245,9 @@
 	offerContext, cancel := context.WithCancel(ctx)
 	run.cancels[chosen.ID] = cancel
 	go func() { run.outcomes <- run.forwarder.attempt(offerContext, cancel, run.call, chosen) }()
+	if run.call.HedgeAfter > 0 {
+		return run.call.HedgeAfter
+	}
 	if chosen.Latency == 0 {
 		return firstHedge
 	}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -21,95 +21,99 @@
 
 // inFlight counts each caller's requests in this daemon.
 type inFlight struct {
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	counts map[string]int64
-	total  int64
-	idle   chan struct{}
 }
 
 func newInFlight() *inFlight { return &inFlight{counts: map[string]int64{}} }
 
-// enter counts a request in, unless the caller's bound is reached.
-func (counter *inFlight) enter(caller policy.Caller) bool {
-	counter.mutex.Lock()
-	defer counter.mutex.Unlock()
-	if caller.MaxInFlight > 0 && counter.counts[caller.Name] >= caller.MaxInFlight {
+// enter counts a request in, unless the bound is reached; a bound of 0 is none.
+func (f *inFlight) enter(name string, bound int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if bound > 0 && f.counts[name] >= bound {
 		return false
 	}
-	counter.counts[caller.Name]++
-	counter.total++
+	f.counts[name]++
 	return true
 }
 
-func (counter *inFlight) leave(caller policy.Caller) {
-	counter.mutex.Lock()
-	defer counter.mutex.Unlock()
-	counter.counts[caller.Name]--
-	if counter.counts[caller.Name] == 0 {
-		delete(counter.counts, caller.Name)
-	}
-	counter.total--
-	if counter.total == 0 && counter.idle != nil {
-		close(counter.idle)
-		counter.idle = nil
+func (f *inFlight) leave(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts[name]--
+	if f.counts[name] == 0 {
+		delete(f.counts, name)
 	}
 }
 
-// Total returns the requests now in flight.
-func (counter *inFlight) Total() int64 {
-	counter.mutex.Lock()
-	defer counter.mutex.Unlock()
-	return counter.total
+// classCounter names the count of a traffic class, apart from those of callers.
+func classCounter(class string) string { return "class " + class }
+
+// enterClass counts a request into its traffic class, or refuses it.
+func (g *Gateway) enterClass(w http.ResponseWriter, class policy.Class) bool {
+	if g.flights.enter(classCounter(class.Name), class.QueueLimit) {
+		return true
+	}
+	writeProblem(w, http.StatusTooManyRequests, Problem{
+		Code:             "queue_full",
+		Message:          fmt.Sprintf("traffic class %q has %d requests at this daemon, its bound", class.Name, class.QueueLimit),
+		RetryAfterMillis: refuseRetryAfter.Milliseconds(),
+	})
+	return false
 }
 
 // handler is a request handler that knows its caller.
-type handler func(writer http.ResponseWriter, request *http.Request, caller policy.Caller)
+type handler func(w http.ResponseWriter, r *http.Request, caller policy.Caller)
 
 // admit wraps a handler with what every request passes: the key, the caller's
 // audience and bound, and, for new work, a confirmed configuration.
-func (gateway *Gateway) admit(audience policy.Audience, newWork bool, next handler) http.HandlerFunc {
-	return func(writer http.ResponseWriter, request *http.Request) {
-		if gateway.stopping.Load() {
-			// Clients then drop the connection before the listener closes it
-			// under a request that is on its way.
-			writer.Header().Set("Connection", "close")
+func (g *Gateway) admit(audience policy.Audience, newWork bool, next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, there := g.parts.Configuration(); !there && audience == policy.Public {
+			unavailable(w, "no_configuration", "this daemon knows no policies yet", refuseRetryAfter)
+			return
 		}
-		caller, known := gateway.authenticate(request, audience)
+		caller, known := g.authenticate(r, audience)
 		if !known || (caller.Audience == policy.Internal && audience == policy.Public) {
-			writer.Header().Set("WWW-Authenticate", "Bearer")
-			writeProblem(writer, http.StatusUnauthorized, Problem{Code: "unauthorized", Message: "a valid bearer key is required"})
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeProblem(w, http.StatusUnauthorized, Problem{Code: "unauthorized", Message: "a valid bearer key is required"})
 			return
 		}
-		if newWork && !gateway.mayAdmit(writer) {
+		if newWork && !g.mayAdmit(w) {
 			return
 		}
-		if !gateway.flights.enter(caller) {
-			writeProblem(writer, http.StatusTooManyRequests, Problem{
+		if !g.flights.enter(caller.Name, caller.MaxInFlight) {
+			writeProblem(w, http.StatusTooManyRequests, Problem{
 				Code:             "too_many_in_flight",
 				Message:          fmt.Sprintf("caller %q has %d requests in flight, its bound", caller.Name, caller.MaxInFlight),
 				RetryAfterMillis: refuseRetryAfter.Milliseconds(),
 			})
 			return
 		}
-		defer gateway.flights.leave(caller)
-		request.Body = http.MaxBytesReader(writer, request.Body, gateway.limits.MaxBodyBytes)
-		next(writer, request, caller)
+		defer g.flights.leave(caller.Name)
+		r.Body = http.MaxBytesReader(w, r.Body, g.limits.MaxBodyBytes)
+		next(w, r, caller)
 	}
 }
 
-// authenticate finds the caller of a bearer key: in the policy, or, on the
+// authenticate finds the caller of a bearer key: in the policies, or, on the
 // internal listener, among the operators of the settings.
-func (gateway *Gateway) authenticate(request *http.Request, audience policy.Audience) (policy.Caller, bool) {
-	key, isBearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+func (g *Gateway) authenticate(r *http.Request, audience policy.Audience) (policy.Caller, bool) {
+	key, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !isBearer || key == "" {
 		return policy.Caller{}, false
 	}
-	caller, known := gateway.catalog.Policy().CallerOf(key)
-	if known || audience == policy.Public {
-		return caller, known
+	if configuration, there := g.parts.Configuration(); there {
+		if caller, known := configuration.Policies.CallerOf(key); known {
+			return caller, true
+		}
+	}
+	if audience == policy.Public {
+		return policy.Caller{}, false
 	}
 	digest := []byte(policy.KeyDigest(key))
-	for _, operator := range gateway.limits.Operators {
+	for _, operator := range g.limits.Operators {
 		if subtle.ConstantTimeCompare(digest, []byte(operator.KeySHA256)) == 1 {
 			return policy.Caller{Name: operator.Name, Audience: policy.Internal, Operator: true}, true
 		}
@@ -119,14 +123,14 @@
 
 // mayAdmit refuses new work while this daemon stops, or cannot confirm that
 // its configuration is the newest.
-func (gateway *Gateway) mayAdmit(writer http.ResponseWriter) bool {
-	if gateway.stopping.Load() {
-		unavailable(writer, "stopping", "this daemon is being stopped; use another", refuseRetryAfter)
+func (g *Gateway) mayAdmit(w http.ResponseWriter) bool {
+	if g.stopping() {
+		unavailable(w, "stopping", "this daemon is being stopped; use another", refuseRetryAfter)
 		return false
 	}
-	age, confirmed := gateway.catalog.ConfirmationAge()
-	if !confirmed || age > gateway.limits.ConfirmBound {
-		unavailable(writer, "configuration_not_confirmed", "this daemon cannot confirm that its configuration is the newest", refuseRetryAfter)
+	configuration, there := g.parts.Configuration()
+	if !there || configuration.Age > g.limits.ConfirmBound {
+		unavailable(w, "configuration_not_confirmed", "this daemon cannot confirm that its configuration is the newest", refuseRetryAfter)
 		return false
 	}
 	return true
@@ -135,34 +139,34 @@
 // decodeJSON reads a JSON body into target. It refuses unknown fields, wrong
 // types, trailing data and oversize bodies, with an answer that names the
 // field, and reports false then.
-func decodeJSON(writer http.ResponseWriter, request *http.Request, target any) bool {
-	body, ok := readBody(writer, request)
+func decodeJSON(w http.ResponseWriter, r *http.Request, target any) bool {
+	body, ok := readBody(w, r)
 	if !ok {
 		return false
 	}
 	field, err := decodeStrict(body, target)
 	if err != nil {
-		badField(writer, field, err.Error())
+		badField(w, field, err.Error())
 		return false
 	}
 	return true
 }
 
-func readBody(writer http.ResponseWriter, request *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(request.Body)
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(r.Body)
 	if err == nil {
 		return body, true
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		writeProblem(writer, http.StatusRequestEntityTooLarge, Problem{
+		writeProblem(w, http.StatusRequestEntityTooLarge, Problem{
 			Code:    "body_too_large",
 			Field:   "body",
 			Message: fmt.Sprintf("body: over the limit of %d bytes", tooLarge.Limit),
 		})
 		return nil, false
 	}
-	badField(writer, "body", "could not be read whole: "+err.Error())
+	badField(w, "body", "could not be read whole: "+err.Error())
 	return nil, false
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,127 +1,138 @@
+// Package gateway is the product's own HTTP interface to callers and operators,
+// /v1/. It finds the caller of a key, checks what it may do, and turns its
+// requests into batch jobs and into requests of the ingress.
+//
+// # Usage
+//
+//	gw := gateway.New(gateway.Parts{...})
+//	http.Serve(public, gw.Handler(policy.Public))
+//	http.Serve(internal, gw.Handler(policy.Internal))
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/router"
 	"go.uber.org/zap"
 
-	"woodworks/internal/announce"
-	"woodworks/internal/calls"
-	"woodworks/internal/catalog"
 	"woodworks/internal/delivery"
-	"woodworks/internal/fleet"
-	"woodworks/internal/httpserver"
-	"woodworks/internal/membership"
 	"woodworks/internal/metrics"
 	"woodworks/internal/operator"
+	"woodworks/internal/permit"
 	"woodworks/internal/policy"
-	"woodworks/internal/samplestream"
+	"woodworks/internal/replica"
 	"woodworks/internal/settings"
 )
 
-// Catalog is what this package needs of the configuration.
-type Catalog interface {
-	State() catalog.State
-	Policy() *policy.Set
-	ConfirmationAge() (time.Duration, bool)
-}
-
-// Peers is what this package needs of the membership.
-type Peers interface {
-	Self() membership.Member
-	Members() []membership.Member
-	Announce(announcements ...announce.Announcement)
-}
-
 // Limits bounds what the gateway takes in.
 type Limits struct {
 	MaxBodyBytes int64
+	// ConfirmBound is how old the last confirmation of the policies may be
+	// before new work is refused.
 	ConfirmBound time.Duration
 	// Operators are those of the settings.
 	Operators []settings.OperatorKey
 }
 
+// Configuration is the configuration in force with its policies.
+type Configuration struct {
+	Version  int64
+	Policies *policy.Set
+	// Named is the newest version named of each model.
+	Named map[string]int64
+	// Age is how long ago it was last confirmed.
+	Age time.Duration
+}
+
+// Names are what requests to the ingress are told by.
+type Names struct {
+	// RequestID, DeadlineMs and Stamp are headers.
+	RequestID, DeadlineMs, Stamp string
+	SamplesHost                  func(trainer string) string
+	ServiceHost                  func(service string) string
+	OperationPath                func(operation string) string
+}
+
 // Parts are the components that the gateway fronts.
 type Parts struct {
-	Catalog  Catalog
-	Peers    Peers
-	Desk     *delivery.Desk
-	Calls    *calls.Sender
-	Streamer *samplestream.Streamer
-	Operator *operator.Operator
-	Table    *fleet.Table
-	Board    *announce.Board
-	Metrics  *metrics.Metrics
-	Logger   *zap.Logger
-	// Ready reports whether the daemon can serve, and why not.
-	Ready func() (bool, string)
-	// Status builds the operators' view of this daemon.
-	Status func() any
+	// Configuration returns what is in force, or false before the first.
+	Configuration func() (Configuration, bool)
+	Desk          *delivery.Desk
+	Permits       *permit.Permits
+	Operator      *operator.Operator
+	Replicas      *replica.Table
+	// Ingress takes the requests that go to one replica.
+	Ingress http.Handler
+	Names   Names
+	Metrics *metrics.Metrics
+	Logger  *zap.Logger
+	// NewID returns another text at each call, on all daemons together.
+	NewID    func() string
+	Identity string
+	Ready    func() (bool, string)
+	// Stopping is closed when a planned stop begins.
+	Stopping <-chan struct{}
 }
 
 // Gateway serves both listeners.
 type Gateway struct {
-	parts    Parts
-	catalog  Catalog
-	limits   Limits
-	flights  *inFlight
-	stopping atomic.Bool
-	servers  []*httpserver.Server
+	parts   Parts
+	limits  Limits
+	flights *inFlight
 }
 
-// New returns a gateway that does not listen yet.
+// New returns a gateway.
 func New(parts Parts, limits Limits) *Gateway {
-	return &Gateway{parts: parts, catalog: parts.Catalog, limits: limits, flights: newInFlight()}
+	return &Gateway{parts: parts, limits: limits, flights: newInFlight()}
 }
 
-// Listen serves one listener in the background.
-func (gateway *Gateway) Listen(address string, audience policy.Audience) error {
-	server, err := httpserver.Start(address, gateway.routes(audience), http.HandlerFunc(notFound), http.HandlerFunc(notAllowed))
-	if err != nil {
-		return errors.Wrapf(err, "gateway: %s listener", audience)
+func (g *Gateway) stopping() bool {
+	select {
+	case <-g.parts.Stopping:
+		return true
+	default:
+		return false
 	}
-	gateway.servers = append(gateway.servers, server)
-	return nil
-}
-
-func notFound(writer http.ResponseWriter, _ *http.Request) {
-	writeProblem(writer, http.StatusNotFound, Problem{Code: "not_found", Message: "no such path"})
 }
 
-func notAllowed(writer http.ResponseWriter, _ *http.Request) {
-	writeProblem(writer, http.StatusMethodNotAllowed, Problem{Code: "method_not_allowed", Message: "the path does not take this method"})
-}
-
-// routes returns the routes of one listener. Operators' routes exist on the
+// Handler returns the interface of one listener. Operators' paths exist on the
 // internal listener only.
-func (gateway *Gateway) routes(audience policy.Audience) []rest.Route {
-	routes := []rest.Route{
-		gateway.route(http.MethodGet, "/healthz", gateway.health),
-		gateway.route(http.MethodGet, "/readyz", gateway.ready),
-		gateway.route(http.MethodPost, "/v1/rollouts", gateway.admit(audience, true, gateway.submitRollout)),
-		gateway.route(http.MethodGet, "/v1/rollouts/:trainer/:name", gateway.admit(audience, false, gateway.rolloutStatus)),
-		gateway.route(http.MethodGet, "/v1/rollouts/:trainer/:name/samples", gateway.admit(audience, false, gateway.pullSamples)),
-		gateway.route(http.MethodPost, "/v1/samples", gateway.admit(audience, true, gateway.streamSample)),
-		gateway.route(http.MethodPost, "/v1/trainers/:trainer/versions", gateway.admit(audience, false, gateway.announceVersion)),
-		gateway.route(http.MethodPost, "/v1/services/:service/:operation", gateway.admit(audience, true, gateway.callService(audience))),
+func (g *Gateway) Handler(audience policy.Audience) http.Handler {
+	r := router.NewRouter()
+	r.SetNotFoundHandler(http.HandlerFunc(notFound))
+	r.SetNotAllowedHandler(http.HandlerFunc(notAllowed))
+	add := func(method, path string, next http.HandlerFunc) {
+		if err := r.Handle(method, path, g.observed(method+" "+path, next)); err != nil {
+			panic(err) // the paths are fixed
+		}
 	}
+	add(http.MethodGet, "/healthz", g.health)
+	add(http.MethodGet, "/readyz", g.ready)
+	add(http.MethodPost, "/v1/rollouts", g.admit(audience, true, g.submitRollout))
+	add(http.MethodGet, "/v1/rollouts/:trainer/:name", g.admit(audience, false, g.rolloutStatus))
+	add(http.MethodDelete, "/v1/rollouts/:trainer/:name", g.admit(audience, false, g.endRollout))
+	add(http.MethodGet, "/v1/rollouts/:trainer/:name/samples", g.admit(audience, false, g.pullSamples))
+	add(http.MethodPost, "/v1/samples", g.admit(audience, true, g.streamSample))
+	add(http.MethodPost, "/v1/trainers/:trainer/versions", g.admit(audience, false, g.announceVersion))
+	add(http.MethodPost, "/v1/services/:service/:operation", g.admit(audience, true, g.callService(audience)))
 	if audience == policy.Internal {
-		routes = append(routes,
-			gateway.route(http.MethodGet, "/metrics", gateway.parts.Metrics.Handler().ServeHTTP),
-			gateway.route(http.MethodGet, "/v1/status", gateway.admit(audience, false, gateway.operatorOnly(gateway.status))),
-			gateway.route(http.MethodGet, "/v1/policies", gateway.admit(audience, false, gateway.operatorOnly(gateway.policies))),
-			gateway.route(http.MethodPost, "/v1/policies", gateway.admit(audience, false, gateway.operatorOnly(gateway.publishPolicy))),
-			gateway.route(http.MethodPost, "/v1/gone", gateway.admit(audience, false, gateway.operatorOnly(gateway.declareGone))),
-			gateway.route(http.MethodPost, "/v1/drains", gateway.admit(audience, true, gateway.operatorOnly(gateway.drain))),
-		)
+		add(http.MethodGet, "/metrics", g.parts.Metrics.Handler().ServeHTTP)
+		add(http.MethodGet, "/v1/status", g.admit(audience, false, g.operatorOnly(g.status)))
+		add(http.MethodGet, "/v1/policies", g.admit(audience, false, g.operatorOnly(g.policies)))
+		add(http.MethodPost, "/v1/policies", g.admit(audience, false, g.operatorOnly(g.publishPolicy)))
+		add(http.MethodPost, "/v1/drains", g.admit(audience, true, g.operatorOnly(g.drain)))
 	}
-	return routes
+	return r
+}
+
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	writeProblem(w, http.StatusNotFound, Problem{Code: "not_found", Message: "no such path"})
+}
+
+func notAllowed(w http.ResponseWriter, _ *http.Request) {
+	writeProblem(w, http.StatusMethodNotAllowed, Problem{Code: "method_not_allowed", Message: "the path does not take this method"})
 }
 
 // recorder remembers the status for the metrics, and whether the request
@@ -133,66 +144,44 @@
 }
 
 // WriteHeader implements http.ResponseWriter.
-func (recorder *recorder) WriteHeader(status int) {
-	recorder.status = status
-	recorder.ResponseWriter.WriteHeader(status)
+func (rec *recorder) WriteHeader(status int) {
+	rec.status = status
+	rec.ResponseWriter.WriteHeader(status)
 }
 
 // Unwrap lets http.ResponseController reach the real writer.
-func (recorder *recorder) Unwrap() http.ResponseWriter { return recorder.ResponseWriter }
+func (rec *recorder) Unwrap() http.ResponseWriter { return rec.ResponseWriter }
 
-// Flush implements http.Flusher.
-func (recorder *recorder) Flush() {
-	_ = http.NewResponseController(recorder.ResponseWriter).Flush()
+// observed counts the answers of a path.
+func (g *Gateway) observed(path string, next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began := time.Now()
+		rec := &recorder{ResponseWriter: w, status: http.StatusOK, keyed: r.Header.Get(KeyHeader) != ""}
+		next(rec, r)
+		g.parts.Metrics.Request(path, strconv.Itoa(rec.status), w.Header().Get(OutcomeHeader), time.Since(began))
+	})
 }
 
-func (gateway *Gateway) route(method, path string, next http.HandlerFunc) rest.Route {
-	return rest.Route{Method: method, Path: path, Handler: func(writer http.ResponseWriter, request *http.Request) {
-		startedAt := time.Now()
-		recorded := &recorder{ResponseWriter: writer, status: http.StatusOK, keyed: request.Header.Get(KeyHeader) != ""}
-		next(recorded, request)
-		outcome := writer.Header().Get(OutcomeHeader)
-		gateway.parts.Metrics.Request(method+" "+path, strconv.Itoa(recorded.status), outcome, time.Since(startedAt))
-	}}
-}
-
-func (gateway *Gateway) health(writer http.ResponseWriter, _ *http.Request) {
-	writeJSON(writer, http.StatusOK, statusWord{Status: "alive"})
+func (g *Gateway) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, statusWord{Status: "alive"})
 }
 
 type statusWord struct {
 	Status string `json:"status"`
 	Reason string `json:"reason,omitempty"`
-	// ConfigOffset is the configuration in force when the word was true.
-	ConfigOffset uint64 `json:"config_offset"`
+	// ConfigurationVersion is the configuration in force when the word was true.
+	ConfigurationVersion int64 `json:"configuration_version"`
 }
 
-func (gateway *Gateway) ready(writer http.ResponseWriter, _ *http.Request) {
-	// The offset is read first: it can only be older than the word.
-	offset := gateway.catalog.State().Offset
-	ready, reason := gateway.parts.Ready()
-	if gateway.stopping.Load() {
-		ready, reason = false, "stopping"
-	}
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	// The version is read first: it can only be older than the word.
+	configuration, _ := g.parts.Configuration()
+	ready, reason := g.parts.Ready()
+	word := statusWord{Status: "ready", Reason: reason, ConfigurationVersion: configuration.Version}
 	if !ready {
-		writeJSON(writer, http.StatusServiceUnavailable, statusWord{Status: "not_ready", Reason: reason, ConfigOffset: offset})
+		word.Status = "not_ready"
+		writeJSON(w, http.StatusServiceUnavailable, word)
 		return
 	}
-	writeJSON(writer, http.StatusOK, statusWord{Status: "ready", ConfigOffset: offset})
-}
-
-// InFlight returns the number of requests being answered.
-func (gateway *Gateway) InFlight() int64 { return gateway.flights.Total() }
-
-// StopAdmitting refuses new work from now on; requests in flight go on.
-func (gateway *Gateway) StopAdmitting() { gateway.stopping.Store(true) }
-
-// Shutdown closes the listeners and waits for requests in flight to end.
-func (gateway *Gateway) Shutdown(ctx context.Context) error {
-	for _, server := range gateway.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			return errors.Wrap(err, "gateway: shutdown")
-		}
-	}
-	return nil
+	writeJSON(w, http.StatusOK, word)
 }
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -3,115 +3,160 @@
 import (
 	"context"
 	"net/http"
+	"sort"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"woodworks/internal/calls"
-	"woodworks/internal/catalog"
-	"woodworks/internal/membership"
 	"woodworks/internal/operator"
 	"woodworks/internal/policy"
 )
 
-// publishTimeout bounds a publication, waiting for the witnesses included.
-const publishTimeout = 15 * time.Second
+const (
+	// publishTimeout bounds a publication until it is in force at this daemon.
+	publishTimeout = 15 * time.Second
+	forcePause     = 20 * time.Millisecond
+)
 
 // operatorOnly refuses callers that are not operators.
-func (gateway *Gateway) operatorOnly(next handler) handler {
-	return func(writer http.ResponseWriter, request *http.Request, caller policy.Caller) {
+func (g *Gateway) operatorOnly(next handler) handler {
+	return func(w http.ResponseWriter, r *http.Request, caller policy.Caller) {
 		if !caller.Operator {
-			writeProblem(writer, http.StatusForbidden, Problem{Code: "operators_only", Message: "caller is not an operator"})
+			writeProblem(w, http.StatusForbidden, Problem{Code: "operators_only", Message: "caller is not an operator"})
 			return
 		}
-		next(writer, request, caller)
+		next(w, r, caller)
 	}
 }
 
-func (gateway *Gateway) status(writer http.ResponseWriter, _ *http.Request, _ policy.Caller) {
-	writeJSON(writer, http.StatusOK, gateway.parts.Status())
+// replicaStatus is what this daemon believes of a back end.
+type replicaStatus struct {
+	ID       string           `json:"id"`
+	Service  string           `json:"service"`
+	Address  string           `json:"address"`
+	Zone     string           `json:"zone"`
+	Draining bool             `json:"draining"`
+	InFlight int              `json:"in_flight"`
+	Versions map[string]int64 `json:"versions"`
 }
 
-// policyAnswer is one document in force.
-type policyAnswer struct {
-	Name   string `json:"name"`
-	Offset uint64 `json:"offset"`
-	Source string `json:"source"`
+// Status is one daemon's view.
+type Status struct {
+	Daemon               string           `json:"daemon"`
+	Ready                bool             `json:"ready"`
+	Reason               string           `json:"reason,omitempty"`
+	ConfigurationVersion int64            `json:"configuration_version"`
+	ConfigurationAgeMs   int64            `json:"configuration_age_ms"`
+	Named                map[string]int64 `json:"named"`
+	Replicas             []replicaStatus  `json:"replicas"`
 }
 
-type policiesAnswer struct {
-	Offset    uint64                 `json:"offset"`
-	Documents []policyAnswer         `json:"documents"`
-	History   []catalog.HistoryEntry `json:"history"`
+func (g *Gateway) status(w http.ResponseWriter, _ *http.Request, _ policy.Caller) {
+	configuration, _ := g.parts.Configuration()
+	ready, reason := g.parts.Ready()
+	status := Status{
+		Daemon: g.parts.Identity, Ready: ready, Reason: reason, Named: configuration.Named,
+		ConfigurationVersion: configuration.Version, ConfigurationAgeMs: configuration.Age.Milliseconds(), Replicas: []replicaStatus{},
+	}
+	for _, each := range g.parts.Replicas.All() {
+		status.Replicas = append(status.Replicas, replicaStatus{
+			ID: each.ID, Service: each.Service, Address: each.Address, Zone: each.Zone,
+			Draining: each.Draining, InFlight: each.InFlight, Versions: each.Versions,
+		})
+	}
+	sort.Slice(status.Replicas, func(i, j int) bool { return status.Replicas[i].ID < status.Replicas[j].ID })
+	writeJSON(w, http.StatusOK, status)
+}
+
+// PolicyDocument is one document in force.
+type PolicyDocument struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Author  string `json:"author"`
+	Source  string `json:"source"`
 }
 
-func (gateway *Gateway) policies(writer http.ResponseWriter, _ *http.Request, _ policy.Caller) {
-	state := gateway.catalog.State()
-	answer := policiesAnswer{Offset: state.Offset, History: state.History}
-	for _, name := range state.DocumentNames() {
-		document := state.Documents[name]
-		answer.Documents = append(answer.Documents, policyAnswer{Name: name, Offset: document.Offset, Source: document.Source})
+// PolicyChange is one configuration that the log still has.
+type PolicyChange struct {
+	Version int64  `json:"version"`
+	Changed string `json:"changed"`
+	Author  string `json:"author"`
+}
+
+// PolicyList is the answer to GET /v1/policies.
+type PolicyList struct {
+	Version   int64            `json:"version"`
+	Documents []PolicyDocument `json:"documents"`
+	History   []PolicyChange   `json:"history"`
+}
+
+func (g *Gateway) policies(w http.ResponseWriter, r *http.Request, _ policy.Caller) {
+	current, err := g.parts.Operator.Current(r.Context())
+	if err != nil {
+		unavailable(w, "log_unavailable", err.Error(), refuseRetryAfter)
+		return
+	}
+	history, err := g.parts.Operator.History(r.Context())
+	if err != nil {
+		unavailable(w, "log_unavailable", err.Error(), refuseRetryAfter)
+		return
+	}
+	list := PolicyList{Version: current.Version, Documents: []PolicyDocument{}, History: []PolicyChange{}}
+	for name, document := range current.Documents {
+		list.Documents = append(list.Documents, PolicyDocument{Name: name, Version: document.Version, Author: document.Author, Source: document.Source})
+	}
+	sort.Slice(list.Documents, func(i, j int) bool { return list.Documents[i].Name < list.Documents[j].Name })
+	for _, each := range history {
+		list.History = append(list.History, PolicyChange{Version: each.Version, Changed: each.Changed, Author: each.Documents[each.Changed].Author})
 	}
-	writeJSON(writer, http.StatusOK, answer)
+	writeJSON(w, http.StatusOK, list)
 }
 
 type publishRequest struct {
 	Name   string `json:"name"`
 	Source string `json:"source"`
-	// Replaces is the offset of the version that the author saw; absent means
-	// the one in force at this daemon.
-	Replaces *uint64 `json:"replaces,omitempty"`
+	// Replaces is the version of the document that the author saw; absent means
+	// the one in force.
+	Replaces *int64 `json:"replaces,omitempty"`
 }
 
-func (gateway *Gateway) publishPolicy(writer http.ResponseWriter, request *http.Request, caller policy.Caller) {
+// publishPolicy answers once the change is in force at this daemon.
+func (g *Gateway) publishPolicy(w http.ResponseWriter, r *http.Request, caller policy.Caller) {
 	var wanted publishRequest
-	if !decodeJSON(writer, request, &wanted) {
+	if !decodeJSON(w, r, &wanted) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), publishTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), publishTimeout)
 	defer cancel()
-	publication, err := gateway.parts.Operator.Publish(ctx, wanted.Name, caller.Name, wanted.Source, wanted.Replaces)
-	retryAfter := refuseRetryAfter.Milliseconds()
+	published, err := g.parts.Operator.Publish(ctx, operator.Change{Name: wanted.Name, Author: caller.Name, Source: wanted.Source, Replaces: wanted.Replaces})
 	switch {
-	case err == nil:
-		writer.Header().Set(OutcomeHeader, string(calls.Completed))
-		writeJSON(writer, http.StatusOK, publication)
 	case errors.Is(err, operator.ErrInvalid):
-		writeProblem(writer, http.StatusUnprocessableEntity, Problem{Code: "policy_invalid", Field: "source", Message: err.Error()})
+		writeProblem(w, http.StatusUnprocessableEntity, Problem{Code: "policy_invalid", Field: "source", Message: err.Error()})
 	case errors.Is(err, operator.ErrConflict):
-		writeProblem(writer, http.StatusConflict, Problem{Code: "policy_conflict", Field: "replaces", Message: err.Error()})
-	case errors.Is(err, operator.ErrPending):
-		writeProblem(writer, http.StatusServiceUnavailable, Problem{Code: "policy_pending", Message: err.Error(), Outcome: calls.Unknown, RetryAfterMillis: retryAfter})
+		writeProblem(w, http.StatusConflict, Problem{Code: "policy_conflict", Field: "replaces", Message: err.Error()})
+	case errors.Is(err, operator.ErrNotDone):
+		unavailable(w, "log_unavailable", err.Error(), refuseRetryAfter)
+	case err != nil:
+		unsure(w, "log_unavailable", err.Error(), refuseRetryAfter)
+	case !g.awaitInForce(ctx, published.Version):
+		unsure(w, "policy_pending", "the policy is in the log but not yet in force at this daemon", refuseRetryAfter)
 	default:
-		writeProblem(writer, http.StatusServiceUnavailable, Problem{Code: "log_unavailable", Message: err.Error(), Outcome: calls.Unknown, RetryAfterMillis: retryAfter})
+		writeDone(w, http.StatusOK, published)
 	}
 }
 
-type goneRequest struct {
-	// Daemon is the node identity of the run that is over.
-	Daemon string `json:"daemon"`
-}
-
-// declareGone takes an operator's word that a daemon's run is over. A daemon
-// that gossip sees alive is not believed to be gone.
-func (gateway *Gateway) declareGone(writer http.ResponseWriter, request *http.Request, _ policy.Caller) {
-	var wanted goneRequest
-	if !decodeJSON(writer, request, &wanted) {
-		return
-	}
-	for _, member := range gateway.parts.Peers.Members() {
-		if string(member.ID) == wanted.Daemon && member.Health == membership.Alive && !member.Gone {
-			writeProblem(writer, http.StatusConflict, Problem{Code: "daemon_alive", Field: "daemon", Message: "daemon: it is seen alive"})
-			return
+// awaitInForce waits until a configuration, or a newer one, is in force here.
+func (g *Gateway) awaitInForce(ctx context.Context, version int64) bool {
+	for {
+		if configuration, there := g.parts.Configuration(); there && configuration.Version >= version {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(forcePause):
 		}
 	}
-	if wanted.Daemon == "" {
-		badField(writer, "daemon", "is required")
-		return
-	}
-	gateway.parts.Operator.DeclareGone(wanted.Daemon)
-	writer.Header().Set(OutcomeHeader, string(calls.Completed))
-	writeJSON(writer, http.StatusOK, wanted)
 }
 
 type drainRequest struct {
@@ -125,26 +170,20 @@
 	Draining bool   `json:"draining"`
 }
 
-func (gateway *Gateway) drain(writer http.ResponseWriter, request *http.Request, _ policy.Caller) {
+func (g *Gateway) drain(w http.ResponseWriter, r *http.Request, _ policy.Caller) {
 	var wanted drainRequest
-	if !decodeJSON(writer, request, &wanted) {
+	if !decodeJSON(w, r, &wanted) {
 		return
 	}
-	listed := false
-	for _, machine := range gateway.parts.Table.Machines() {
-		listed = listed || machine.Name == wanted.Machine
-	}
-	if !listed {
-		writeProblem(writer, http.StatusNotFound, Problem{Code: "unknown_machine", Field: "machine", Message: "machine: " + operator.ErrNoMachine.Error()})
-		return
-	}
-	if err := gateway.parts.Operator.Drain(request.Context(), wanted.Machine, !wanted.Undo); err != nil {
-		writeProblem(writer, http.StatusServiceUnavailable, Problem{
-			Code: "order_not_spread", Message: err.Error() + "; give it to another daemon too",
-			Outcome: calls.Unknown, RetryAfterMillis: refuseRetryAfter.Milliseconds(),
-		})
-		return
+	err := g.parts.Operator.Drain(r.Context(), wanted.Machine, !wanted.Undo)
+	switch {
+	case err == nil:
+		writeDone(w, http.StatusOK, drainAnswer{Machine: wanted.Machine, Draining: !wanted.Undo})
+	case errors.Is(err, operator.ErrNoMachine):
+		writeProblem(w, http.StatusNotFound, Problem{Code: "unknown_machine", Field: "machine", Message: "machine: " + err.Error()})
+	case errors.Is(err, operator.ErrUnknown):
+		unsure(w, "log_unavailable", err.Error(), refuseRetryAfter)
+	default:
+		unavailable(w, "log_unavailable", err.Error(), refuseRetryAfter)
 	}
-	writer.Header().Set(OutcomeHeader, string(calls.Completed))
-	writeJSON(writer, http.StatusOK, drainAnswer{Machine: wanted.Machine, Draining: !wanted.Undo})
 }
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"strconv"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/rest/pathvar"
+	"go.uber.org/zap"
 
-	"woodworks/internal/calls"
+	"woodworks/internal/permit"
 	"woodworks/internal/policy"
 )
 
@@ -13,51 +19,167 @@
 // not one on which net/http replays a request.
 const KeyHeader = "Woodworks-Request-Key"
 
+const (
+	defaultCallTimeout = 30 * time.Second
+	// settleTimeout bounds the recording of an outcome after the answer came.
+	settleTimeout = 2 * time.Second
+	// maxOutcomeBytes is the longest answer that is kept for later tries.
+	maxOutcomeBytes = 32 << 10
+)
+
 // callService passes an operation on to a plain service. A service that does
 // not exist for the listener's audience is not told apart from an unknown one.
-func (gateway *Gateway) callService(audience policy.Audience) handler {
-	return func(writer http.ResponseWriter, request *http.Request, caller policy.Caller) {
-		variables := pathvar.Vars(request)
-		service, known := gateway.catalog.Policy().Services[variables["service"]]
+func (g *Gateway) callService(audience policy.Audience) handler {
+	return func(w http.ResponseWriter, r *http.Request, caller policy.Caller) {
+		variables := pathvar.Vars(r)
+		configuration, _ := g.parts.Configuration()
+		service, known := configuration.Policies.Services[variables["service"]]
 		hidden := known && audience == policy.Public && service.Audience == policy.Internal
 		if !known || hidden || service.Kind != policy.PlainService {
-			writeProblem(writer, http.StatusNotFound, Problem{Code: "unknown_service", Field: "service", Message: "service: no such service"})
+			writeProblem(w, http.StatusNotFound, Problem{Code: "unknown_service", Field: "service", Message: "service: no such service"})
 			return
 		}
 		operation, known := service.Operations[variables["operation"]]
 		if !known {
-			writeProblem(writer, http.StatusNotFound, Problem{Code: "unknown_operation", Field: "operation", Message: "operation: the service has no such operation"})
+			writeProblem(w, http.StatusNotFound, Problem{Code: "unknown_operation", Field: "operation", Message: "operation: the service has no such operation"})
 			return
 		}
-		key, ok := requestKey(writer, request, operation)
+		body, ok := readBody(w, r)
 		if !ok {
 			return
 		}
-		body, ok := readBody(writer, request)
-		if !ok {
+		class := configuration.Policies.Classes[operation.Class]
+		if !g.enterClass(w, class) {
+			return
+		}
+		defer g.flights.leave(classCounter(class.Name))
+		call := asked{
+			host: g.parts.Names.ServiceHost(service.Name), path: g.parts.Names.OperationPath(operation.Name),
+			kind: r.Header.Get("Content-Type"), body: body, timeout: timeoutOf(operation),
+		}
+		key := r.Header.Get(KeyHeader)
+		if key == "" || operation.Repeatable {
+			g.answerCall(w, g.ask(r.Context(), call))
 			return
 		}
-		writeOutcome(writer, gateway.parts.Calls.Do(request.Context(), calls.Request{
-			Caller:      caller.Name,
-			Service:     service.Name,
-			Operation:   operation,
-			Key:         key,
-			ContentType: request.Header.Get("Content-Type"),
-			Body:        body,
-		}))
+		g.callOnce(w, r, caller, key, call)
+	}
+}
+
+func timeoutOf(operation policy.Operation) time.Duration {
+	if operation.Timeout > 0 {
+		return operation.Timeout
+	}
+	return defaultCallTimeout
+}
+
+// answerCall gives a caller the reply of the ingress.
+func (g *Gateway) answerCall(w http.ResponseWriter, got *reply) {
+	if !got.whole(g.parts.Names.Stamp) {
+		status, problem := got.problem()
+		writeProblem(w, status, problem)
+		return
 	}
+	writeAnswer(w, permit.Outcome{Status: got.status, ContentType: got.header.Get("Content-Type"), Body: got.body.Bytes()})
 }
 
-// requestKey reads the key header. Repeatable operations need none and ignore it.
-func requestKey(writer http.ResponseWriter, request *http.Request, operation policy.Operation) (*calls.Key, bool) {
-	text := request.Header.Get(KeyHeader)
-	if text == "" || operation.Repeatable {
-		return nil, true
+func writeAnswer(w http.ResponseWriter, outcome permit.Outcome) {
+	header := w.Header()
+	header.Set(OutcomeHeader, string(Completed))
+	if outcome.ContentType != "" {
+		header.Set("Content-Type", outcome.ContentType)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(outcome.Body)))
+	w.WriteHeader(outcome.Status)
+	_, _ = w.Write(outcome.Body)
+}
+
+// callOnce runs a request with a key at most once over all its tries.
+func (g *Gateway) callOnce(w http.ResponseWriter, r *http.Request, caller policy.Caller, text string, call asked) {
+	key, err := permit.ParseKey(text)
+	if err == nil {
+		err = g.parts.Permits.Check(key, time.Now())
 	}
-	key, err := calls.ParseKey(text)
 	if err != nil {
-		badField(writer, KeyHeader, err.Error())
-		return nil, false
+		badField(w, KeyHeader, err.Error())
+		return
+	}
+	// Keys of different callers never meet.
+	name := caller.Name + "/" + key.Text
+	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	defer cancel()
+	decision, err := g.parts.Permits.Claim(ctx, name, digestOf(call))
+	g.parts.Logger.Info("key claimed", zap.String("key", name), zap.String("decision", decisionName(decision)), zap.Error(err))
+	switch d := decision.(type) {
+	case permit.Granted:
+		g.runOnce(w, r.Context(), d, call)
+	case permit.Taken:
+		g.answerTaken(ctx, w, name)
+	case permit.OtherContent:
+		writeProblem(w, http.StatusConflict, Problem{Code: "key_reused_with_other_content", Field: KeyHeader, Message: KeyHeader + ": names a request of other content"})
+	default:
+		g.refuseClaim(w, err)
+	}
+}
+
+func decisionName(decision permit.Decision) string {
+	switch decision.(type) {
+	case permit.Granted:
+		return "granted"
+	case permit.Taken:
+		return "taken"
+	case permit.OtherContent:
+		return "other content"
+	default:
+		return "none"
+	}
+}
+
+func digestOf(call asked) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(call.host + "\x00" + call.path + "\x00" + call.kind + "\x00")
+	_, _ = hash.Write(call.body)
+	return hash.Sum64()
+}
+
+// runOnce runs a request under its permit and records what it came to. A try
+// that has certainly not run is answered so, but its permit stays spent: the
+// caller comes back with another key.
+func (g *Gateway) runOnce(w http.ResponseWriter, ctx context.Context, granted permit.Granted, call asked) {
+	got := g.ask(ctx, call)
+	if !got.whole(g.parts.Names.Stamp) {
+		status, problem := got.problem()
+		writeProblem(w, status, problem)
+		return
+	}
+	outcome := permit.Outcome{Status: got.status, ContentType: got.header.Get("Content-Type"), Body: got.body.Bytes()}
+	if len(outcome.Body) <= maxOutcomeBytes {
+		settling, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+		defer cancel()
+		if err := g.parts.Permits.Settle(settling, granted, outcome); err != nil {
+			g.parts.Logger.Warn("outcome of a key not recorded", zap.Error(err))
+		}
+	}
+	writeAnswer(w, outcome)
+}
+
+// answerTaken answers a try whose request an earlier one may have run.
+func (g *Gateway) answerTaken(ctx context.Context, w http.ResponseWriter, name string) {
+	if outcome, known := g.parts.Permits.Await(ctx, name); known {
+		writeAnswer(w, outcome)
+		return
+	}
+	writeProblem(w, http.StatusConflict, Problem{
+		Code: "earlier_try_lost", Message: "an earlier try with this key may have run, and its outcome is not known",
+		Outcome: Unknown, ThisTry: notSent, RetryAfterMillis: refuseRetryAfter.Milliseconds(),
+	})
+}
+
+// refuseClaim answers a try that got no permit. It was not sent.
+func (g *Gateway) refuseClaim(w http.ResponseWriter, err error) {
+	problem := Problem{Code: "log_unavailable", Message: "no permit for the key", RetryAfterMillis: refuseRetryAfter.Milliseconds()}
+	if errors.Is(err, permit.ErrUnknown) {
+		problem.Code = "permit_unsure"
 	}
-	return &key, true
+	writeProblem(w, http.StatusServiceUnavailable, problem)
 }
--- /dev/null
+++ b/internal/gateway/upstream.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// maxAnswerBytes bounds a back end's answer, in bytes.
+const maxAnswerBytes = 8 << 20
+
+// asked is a request to the ingress.
+type asked struct {
+	host    string
+	path    string
+	kind    string
+	body    []byte
+	timeout time.Duration
+}
+
+// request makes the ingress' request. It carries nothing of the caller's
+// headers but the content type.
+func (g *Gateway) request(ctx context.Context, a asked) *http.Request {
+	header := http.Header{}
+	header.Set(g.parts.Names.RequestID, g.parts.NewID())
+	if a.kind != "" {
+		header.Set("Content-Type", a.kind)
+	}
+	if a.timeout > 0 {
+		header.Set(g.parts.Names.DeadlineMs, strconv.FormatInt(a.timeout.Milliseconds(), 10))
+	}
+	r := &http.Request{
+		Method: http.MethodPost, Host: a.host, RequestURI: a.path, URL: &url.URL{Path: a.path}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: header, Body: io.NopCloser(bytes.NewReader(a.body)), ContentLength: int64(len(a.body)),
+	}
+	return r.WithContext(ctx)
+}
+
+// reply is what the ingress answered: a back end's whole answer, or its own
+// word on why there is none.
+type reply struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+	// cut says that the answer broke off, or was longer than the bound.
+	cut bool
+}
+
+// Header implements http.ResponseWriter.
+func (p *reply) Header() http.Header { return p.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (p *reply) WriteHeader(status int) { p.status = status }
+
+// Write implements http.ResponseWriter.
+func (p *reply) Write(content []byte) (int, error) {
+	if p.status == 0 {
+		p.status = http.StatusOK
+	}
+	if p.body.Len()+len(content) > maxAnswerBytes {
+		p.cut = true
+		return 0, io.ErrShortWrite
+	}
+	return p.body.Write(content)
+}
+
+// ask sends a request to the ingress and takes the whole answer.
+func (g *Gateway) ask(ctx context.Context, a asked) (got *reply) {
+	got = &reply{header: http.Header{}}
+	defer func() {
+		switch aborted := recover(); aborted {
+		case nil:
+		case http.ErrAbortHandler:
+			got.cut = true
+		default:
+			panic(aborted)
+		}
+	}()
+	g.parts.Ingress.ServeHTTP(got, g.request(ctx, a))
+	return got
+}
+
+// whole reports whether the reply is a back end's whole answer.
+func (p *reply) whole(stamp string) bool { return !p.cut && p.header.Get(stamp) != "" }
+
+// problem is what to tell a caller of a reply that is no back end's answer.
+func (p *reply) problem() (int, Problem) {
+	if p.cut {
+		return http.StatusBadGateway, Problem{Code: "answer_cut_off", Message: "the back end's answer did not come whole", Outcome: Unknown}
+	}
+	return problemOf(p.status, p.header)
+}
+
+// problemOf turns a final answer of the ingress into a problem.
+func problemOf(status int, header http.Header) (int, Problem) {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		wait := refuseRetryAfter
+		if seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil {
+			wait = time.Duration(seconds * float64(time.Second))
+		}
+		return status, Problem{Code: "no_replica", Message: "no replica of the service took the request", Outcome: NotExecuted, RetryAfterMillis: wait.Milliseconds()}
+	case http.StatusNotFound:
+		return status, Problem{Code: "unknown_service", Message: "the configuration in force has no such service", Outcome: NotExecuted}
+	case http.StatusGatewayTimeout:
+		return status, Problem{Code: "timed_out", Message: "no whole answer came in time", Outcome: Unknown}
+	default:
+		return http.StatusBadGateway, Problem{Code: "back_end_failed", Message: "no replica gave a whole answer", Outcome: Unknown}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -41,6 +41,14 @@
 	Request(route, status, outcome string, took time.Duration)
 }
 
+// Retries decides on offers to further replicas.
+type Retries interface {
+	// Began is told of each request.
+	Began(found *route.Route)
+	// May reports whether a request that was offered some times may be again.
+	May(found *route.Route, offers int) bool
+}
+
 // Handler answers the requests of clients. It is safe for concurrent use.
 type Handler struct {
 	Names         headers.Names
@@ -51,6 +59,8 @@
 	Ledger        *ledger.Ledger
 	Observer      Observer
 	Logger        *zap.Logger
+	// Retries, if not nil, bounds offers to further replicas.
+	Retries Retries
 
 	inFlight atomic.Int64
 }
@@ -157,11 +167,16 @@
 	ctx, cancel := asked.bounded()
 	defer cancel()
 	repeatable := asked.route.Kind == route.Safe
-	answer, err := asked.handler.Forwarder.Do(ctx, &forward.Call{
+	call := &forward.Call{
 		RequestID: asked.id, Method: asked.request.Method, Target: asked.request.RequestURI, Host: asked.request.Host,
 		Header: headers.CopyEndToEnd(asked.request.Header), Body: body, Services: asked.route.Order(asked.id),
-		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable,
-	})
+		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable, HedgeAfter: asked.route.HedgeAfter,
+	}
+	if retries := asked.handler.Retries; retries != nil {
+		retries.Began(asked.route)
+		call.MayRetry = func(offers int) bool { return retries.May(asked.route, offers) }
+	}
+	answer, err := asked.handler.Forwarder.Do(ctx, call)
 	if err != nil {
 		asked.explain(err)
 		return
--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -87,11 +87,21 @@
 // MaxAppendBytes implements journal.Journal.
 func (j *Journal) MaxAppendBytes() int { return j.AppendBytes }
 
+// SetBefall sets Befall while calls may be under way.
+func (j *Journal) SetBefall(befall func(call Call) Fault) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.Befall = befall
+}
+
 // fault returns what befalls a call; hanging calls have already hung.
 func (j *Journal) fault(ctx context.Context, call Call) (Fault, error) {
 	fault := None
-	if j.Befall != nil {
-		fault = j.Befall(call)
+	j.mutex.Lock()
+	befall := j.Befall
+	j.mutex.Unlock()
+	if befall != nil {
+		fault = befall(call)
 	}
 	switch fault {
 	case Refuse:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,8 +53,34 @@
 	Headers         headers.Names
 	OperatorRecords journal.Partition
 	ReplicaRecords  journal.Partition
+	// Interface, if not nil, makes the handlers for callers from the parts of
+	// the daemon. Without it clients speak to the ingress as it is.
+	Interface func(parts Parts) Interface
 }
 
+// Parts are what an interface for callers is made of.
+type Parts struct {
+	Settings settings.Settings
+	Identity string
+	Journal  journal.Journal
+	Operator *operation.State
+	Replicas *replica.Table
+	Ledger   *ledger.Ledger
+	Runner   *runner.Runner
+	Ingress  *ingress.Handler
+	Metrics  *metrics.Metrics
+	Logger   *zap.Logger
+	// Ready reports whether clients should come here, and why not.
+	Ready func() (bool, string)
+	// ConfigurationAge is how long ago the configuration was last confirmed.
+	ConfigurationAge func() time.Duration
+	// Stopping is closed when a planned stop begins.
+	Stopping <-chan struct{}
+}
+
+// Interface are the handlers of the daemon's listeners for callers.
+type Interface struct{ Public, Internal http.Handler }
+
 // Connect makes the drivers of a platform from the settings.
 type Connect func(loaded settings.Settings, replicas *upstream.Pool) (Drivers, error)
 
@@ -79,11 +107,13 @@
 	demandFollower   *journal.KeyedFollower
 	handler          *ingress.Handler
 	front            *frontServer
+	internal         *frontServer
 	health           *healthServer
 
 	context  context.Context
 	cancel   context.CancelFunc
 	stopping chan struct{}
+	stopOnce sync.Once
 }
 
 // New builds a daemon. Its identity is its name with the time of this start,
@@ -129,10 +159,24 @@
 		Runner: node.runner, Ledger: node.ledger, Observer: node.metrics, Logger: logger,
 	}
 	node.front.handler = node.handler
+	node.internal = newFrontServer(logger)
+	if drivers.Interface != nil {
+		made := drivers.Interface(node.parts(drivers))
+		node.front.handler, node.internal.handler = made.Public, made.Internal
+	}
 	node.health = &healthServer{ready: node.ready, metrics: node.metrics.Handler(), logger: logger}
 	node.registerMetrics()
 }
 
+func (node *Node) parts(drivers Drivers) Parts {
+	return Parts{
+		Settings: node.settings, Identity: node.identity, Journal: drivers.Journal, Operator: node.operator, Replicas: node.table,
+		Ledger: node.ledger, Runner: node.runner, Ingress: node.handler, Metrics: node.metrics, Logger: node.logger, Ready: node.ready,
+		ConfigurationAge: func() time.Duration { return time.Since(node.operatorFollower.LastContact()) },
+		Stopping:         node.stopping,
+	}
+}
+
 func (node *Node) registerMetrics() {
 	node.metrics.Gauge("requests_in_flight", "Requests of clients being answered.", func() float64 { return float64(node.handler.InFlight()) })
 	node.metrics.Gauge("batches_owned", "Batches that this daemon runs.", func() float64 { batches, _ := node.runner.Load(); return float64(batches) })
@@ -157,6 +201,11 @@
 	if err := node.front.listen(node.settings.Listen.Public); err != nil {
 		return errors.Wrap(err, "node")
 	}
+	if node.internal.handler != nil {
+		if err := node.internal.listen(node.settings.Listen.Internal); err != nil {
+			return errors.Wrap(err, "node")
+		}
+	}
 	for _, run := range []func(context.Context){
 		node.operatorFollower.Run, node.replicaFollower.Run, node.member.Run, node.watcher.Run,
 		node.runner.Run, node.lease.Run, node.sweep,
@@ -219,8 +268,13 @@
 )
 
 // Stop takes no more work, hands batches over, finishes what is under way and
-// ends the daemon within the grace of the settings.
+// ends the daemon within the grace of the settings. A second call waits for the
+// first.
 func (node *Node) Stop() {
+	node.stopOnce.Do(node.stop)
+}
+
+func (node *Node) stop() {
 	began := time.Now()
 	close(node.stopping)
 	node.logger.Info("stopping", zap.Int64("in_flight", node.handler.InFlight()))
@@ -235,8 +289,10 @@
 		node.runner.Release(ctx)
 	}()
 	node.front.drain()
+	node.internal.drain()
 	periodic.Pause(ctx, drainTime)
 	node.front.shutdown(ctx)
+	node.internal.shutdown(ctx)
 	select {
 	case <-released:
 	case <-ctx.Done():
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -194,8 +194,10 @@
 		}
 		_, _ = writer.Write([]byte(reason))
 	})
-	if err := serveHealth(readyAddress, readiness); err != nil {
-		return err
+	if readyAddress != "" {
+		if err := serveHealth(readyAddress, readiness); err != nil {
+			return err
+		}
 	}
 	if metricsAddress == "" {
 		return nil
--- a/internal/rollout/batch.go
+++ b/internal/rollout/batch.go
@@ -1,7 +1,14 @@
-// Package rollout holds batches of samples: their identity, their parts
-// (chunks) and the cursor by which each sample is delivered exactly once.
+// Package rollout holds batches of samples as trainers ask for them: the
+// request, the rounds of batch jobs that make its samples, and the cursor by
+// which each sample is delivered exactly once.
 //
-// Everything here is pure; the daemon package moves it over the network.
+// Everything here is pure; package delivery moves it.
+//
+// # Usage
+//
+//	header := rollout.HeaderOf(request)
+//	first := rollout.First(request, header, minVersion)  // a batch job
+//	plan := rollout.Plan(cursor, rounds, accepts, limit) // what to hand over, what to make again
 package rollout
 
 import (
@@ -111,20 +118,17 @@
 	Name    string
 	// Digest is a hash of the request: another content under the same name has
 	// another digest.
-	Digest       uint64
-	Samples      int
-	ChunkSamples int
+	Digest  uint64
+	Samples int
 }
 
-// HeaderOf returns the header of a checked request. The daemon that first
-// takes in a batch chooses the chunk size, and the header carries it on.
-func HeaderOf(request Request, chunkSamples int) Header {
+// HeaderOf returns the header of a checked request.
+func HeaderOf(request Request) Header {
 	return Header{
-		Trainer:      request.Trainer,
-		Name:         request.Name,
-		Digest:       digestOf(request),
-		Samples:      len(request.Prompts) * request.SamplesPerPrompt,
-		ChunkSamples: chunkSamples,
+		Trainer: request.Trainer,
+		Name:    request.Name,
+		Digest:  digestOf(request),
+		Samples: len(request.Prompts) * request.SamplesPerPrompt,
 	}
 }
 
@@ -136,82 +140,6 @@
 	return xxhash.Sum64(encoded)
 }
 
-// Chunks returns the number of chunks.
-func (header Header) Chunks() int {
-	return (header.Samples + header.ChunkSamples - 1) / header.ChunkSamples
-}
-
-// ChunkID names a chunk of this batch.
-func (header Header) ChunkID(index int) ChunkID {
-	return ChunkID{Trainer: header.Trainer, Name: header.Name, Digest: header.Digest, Index: index}
-}
-
-// ChunkRange returns the sample indices [first, end) of a chunk.
-func (header Header) ChunkRange(index int) (first, end int) {
-	first = index * header.ChunkSamples
-	end = min(first+header.ChunkSamples, header.Samples)
-	return first, end
-}
-
-// ChunkID names one chunk of one batch.
-type ChunkID struct {
-	Trainer string
-	Name    string
-	Digest  uint64
-	Index   int
-}
-
-// PlacementKey ranks the daemons for a chunk. It leaves the digest out, so
-// that two contents under one name meet at the same daemon.
-func (id ChunkID) PlacementKey() string {
-	return fmt.Sprintf("chunk/%s/%s/%d", id.Trainer, id.Name, id.Index)
-}
-
-// String implements fmt.Stringer.
-func (id ChunkID) String() string {
-	return fmt.Sprintf("%s/%s/%d@%x", id.Trainer, id.Name, id.Index, id.Digest)
-}
-
-// SampleSpec is all that is needed to generate one sample.
-type SampleSpec struct {
-	Index    int
-	PromptID string
-	Prompt   string
-	Seed     uint64
-	Expected int
-}
-
-// ChunkSpec is all that is needed to generate a chunk.
-type ChunkSpec struct {
-	ID         ChunkID
-	Header     Header
-	MaxTokens  int
-	MinVersion uint64
-	Samples    []SampleSpec
-}
-
-// SpecOf returns the specification of one chunk of a request.
-func SpecOf(request Request, header Header, index int) ChunkSpec {
-	first, end := header.ChunkRange(index)
-	spec := ChunkSpec{
-		ID:         header.ChunkID(index),
-		Header:     header,
-		MaxTokens:  request.MaxTokens,
-		MinVersion: request.MinVersion,
-	}
-	for sample := first; sample < end; sample++ {
-		prompt := request.Prompts[sample/request.SamplesPerPrompt]
-		spec.Samples = append(spec.Samples, SampleSpec{
-			Index:    sample,
-			PromptID: prompt.ID,
-			Prompt:   prompt.Text,
-			Seed:     SampleSeed(request.Seed, sample),
-			Expected: prompt.ExpectedTokens,
-		})
-	}
-	return spec
-}
-
 // SampleSeed derives a sample's seed from the batch's.
 func SampleSeed(seed uint64, index int) uint64 {
 	return xxhash.Sum64String(fmt.Sprintf("%d/%d", seed, index))
--- a/internal/rollout/cursor.go
+++ b/internal/rollout/cursor.go
@@ -20,7 +20,7 @@
 // ErrCursor is returned for a text that is not a cursor of this service.
 var ErrCursor = errors.New("cursor: not a cursor of this service, or damaged")
 
-const cursorFormat = 1
+const cursorFormat = 2
 
 // NewCursor returns the cursor before the first sample.
 func NewCursor(header Header) Cursor {
@@ -50,18 +50,6 @@
 	return count
 }
 
-// TakenIn returns the taken samples of one chunk.
-func (cursor Cursor) TakenIn(chunk int) []int {
-	var taken []int
-	first, end := cursor.Header.ChunkRange(chunk)
-	for index := first; index < end; index++ {
-		if cursor.Taken(index) {
-			taken = append(taken, index)
-		}
-	}
-	return taken
-}
-
 // String encodes the cursor as URL-safe text.
 func (cursor Cursor) String() string {
 	data := []byte{cursorFormat}
@@ -69,7 +57,6 @@
 	data = appendText(data, cursor.Header.Name)
 	data = binary.BigEndian.AppendUint64(data, cursor.Header.Digest)
 	data = binary.AppendUvarint(data, uint64(cursor.Header.Samples))
-	data = binary.AppendUvarint(data, uint64(cursor.Header.ChunkSamples))
 	data = append(data, cursor.taken...)
 	data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(data))
 	return base64.RawURLEncoding.EncodeToString(data)
@@ -96,7 +83,6 @@
 	cursor.Header.Name = reader.text()
 	cursor.Header.Digest = reader.fixed64()
 	cursor.Header.Samples = reader.count(MaxSamples)
-	cursor.Header.ChunkSamples = reader.count(MaxSamples)
 	cursor.taken = append([]byte{}, reader.data...)
 	if reader.failed || len(cursor.taken) != (cursor.Header.Samples+7)/8 {
 		return Cursor{}, ErrCursor
--- /dev/null
+++ b/internal/rollout/rounds.go
@@ -0,0 +1,180 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"woodworks/internal/batch"
+)
+
+// RouteHost is the host of the routes of batch jobs; each trainer has a prefix
+// of its own there.
+const RouteHost = "rollouts"
+
+// GeneratePath is where engines take requests.
+const GeneratePath = "/generate"
+
+// RoutePrefix is the path prefix of a trainer's route.
+func RoutePrefix(trainer string) string { return "/" + trainer + "/" }
+
+// ItemHeaders are the names of the headers that an item tells its size in.
+type ItemHeaders struct{ TokenUsage, LengthHint string }
+
+// JobID names the batch job of one round. The first round makes all samples;
+// each further one makes those again that were too old to be handed over. Names
+// of batches have no slash, so no two jobs share an id.
+func JobID(trainer, name string, round int) string {
+	if round == 0 {
+		return trainer + "/" + name
+	}
+	return fmt.Sprintf("%s/%s/%d", trainer, name, round)
+}
+
+// First returns the batch job that makes all samples of a request.
+func First(request Request, header Header, minVersion int64, names ItemHeaders) *batch.Submission {
+	job := newJob(header, 0, minVersion)
+	for sample := range header.Samples {
+		prompt := request.Prompts[sample/request.SamplesPerPrompt]
+		seed := SampleSeed(request.Seed, sample)
+		job.Items = append(job.Items, firstItem(job.ID, sample, prompt, seed, request, names))
+	}
+	return job
+}
+
+func newJob(header Header, round int, minVersion int64) *batch.Submission {
+	return &batch.Submission{
+		ID: JobID(header.Trainer, header.Name, round), Host: RouteHost,
+		Path: RoutePrefix(header.Trainer) + strconv.FormatUint(header.Digest, 16),
+		Step: int64(round), Model: header.Trainer, MinVersion: minVersion,
+	}
+}
+
+func firstItem(job string, sample int, prompt Prompt, seed uint64, request Request, names ItemHeaders) batch.Item {
+	body, err := json.Marshal(Generate{Model: request.Trainer, Prompt: prompt.Text, Seed: seed, MaxTokens: request.MaxTokens})
+	if err != nil {
+		panic(err) // texts and numbers are always encodable
+	}
+	item := batch.Item{
+		ID: itemID(job, sample), Path: GeneratePath, Body: body, Group: prompt.ID,
+		Tokens:  int64(len(prompt.Text) + request.MaxTokens),
+		Headers: []batch.Header{{Name: names.TokenUsage, Value: fmt.Sprintf("%d,%d", len(prompt.Text), request.MaxTokens)}},
+	}
+	if prompt.ExpectedTokens > 0 {
+		item.Headers = append(item.Headers, batch.Header{Name: names.LengthHint, Value: strconv.Itoa(prompt.ExpectedTokens)})
+	}
+	return item
+}
+
+// itemID names a sample in a job. Its last part is the sample's index.
+func itemID(job string, sample int) string { return fmt.Sprintf("%s/s%d", job, sample) }
+
+// sampleOf returns the index of the sample that an item makes.
+func sampleOf(id string) (int, bool) {
+	slash := strings.LastIndex(id, "/s")
+	if slash < 0 {
+		return 0, false
+	}
+	sample, err := strconv.Atoi(id[slash+2:])
+	return sample, err == nil
+}
+
+// Next returns the batch job that makes some samples again.
+func Next(first *batch.Submission, header Header, round int, samples []int, minVersion int64) *batch.Submission {
+	job := newJob(header, round, minVersion)
+	for _, sample := range samples {
+		item := first.Items[sample]
+		item.ID = itemID(job.ID, sample)
+		job.Items = append(job.Items, item)
+	}
+	return job
+}
+
+// DigestOf returns the digest of the request that a first job was made from.
+func DigestOf(job *batch.Submission) (uint64, bool) {
+	digest, err := strconv.ParseUint(job.Path[strings.LastIndex(job.Path, "/")+1:], 16, 64)
+	return digest, err == nil
+}
+
+// Round is one round as it stands: the newest result of each of its samples,
+// nil for one that has none yet.
+type Round map[int]*batch.Result
+
+// RoundOf reads a round off a batch job.
+func RoundOf(job *batch.Batch) Round {
+	round := Round{}
+	for i := range job.Items {
+		if sample, ours := sampleOf(job.Items[i].ID); ours {
+			round[sample] = nil
+		}
+	}
+	for i := range job.Results {
+		result := job.Results[i]
+		if sample, ours := sampleOf(job.Items[result.Item].ID); ours {
+			round[sample] = &result
+		}
+	}
+	return round
+}
+
+// Planned is what a delivery should do.
+type Planned struct {
+	// Ready are samples to hand over.
+	Ready []Result
+	// Again are samples that must be made again in a further round.
+	Again []int
+	// Open counts the samples that are neither taken nor ready.
+	Open int
+}
+
+// Plan decides on the samples that the cursor has not taken. Accepts judges the
+// oldest version of a sample. Of the rounds that make a sample the last counts.
+func Plan(cursor Cursor, rounds []Round, accepts func(oldest int64) bool, limit int) Planned {
+	var plan Planned
+	for sample := range cursor.Header.Samples {
+		if cursor.Taken(sample) {
+			continue
+		}
+		made := newestOf(rounds, sample)
+		switch {
+		case made == nil:
+			plan.Open++
+		case made.Outcome != batch.Done || !accepts(oldest(made)):
+			plan.Open++
+			plan.Again = append(plan.Again, sample)
+		case len(plan.Ready) >= limit:
+			plan.Open++
+		default:
+			ready := Result{Index: sample}
+			if ready.readText(made) != nil {
+				plan.Open++
+				plan.Again = append(plan.Again, sample)
+				continue
+			}
+			plan.Ready = append(plan.Ready, ready)
+		}
+	}
+	return plan
+}
+
+// newestOf returns the result of the last round that makes a sample, or nil if
+// it has none yet.
+func newestOf(rounds []Round, sample int) *batch.Result {
+	for i := len(rounds) - 1; i >= 0; i-- {
+		if made, makes := rounds[i][sample]; makes {
+			return made
+		}
+	}
+	return nil
+}
+
+// Complete fills in what a result repeats of the request.
+func (result *Result) Complete(first *batch.Submission) {
+	item := first.Items[result.Index]
+	result.PromptID = item.Group
+	var asked Generate
+	if json.Unmarshal(item.Body, &asked) == nil {
+		result.Seed = asked.Seed
+	}
+}
--- /dev/null
+++ b/internal/rollout/sample.go
@@ -0,0 +1,101 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/batch"
+)
+
+// Generate is what an engine is asked for: the body of an item.
+type Generate struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	Seed      uint64 `json:"seed"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// Frame is the data of one event of an engine's answer.
+type Frame struct {
+	// Version is the version of the weights that made the tokens.
+	Version int64    `json:"version"`
+	Tokens  []uint32 `json:"tokens"`
+	// End says why the sample ended, in its last frame.
+	End string `json:"end,omitempty"`
+}
+
+// Segment is a run of tokens of one weight version.
+type Segment struct {
+	Version uint64 `json:"version"`
+	Tokens  int    `json:"tokens"`
+}
+
+// Result is one finished sample.
+type Result struct {
+	Index    int       `json:"index"`
+	PromptID string    `json:"prompt_id"`
+	Seed     uint64    `json:"seed"`
+	Tokens   []uint32  `json:"tokens"`
+	Segments []Segment `json:"segments"`
+	End      string    `json:"end"`
+}
+
+// ErrText is returned for a text that is not made of an engine's frames.
+var ErrText = errors.New("rollout: the text is not made of frames")
+
+// Add takes a frame in.
+func (result *Result) Add(frame Frame) {
+	result.Tokens = append(result.Tokens, frame.Tokens...)
+	if frame.End != "" {
+		result.End = frame.End
+	}
+	if len(frame.Tokens) == 0 {
+		return
+	}
+	last := len(result.Segments) - 1
+	if last >= 0 && result.Segments[last].Version == uint64(frame.Version) {
+		result.Segments[last].Tokens += len(frame.Tokens)
+		return
+	}
+	result.Segments = append(result.Segments, Segment{Version: uint64(frame.Version), Tokens: len(frame.Tokens)})
+}
+
+// readText fills a result from the text of an item. Each version that a frame
+// names must be among those that the item was made by.
+func (result *Result) readText(made *batch.Result) error {
+	for _, line := range bytes.Split(made.Text, []byte("\n")) {
+		var frame Frame
+		if err := json.Unmarshal(line, &frame); err != nil {
+			return errors.Wrap(ErrText, err.Error())
+		}
+		result.Add(frame)
+	}
+	for _, segment := range result.Segments {
+		if !madeBy(made, int64(segment.Version)) {
+			return errors.Wrapf(ErrText, "version %d is not one that made it", segment.Version)
+		}
+	}
+	return nil
+}
+
+func madeBy(made *batch.Result, version int64) bool {
+	for _, each := range made.Versions {
+		if each == version {
+			return true
+		}
+	}
+	return false
+}
+
+// oldest returns the lowest version that made a part of an item.
+func oldest(made *batch.Result) int64 {
+	lowest := int64(0)
+	for _, version := range made.Versions {
+		if lowest == 0 || version < lowest {
+			lowest = version
+		}
+	}
+	return lowest
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -53,6 +53,9 @@
 	Sticky    bool
 	// SingleVersion demands that one version makes all of a sample.
 	SingleVersion bool
+	// HedgeAfter is when a second replica is asked while the first is silent, 0
+	// for what the replica's usual latency suggests.
+	HedgeAfter time.Duration
 	// BatchDeadline is the span after submission by which results are due.
 	BatchDeadline time.Duration
 	// MaxQueue is the span after submission from which an item may be given up.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,8 +19,8 @@
 	"gopkg.in/yaml.v3"
 )
 
-// Settings is the whole configuration of one daemon process. Policies are not
-// part of it: they come from the log service and are the same everywhere.
+// Settings is the whole configuration of one daemon process. What operators
+// decide is not part of it: it comes from the log and is the same everywhere.
 type Settings struct {
 	// Name is the daemon's stable name, used in logs and as a prefix of its node identity.
 	Name string `yaml:"name"`
@@ -30,9 +30,6 @@
 
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform"`
-	// Seeds are peer addresses (IP:port) of other daemons, tried at start and
-	// again whenever the daemon knows no live peer.
-	Seeds []string `yaml:"seeds"`
 	// Operators may publish policies on the internal listener, also before
 	// the first policy is in force.
 	Operators []OperatorKey `yaml:"operators"`
@@ -53,39 +50,27 @@
 type Listen struct {
 	Public   string `yaml:"public"`
 	Internal string `yaml:"internal"`
-	// Peer is also the source address of all connections to other daemons and
-	// to the platform.
-	Peer string `yaml:"peer"`
-	// AdvertisePeer is the address that other daemons should use, if it is not
-	// Peer itself.
-	AdvertisePeer string `yaml:"advertise_peer"`
 	// Health answers whether clients should come here, Metrics tells the
-	// daemon's figures. They are used with platform.driver "store"; Metrics
-	// may be left out.
+	// daemon's figures. Metrics may be left out, and with the driver "log" both,
+	// as the internal listener has them too.
 	Health  string `yaml:"health"`
 	Metrics string `yaml:"metrics"`
 }
 
-// PeerAddress returns the address that other daemons use.
-func (listen Listen) PeerAddress() string {
-	if listen.AdvertisePeer != "" {
-		return listen.AdvertisePeer
-	}
-	return listen.Peer
-}
-
-// Platform holds the base URLs of the platform's services, or names the driver
-// of a platform whose store keeps all that lasts.
+// Platform names the driver of the platform, and its store.
 type Platform struct {
-	LogURL         string `yaml:"log_url"`
-	MachineListURL string `yaml:"machine_list_url"`
-	// Driver is "" for the two services above or DriverStore.
+	// Driver is DriverStore or DriverLog.
 	Driver string `yaml:"driver"`
 	Store  Store  `yaml:"store"`
 }
 
-// DriverStore is the driver of a platform with a partitioned log.
-const DriverStore = "store"
+// Drivers of platforms.
+const (
+	// DriverStore is the users' platform.
+	DriverStore = "store"
+	// DriverLog is the product's own log service, engines and interface.
+	DriverLog = "log"
+)
 
 // Store says where the platform's log is and what it takes.
 type Store struct {
@@ -102,14 +87,6 @@
 type Limits struct {
 	// MaxBodyBytes is the largest request body accepted, in bytes.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// MaxQueued is the most requests and samples waiting for a replica.
-	MaxQueued int `yaml:"max_queued"`
-	// MaxChunks is the most chunks of batches homed or backed up here.
-	MaxChunks int `yaml:"max_chunks"`
-	// MaxRecords is the most write-once records kept.
-	MaxRecords int `yaml:"max_records"`
-	// ChunkSamples is how many samples of a batch share one home daemon.
-	ChunkSamples int `yaml:"chunk_samples"`
 	// MemoryMB is what the process may use in all, in megabytes; 0 names no bound.
 	MemoryMB int `yaml:"memory_mb"`
 }
@@ -124,10 +101,6 @@
 	// RecordRetention is how long a request key is remembered; a key older
 	// than this is refused.
 	RecordRetention Duration `yaml:"record_retention"`
-	// BatchRetention is how long a finished or unread batch is kept after its last pull.
-	BatchRetention Duration `yaml:"batch_retention"`
-	// PollInterval is how often an owned replica is asked for its state.
-	PollInterval Duration `yaml:"poll_interval"`
 	// LeaseQuiet is how long after one holder's last order to an engine another
 	// must wait before its first.
 	LeaseQuiet Duration `yaml:"lease_quiet"`
@@ -171,17 +144,11 @@
 	return Settings{
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20,
-			MaxQueued:    4096,
-			MaxChunks:    4096,
-			MaxRecords:   200_000,
-			ChunkSamples: 16,
 		},
 		Timing: Timing{
 			ConfirmBound:    Duration(4 * time.Second),
 			StopGrace:       Duration(2 * time.Minute),
 			RecordRetention: Duration(10 * time.Minute),
-			BatchRetention:  Duration(30 * time.Minute),
-			PollInterval:    Duration(200 * time.Millisecond),
 			LeaseQuiet:      Duration(3 * time.Second),
 			ContactBound:    Duration(3 * time.Second),
 			DrainBound:      Duration(2 * time.Second),
@@ -267,53 +234,37 @@
 		require(err != nil || parsed.Port() != 0, key, "port must not be 0")
 	}
 	checkAddress(loaded.Listen.Public, "listen.public")
-	hosted := loaded.Platform.Driver == DriverStore
-	require(hosted || loaded.Platform.Driver == "", "platform.driver", fmt.Sprintf("%q is not %s", loaded.Platform.Driver, DriverStore))
-	if hosted {
+	store := loaded.Platform.Store
+	switch loaded.Platform.Driver {
+	case DriverStore:
 		checkAddress(loaded.Listen.Health, "listen.health")
-		if loaded.Listen.Metrics != "" {
-			checkAddress(loaded.Listen.Metrics, "listen.metrics")
-		}
-		checkAddress(loaded.Platform.Store.Address, "platform.store.address")
-		require(loaded.Platform.Store.Partitions > 0, "platform.store.partitions", "must be above 0")
-		require(loaded.Platform.Store.RecordBytes >= minRecordBytes, "platform.store.record_bytes", fmt.Sprintf("must be at least %d", minRecordBytes))
-		require(loaded.Platform.Store.AppendBytes >= loaded.Platform.Store.RecordBytes, "platform.store.append_bytes", "must not be less than record_bytes")
-	} else {
+	case DriverLog:
 		checkAddress(loaded.Listen.Internal, "listen.internal")
-		checkAddress(loaded.Listen.Peer, "listen.peer")
-	}
-	if loaded.Listen.AdvertisePeer != "" {
-		checkAddress(loaded.Listen.AdvertisePeer, "listen.advertise_peer")
+		if loaded.Listen.Health != "" {
+			checkAddress(loaded.Listen.Health, "listen.health")
+		}
+	default:
+		require(false, "platform.driver", fmt.Sprintf("%q is not %s or %s", loaded.Platform.Driver, DriverStore, DriverLog))
 	}
-	for i, seed := range loaded.Seeds {
-		checkAddress(seed, fmt.Sprintf("seeds[%d]", i))
+	if loaded.Listen.Metrics != "" {
+		checkAddress(loaded.Listen.Metrics, "listen.metrics")
 	}
+	checkAddress(store.Address, "platform.store.address")
+	require(store.Partitions > 0, "platform.store.partitions", "must be above 0")
+	require(store.RecordBytes >= minRecordBytes, "platform.store.record_bytes", fmt.Sprintf("must be at least %d", minRecordBytes))
+	require(store.AppendBytes >= store.RecordBytes, "platform.store.append_bytes", "must not be less than record_bytes")
 	for i, operator := range loaded.Operators {
 		require(operator.Name != "", fmt.Sprintf("operators[%d].name", i), "is required")
 		require(digestPattern.MatchString(operator.KeySHA256), fmt.Sprintf("operators[%d].key_sha256", i), "must be 64 lower-case hexadecimal digits")
 	}
-	checkURL := func(url, key string) {
-		holds := strings.HasPrefix(url, "http://") || strings.HasPrefix(url, "https://")
-		require(holds, key, fmt.Sprintf("%q must start with http:// or https://", url))
-	}
-	if !hosted {
-		checkURL(loaded.Platform.LogURL, "platform.log_url")
-		checkURL(loaded.Platform.MachineListURL, "platform.machine_list_url")
-	}
 	require(loaded.Limits.MemoryMB >= 0, "limits.memory_mb", "must not be below 0")
 	require(loaded.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "must be above 0")
-	require(loaded.Limits.MaxQueued > 0, "limits.max_queued", "must be above 0")
-	require(loaded.Limits.MaxChunks > 0, "limits.max_chunks", "must be above 0")
-	require(loaded.Limits.MaxRecords > 0, "limits.max_records", "must be above 0")
-	require(loaded.Limits.ChunkSamples > 0, "limits.chunk_samples", "must be above 0")
 	checkPositive := func(duration Duration, key string) {
 		require(duration > 0, key, "must be above 0s")
 	}
 	checkPositive(loaded.Timing.ConfirmBound, "timing.confirm_bound")
 	checkPositive(loaded.Timing.StopGrace, "timing.stop_grace")
 	checkPositive(loaded.Timing.RecordRetention, "timing.record_retention")
-	checkPositive(loaded.Timing.BatchRetention, "timing.batch_retention")
-	checkPositive(loaded.Timing.PollInterval, "timing.poll_interval")
 	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
 	checkPositive(loaded.Timing.ContactBound, "timing.contact_bound")
 	checkPositive(loaded.Timing.DrainBound, "timing.drain_bound")
--- /dev/null
+++ b/internal/standalone/codec.go
@@ -0,0 +1,32 @@
+package standalone
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/ingress"
+)
+
+// errNoBatches is returned for what the gateway never asks of the ingress.
+var errNoBatches = errors.New("standalone: batches come through /v1/")
+
+// codec is that of an ingress behind the gateway: it gets single requests only.
+type codec struct{}
+
+var _ ingress.Codec = codec{}
+
+// ParseCall implements ingress.Codec.
+func (codec) ParseCall(*http.Request) (ingress.BatchCall, bool, error) {
+	return ingress.BatchCall{}, false, nil
+}
+
+// DecodeSubmission implements ingress.Codec.
+func (codec) DecodeSubmission([]byte) (*batch.Submission, error) { return nil, errNoBatches }
+
+// EncodeResults implements ingress.Codec.
+func (codec) EncodeResults(ingress.ResultsPage) ([]byte, error) { return nil, errNoBatches }
+
+// EncodeError implements ingress.Codec.
+func (codec) EncodeError(text string) []byte { return []byte(text) }
--- /dev/null
+++ b/internal/standalone/connect.go
@@ -0,0 +1,75 @@
+package standalone
+
+import (
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/delivery"
+	"woodworks/internal/gateway"
+	"woodworks/internal/logservice"
+	"woodworks/internal/node"
+	"woodworks/internal/operator"
+	"woodworks/internal/permit"
+	"woodworks/internal/policy"
+	"woodworks/internal/rollout"
+	"woodworks/internal/settings"
+	"woodworks/internal/upstream"
+)
+
+// Connect makes the drivers of the product's own services. It is a node.Connect.
+func Connect(loaded settings.Settings, replicas *upstream.Pool) (node.Drivers, error) {
+	shape := loaded.Platform.Store
+	addr, err := netip.ParseAddrPort(shape.Address)
+	if err != nil {
+		return node.Drivers{}, errors.Wrap(err, "platform.store.address")
+	}
+	log := logservice.New(addr, loaded.Listen.Public, logservice.Shape{
+		Partitions: shape.Partitions, RecordBytes: shape.RecordBytes, AppendBytes: shape.AppendBytes,
+	})
+	decoder := &Decoder{}
+	return node.Drivers{
+		Journal: log, Decoder: decoder, Engines: NewEngines(replicas), Codec: codec{}, Headers: HeaderNames(),
+		OperatorRecords: operator.RecordsPartition(log), ReplicaRecords: operator.MachinesPartition(log),
+		Interface: func(parts node.Parts) node.Interface { return interfaceOf(parts, decoder) },
+	}, nil
+}
+
+// interfaceOf makes the /v1/ interface of a daemon.
+func interfaceOf(parts node.Parts, decoder *Decoder) node.Interface {
+	names := HeaderNames()
+	parts.Ingress.Retries = &retries{decoder: decoder, configuration: parts.Operator.Configuration}
+	newID := idsOf(parts.Identity)
+	gw := gateway.New(gateway.Parts{
+		Configuration: func() (gateway.Configuration, bool) {
+			inForce := parts.Operator.Configuration()
+			set, there := decoder.SetOf(inForce)
+			if !there {
+				return gateway.Configuration{}, false
+			}
+			return gateway.Configuration{Version: inForce.Version, Policies: set, Named: parts.Operator.Named(), Age: parts.ConfigurationAge()}, true
+		},
+		Desk:     delivery.New(parts.Ledger, parts.Runner, rollout.ItemHeaders{TokenUsage: names.TokenUsage, LengthHint: names.LengthHint}, parts.Logger),
+		Permits:  permit.New(parts.Journal, parts.Settings.Timing.RecordRetention.Std(), newID),
+		Operator: operator.New(parts.Journal, parts.Logger),
+		Replicas: parts.Replicas,
+		Ingress:  parts.Ingress,
+		Names: gateway.Names{
+			RequestID: names.RequestID, DeadlineMs: names.DeadlineMs, Stamp: names.Stamp,
+			SamplesHost: SamplesHost, ServiceHost: ServiceHost, OperationPath: OperationPath,
+		},
+		Metrics: parts.Metrics, Logger: parts.Logger, NewID: newID, Identity: parts.Identity, Ready: parts.Ready, Stopping: parts.Stopping,
+	}, gateway.Limits{
+		MaxBodyBytes: parts.Settings.Limits.MaxBodyBytes, ConfirmBound: parts.Settings.Timing.ConfirmBound.Std(), Operators: parts.Settings.Operators,
+	})
+	return node.Interface{Public: gw.Handler(policy.Public), Internal: gw.Handler(policy.Internal)}
+}
+
+// idsOf returns a function that gives another text at each call. Identities of
+// runs differ, so the texts of all daemons do.
+func idsOf(identity string) func() string {
+	var calls atomic.Uint64
+	return func() string { return identity + "-" + strconv.FormatUint(calls.Add(1), 36) }
+}
--- /dev/null
+++ b/internal/standalone/engines.go
@@ -0,0 +1,78 @@
+package standalone
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/engine"
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+// Engines speaks the product's engine protocol. It implements engine.Driver.
+type Engines struct{ pool *upstream.Pool }
+
+var _ engine.Driver = (*Engines)(nil)
+
+// NewEngines returns a driver that uses the pool's connections.
+func NewEngines(pool *upstream.Pool) *Engines { return &Engines{pool: pool} }
+
+var manners = map[engine.Manner]string{engine.Finish: MannerFinish, engine.Continue: MannerContinue, engine.Reset: MannerReset}
+
+// Report implements engine.Driver.
+func (e *Engines) Report(ctx context.Context, target replica.Replica) (engine.Report, error) {
+	status, body, err := e.call(ctx, target, http.MethodGet, StatePath, nil)
+	if err != nil || status != http.StatusOK {
+		return engine.Report{}, errors.Wrapf(engine.ErrUnknown, "state: status %d: %v", status, err)
+	}
+	var state EngineState
+	if err := json.Unmarshal(body, &state); err != nil {
+		return engine.Report{}, errors.Wrap(engine.ErrUnknown, err.Error())
+	}
+	return engine.Report{Busy: state.Busy, Orders: state.Orders, Versions: state.Versions, Waiting: state.Waiting, Running: state.Running}, nil
+}
+
+// Give implements engine.Driver.
+func (e *Engines) Give(ctx context.Context, target replica.Replica, order engine.Order) error {
+	body, err := json.Marshal(EngineOrder{
+		Model: order.Model, Version: order.Version, Manner: manners[order.Manner],
+		Holder: order.Holder, Fence: order.Fence, AfterOrders: order.AfterOrders,
+	})
+	if err != nil {
+		return errors.Wrap(engine.ErrRefused, err.Error())
+	}
+	status, text, err := e.call(ctx, target, http.MethodPost, OrderPath, body)
+	if err != nil {
+		return errors.Wrap(engine.ErrUnknown, err.Error())
+	}
+	switch status {
+	case http.StatusOK, http.StatusAccepted:
+		return nil
+	case http.StatusConflict:
+		return errors.Wrap(engine.ErrConflict, string(text))
+	case http.StatusPreconditionFailed:
+		return errors.Wrap(engine.ErrFenced, string(text))
+	case http.StatusBadRequest, http.StatusMisdirectedRequest:
+		return errors.Wrapf(engine.ErrRefused, "status %d: %s", status, text)
+	default:
+		return errors.Wrapf(engine.ErrUnknown, "status %d", status)
+	}
+}
+
+func (e *Engines) call(ctx context.Context, target replica.Replica, method, path string, body []byte) (int, []byte, error) {
+	header := http.Header{HeaderNames().ExpectReplica: {target.ID}}
+	if body != nil {
+		header.Set("Content-Type", "application/json")
+	}
+	answer, err := e.pool.Exchange(ctx, target.Address, &upstream.Request{Method: method, Target: path, Host: target.Address, Header: header, Body: body})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer answer.Close()
+	content, err := io.ReadAll(answer)
+	return answer.Status, content, err
+}
--- /dev/null
+++ b/internal/standalone/retries.go
@@ -0,0 +1,46 @@
+package standalone
+
+import (
+	"time"
+
+	"woodworks/internal/ingress"
+	"woodworks/internal/policy"
+	"woodworks/internal/retrybudget"
+	"woodworks/internal/route"
+)
+
+// retries lets the policies in force and the retry budget decide on offers to
+// further replicas. It implements ingress.Retries.
+type retries struct {
+	decoder       *Decoder
+	configuration func() *route.Configuration
+	budget        retrybudget.Budget
+}
+
+var _ ingress.Retries = (*retries)(nil)
+
+// Began implements ingress.Retries.
+func (r *retries) Began(*route.Route) {
+	if set, there := r.decoder.SetOf(r.configuration()); there {
+		r.budget.FirstTry(set.Retry.Percent)
+	}
+}
+
+// May implements ingress.Retries.
+func (r *retries) May(found *route.Route, offers int) bool {
+	set, there := r.decoder.SetOf(r.configuration())
+	if !there {
+		return false
+	}
+	service, operation := operationOf(found)
+	if set.OnFailure(service, operation, offers) != policy.ActionRetry {
+		return false
+	}
+	return r.budget.TryRetry(time.Now(), set.Retry.Minimum)
+}
+
+// operationOf returns the service and the operation of a route.
+func operationOf(found *route.Route) (service, operation string) {
+	service = found.Shares[0].Service
+	return service, found.Name[min(len(service)+1, len(found.Name)):]
+}
