Two daemons stand by for the lease; a successor claims it just before it may act

The holder was itself the one candidate: another daemon began to watch the lease only when the group had dealt its partition anew, at about 25 s.

Change: the members with the first partition of the first and of the last topic of batches are candidates. And a claim comes 0.3 s before its holder may act instead of 3 s: claimed early it only took the lease from a holder that was back before anybody else could have acted.

Ruled out: shortening the wait itself (the rule of turns within LeaseMs holds for all machines where engines check no fences).

TestReclaimWithinTheQuietTimeWaits waits longer for its claim, as claims come later; what it checks is the same.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -3,7 +3,8 @@
 // A claim's offset is its fence: it is unique and only rises. A holder acts
 // only until its lease is over by its own steady clock, counted from when it
 // sent its last acknowledged renewal. A successor acts only once that time and
-// the quiet time must be over, counted from when it read the last record.
+// the quiet time must be over, counted from when it read the last record. It
+// claims the lease just before that: until then the holder may come back.
 // Neither relies on the time of day.
 package lease
 
@@ -27,11 +28,16 @@
 	renewEvery = 400 * time.Millisecond
 	// margin is added to each wait for another's lease to be over.
 	margin = 300 * time.Millisecond
+	// claimLead is how long before it may act a successor claims the lease.
+	claimLead = 300 * time.Millisecond
 	// callTimeout bounds one call to the journal.
 	callTimeout = 1200 * time.Millisecond
 	// waitSlack is what a held read may take beyond its wait.
-	waitSlack  = 800 * time.Millisecond
-	retryPause = 150 * time.Millisecond
+	waitSlack = 800 * time.Millisecond
+	// longestWait bounds a held read: one that an outage has swallowed is given
+	// up soon.
+	longestWait = time.Second
+	retryPause  = 150 * time.Millisecond
 )
 
 type claimKind int
@@ -252,7 +258,7 @@
 	from, seen := lease.next, lease.any
 	wait := time.Duration(0)
 	if seen {
-		wait = max(time.Until(lease.freeAt()), 0)
+		wait = min(max(time.Until(lease.freeAt()), 0), longestWait)
 	}
 	lease.mutex.Unlock()
 	asked := time.Now()
@@ -290,12 +296,14 @@
 	}
 }
 
-// freeAt is when the lease is over for certain. The mutex is held.
+// freeAt is when the lease should be claimed. The lease of another machine is
+// over for certain well before, but who claims it then could not act yet, and
+// would take it from a holder that is back by then. The mutex is held.
 func (lease *Lease) freeAt() time.Time {
 	if lease.next == 0 || lease.last.Kind == resigned || lease.last.Machine == lease.machine {
 		return lease.lastAt
 	}
-	return lease.lastAt.Add(Duration + margin)
+	return lease.lastAt.Add(Duration + margin + max(lease.quiet-claimLead, 0))
 }
 
 // claim appends a claim on condition that nothing was written since.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -207,6 +207,60 @@
 	})
 }
 
+// A holder that is killed, or parted from the journal, for less than the quiet
+// time of a successor goes on at once: nobody has taken its lease, as nobody
+// could have acted on it yet.
+func TestAHolderThatIsBackSoonKeepsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log, acts := journaltest.New(), &history{}
+		first := start(ctx, log, "a", 1, acts)
+		first.lease.SetCandidate(true)
+		time.Sleep(time.Second)
+		is.True(mayAct(first))
+		other := start(ctx, log, "b", 1, acts)
+		other.lease.SetCandidate(true)
+		time.Sleep(time.Second)
+		first.kill()
+		time.Sleep(Duration + margin + quiet/2)
+		again := start(ctx, log, "a", 2, acts)
+		time.Sleep(200 * time.Millisecond)
+		is.True(mayAct(again))
+		is.True(!other.lease.Held())
+		again.kill()
+		other.kill()
+		is.NoErr(acts.check())
+	})
+}
+
+// A candidate that has watched acts as soon as it may after the last renewal:
+// that it claims late costs nothing.
+func TestAStandbyActsAsSoonAsItMay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log, acts := journaltest.New(), &history{}
+		first := start(ctx, log, "a", 1, acts)
+		first.lease.SetCandidate(true)
+		other := start(ctx, log, "b", 1, acts)
+		other.lease.SetCandidate(true)
+		time.Sleep(2 * time.Second)
+		gone, standby := first, other
+		if mayAct(other) {
+			gone, standby = other, first
+		}
+		is.True(mayAct(gone))
+		gone.kill()
+		time.Sleep(Duration + margin + quiet + 50*time.Millisecond)
+		is.True(mayAct(standby))
+		standby.kill()
+		is.NoErr(acts.check())
+	})
+}
+
 // A machine whose run claimed the lease and was killed within the quiet time
 // after another holder must wait for the rest of it, although the last record
 // is its own.
@@ -222,7 +276,7 @@
 		first.kill()
 		second := start(ctx, log, "b", 1, acts)
 		second.lease.SetCandidate(true)
-		time.Sleep(Duration + margin + 300*time.Millisecond)
+		time.Sleep(Duration + margin + quiet - claimLead/2)
 		is.True(second.lease.Held())
 		is.True(!mayAct(second))
 		second.kill()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,16 +220,24 @@
 
 // sweep drops what is not used and keeps the candidacy for the lease up to date.
 func (node *Node) sweep(ctx context.Context) {
-	duty := journal.Partition{Topic: ledger.TopicNames()[0]}
 	periodic.Every(ctx, sweepInterval, func(context.Context) {
 		now := time.Now()
 		node.pool.Sweep(now)
 		node.ledger.Sweep(now)
 		node.table.Sweep(now)
-		node.lease.SetCandidate(node.member.Partitions()[duty])
+		node.lease.SetCandidate(isCandidate(node.member.Partitions()))
 	})
 }
 
+// isCandidate reports whether the partitions dealt to a daemon make it one that
+// claims the lease for orders when it is free. There are two such daemons, as
+// one of them may be the holder that has been lost: the members that have the
+// first partition of the first and of the last topic of batches.
+func isCandidate(dealt map[journal.Partition]bool) bool {
+	topics := ledger.TopicNames()
+	return dealt[journal.Partition{Topic: topics[0]}] || dealt[journal.Partition{Topic: topics[len(topics)-1]}]
+}
+
 func (node *Node) lastContact() time.Time {
 	last := node.member.LastContact()
 	for _, follower := range []*journal.KeyedFollower{node.operatorFollower, node.replicaFollower} {
