Choose the lease's standbys so that any way of dealing gives two

Change: the first two partitions of the first topic and the last of the last: two or three daemons, in turn or in runs.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,10 +110,12 @@
 	internal         *frontServer
 	health           *healthServer
 
-	context  context.Context
-	cancel   context.CancelFunc
-	stopping chan struct{}
-	stopOnce sync.Once
+	context context.Context
+	cancel  context.CancelFunc
+	// partitions is how many the journal has of each topic.
+	partitions int
+	stopping   chan struct{}
+	stopOnce   sync.Once
 }
 
 // New builds a daemon. Its identity is its name with the time of this start,
@@ -138,6 +140,7 @@
 func (node *Node) build(drivers Drivers) {
 	logger := node.logger
 	drivers.Journal = journal.Observe(drivers.Journal, node.metrics.JournalCall)
+	node.partitions = drivers.Journal.PartitionsPerTopic()
 	contact := node.settings.Timing.ContactBound.Std()
 	node.table = replica.NewTable(node.settings.Timing.DrainBound.Std(), logger)
 	node.front = newFrontServer(logger)
@@ -225,17 +228,20 @@
 		node.pool.Sweep(now)
 		node.ledger.Sweep(now)
 		node.table.Sweep(now)
-		node.lease.SetCandidate(isCandidate(node.member.Partitions()))
+		node.lease.SetCandidate(isCandidate(node.member.Partitions(), node.partitions))
 	})
 }
 
 // isCandidate reports whether the partitions dealt to a daemon make it one that
-// claims the lease for orders when it is free. There are two such daemons, as
-// one of them may be the holder that has been lost: the members that have the
-// first partition of the first and of the last topic of batches.
-func isCandidate(dealt map[journal.Partition]bool) bool {
+// claims the lease for orders when it is free: the first two partitions of the
+// first topic of batches and the last of the last. Whether partitions are dealt
+// in turn or in runs, these are two or three daemons; one alone might be the
+// holder that has been lost.
+func isCandidate(dealt map[journal.Partition]bool, partitionsPerTopic int) bool {
 	topics := ledger.TopicNames()
-	return dealt[journal.Partition{Topic: topics[0]}] || dealt[journal.Partition{Topic: topics[len(topics)-1]}]
+	first, last := topics[0], topics[len(topics)-1]
+	return dealt[journal.Partition{Topic: first}] || dealt[journal.Partition{Topic: first, Number: 1}] ||
+		dealt[journal.Partition{Topic: last, Number: partitionsPerTopic - 1}]
 }
 
 func (node *Node) lastContact() time.Time {
