--- a/internal/lab/demo/callers.go
+++ b/internal/lab/demo/callers.go
@@ -161,13 +161,22 @@
 }
 
 // move makes one move. Every second one has a key, and is tried at up to three
-// daemons.
+// daemons; every fourth goes to two of them at the same time.
 func (p *playerLoop) move(ctx context.Context, worker, number int) {
 	body := fmt.Sprintf("move %d of player %d", number, worker)
 	key, tries := "", 1
 	if number%2 == 0 {
 		key, tries = fmt.Sprintf("%013d-player.%04d.%06d", time.Now().UnixMilli(), worker, number), 3
 	}
+	if number%4 == 0 {
+		var doubled sync.WaitGroup
+		defer doubled.Wait()
+		doubled.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			_, _, _ = p.clients[(worker+number+1)%len(p.clients)].Call(bounded, "game-front", "move", key, []byte(body))
+		})
+	}
 	for try := range tries {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		answer, outcome, err := p.clients[(worker+number+try)%len(p.clients)].Call(bounded, "game-front", "move", key, []byte(body))
