Skip the items of a batch once none of them can be placed

Cause: a look at the waiting items compared each with each engine, although an item that finds no engine with room and fitting weights shows that no other of its batch does; and a service with no waiting item had its engines copied all the same. Placement is the same by construction: whether an engine may take an item depends on its batch alone.

--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -36,9 +36,15 @@
 	for service, waiting := range runner.pendingByService(now) {
 		candidates := runner.table.Replicas(service)
 		pace := usualPace(candidates)
+		// No engine with room for one item of a batch has room for another of it.
+		unplaced := map[*job]bool{}
 		for _, each := range waiting {
+			if unplaced[each.job] {
+				continue
+			}
 			chosen := choose(candidates, each, pace, runner.forwarder.Zone, now)
 			if chosen < 0 {
+				unplaced[each.job] = true
 				continue
 			}
 			if runner.start(each, candidates[chosen]) {
@@ -57,8 +63,10 @@
 		if !ok {
 			continue
 		}
-		service := found.Order(each.submission.ID)[0]
-		byService[service] = append(byService[service], each.startable(found, now)...)
+		if startable := each.startable(found, now); len(startable) > 0 {
+			service := found.Order(each.submission.ID)[0]
+			byService[service] = append(byService[service], startable...)
+		}
 	}
 	for _, waiting := range byService {
 		sort.SliceStable(waiting, func(i, j int) bool { return before(waiting[i], waiting[j]) })
