--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -53,24 +53,37 @@
 	logger        *zap.Logger
 
 	mutex sync.Mutex
-	// loading are the engines with a change under way.
-	loading  map[string]bool
-	notUntil map[string]time.Time
+	// notes are what is remembered of each engine, by its id.
+	notes map[string]*note
+	// loading counts the engines with a change under way.
+	loading  int
 	loadTime time.Duration
 	orders   uint64
-	// shares is how many replicas of a service are for each of its models, and
-	// dealt the model of each replica.
+	// shares is how many replicas of a service are for each of its models.
 	shares map[string][]int
-	dealt  map[string]string
-	// failures counts the failed tries of a replica in a row.
-	failures map[string]int
-	width    width
+	width  width
 }
 
+// note is what is remembered of one engine.
+type note struct {
+	// model is the one that the engine was dealt to, "" for none.
+	model   string
+	loading bool
+	// failures counts the failed tries in a row; no further one comes before
+	// notUntil.
+	failures int
+	notUntil time.Time
+	listedAt time.Time
+}
+
+// forgetAfter is how long a note outlives its engine's place in the list, from
+// which an outage of the journal may take all for a while.
+const forgetAfter = 30 * time.Second
+
 // New returns a syncer that acts in the name of holder.
 func New(holder string, held *lease.Lease, driver engine.Driver, table *replica.Table, configuration func() *route.Configuration, named Named, demands *demand.State, logger *zap.Logger) *Syncer {
 	return &Syncer{holder: holder, lease: held, driver: driver, table: table, configuration: configuration, named: named, demands: demands, logger: logger,
-		loading: map[string]bool{}, notUntil: map[string]time.Time{}, shares: map[string][]int{}, dealt: map[string]string{}, failures: map[string]int{}, loadTime: firstLoadGuess}
+		notes: map[string]*note{}, shares: map[string][]int{}, loadTime: firstLoadGuess}
 }
 
 // Orders returns how many orders were given.
@@ -132,9 +145,41 @@
 			continue
 		}
 		replicas := syncer.table.Replicas(name)
+		syncer.noteListed(replicas, now)
 		due := changesDue(syncer.dealsOf(name, service.Models, replicas), service.Models, named, syncer.lagOf, mannerFor(configuration, name))
 		syncer.startDue(ctx, due, now)
 	}
+	syncer.forget(now)
+}
+
+// noteListed keeps the notes of the engines that are listed.
+func (syncer *Syncer) noteListed(replicas []replica.Replica, now time.Time) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	for _, each := range replicas {
+		syncer.noteOf(each.ID).listedAt = now
+	}
+}
+
+// forget drops the notes of engines that are long gone.
+func (syncer *Syncer) forget(now time.Time) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	for id, each := range syncer.notes {
+		if !each.loading && now.Sub(each.listedAt) > forgetAfter {
+			delete(syncer.notes, id)
+		}
+	}
+}
+
+// noteOf returns the note of an engine. The mutex is held.
+func (syncer *Syncer) noteOf(id string) *note {
+	found := syncer.notes[id]
+	if found == nil {
+		found = &note{}
+		syncer.notes[id] = found
+	}
+	return found
 }
 
 // mannerFor lets running texts go on under new weights unless a route of the
@@ -198,14 +243,15 @@
 	defer syncer.mutex.Unlock()
 	syncer.width.waiting = len(due)
 	for _, each := range due {
-		id := each.replica.ID
-		if len(syncer.loading) >= syncer.width.places() {
+		if syncer.loading >= syncer.width.places() {
 			return
 		}
-		if syncer.loading[id] || now.Before(syncer.notUntil[id]) {
+		known := syncer.noteOf(each.replica.ID)
+		if known.loading || now.Before(known.notUntil) {
 			continue
 		}
-		syncer.loading[id] = true
+		known.loading = true
+		syncer.loading++
 		go syncer.carryOut(ctx, each)
 	}
 }
@@ -216,12 +262,14 @@
 	err := syncer.bring(ctx, each)
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
-	delete(syncer.loading, each.replica.ID)
+	syncer.loading--
+	known := syncer.noteOf(each.replica.ID)
+	known.loading = false
 	if err == nil {
-		delete(syncer.failures, each.replica.ID)
+		known.failures = 0
 	} else {
-		syncer.failures[each.replica.ID]++
-		syncer.notUntil[each.replica.ID] = time.Now().Add(pauseAfter(syncer.failures[each.replica.ID]))
+		known.failures++
+		known.notUntil = time.Now().Add(pauseAfter(known.failures))
 	}
 	syncer.logger.Info("weights", zap.String("replica", each.replica.ID), zap.String("model", each.model), zap.Int64("version", each.version),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
--- a/internal/modelsync/modelsync_test.go
+++ b/internal/modelsync/modelsync_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
@@ -187,3 +188,19 @@
 	is.Equal(pauseAfter(3), 4*failedPause)
 	is.Equal(pauseAfter(99), longestPause)
 }
+
+// What is remembered of engines goes with them, as ids never come again, but
+// outlives a short absence: an outage of the journal may empty the list.
+func TestEnginesThatAreLongGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	syncer := New("d", nil, nil, replica.NewTable(time.Second, zap.NewNop()), nil, nil, demand.NewState(), zap.NewNop())
+	start := time.Now()
+	syncer.noteListed(replicasAt(1, 1, 1), start)
+	syncer.notes["r00"].model, syncer.notes["r01"].loading = "m", true
+	syncer.forget(start.Add(forgetAfter))
+	is.Equal(len(syncer.notes), 3)
+	is.Equal(syncer.modelsDealt(replicasAt(1)), map[string]string{"r00": "m"})
+	syncer.noteListed(replicasAt(1, 1, 1)[2:], start.Add(forgetAfter))
+	syncer.forget(start.Add(forgetAfter + time.Second))
+	is.Equal(len(syncer.notes), 2) // the listed one, and one with a change under way
+}
--- a/internal/modelsync/shares.go
+++ b/internal/modelsync/shares.go
@@ -143,17 +143,28 @@
 	}
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
-	deals := deal(replicas, models, shares, syncer.dealt)
+	deals := deal(replicas, models, shares, syncer.modelsDealt(replicas))
 	for i, model := range models {
 		for _, each := range deals[i] {
 			if len(replicas) >= len(models) {
-				syncer.dealt[each.ID] = model.Name
+				syncer.noteOf(each.ID).model = model.Name
 			}
 		}
 	}
 	return deals
 }
 
+// modelsDealt returns the models that replicas were dealt to. The mutex is held.
+func (syncer *Syncer) modelsDealt(replicas []replica.Replica) map[string]string {
+	models := make(map[string]string, len(replicas))
+	for _, each := range replicas {
+		if known := syncer.notes[each.ID]; known != nil && known.model != "" {
+			models[each.ID] = known.model
+		}
+	}
+	return models
+}
+
 // deal gives each replica to a model: first to the one it had, then to the one
 // whose newest version it holds, as a holder of the lease before may have dealt
 // it so. Replicas beyond the shares are for none. Where there are fewer replicas than models, a replica is there for
