Keep the progress of long items in the log, and go on from it after a takeover

In the fold they count only from the owner, only while the item has no position, and only if they join what is kept; a doubled or late record changes nothing. A new owner goes on after the last event that is kept. Texts of one version are not kept, as they may have to be begun anew.

Ruled out: a hand-over between daemons (all may lose power at once); keeping every event at once (a record an event).

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -83,6 +83,25 @@
 	Score    string  `cbor:"5,keyasint"`
 }
 
+// Progress is a further part of an unfinished item's text.
+type Progress struct {
+	Item int `cbor:"1,keyasint"`
+	// From is how many events were kept before these.
+	From   int      `cbor:"2,keyasint"`
+	Events [][]byte `cbor:"3,keyasint"`
+	// LastEvent is the id of the last of these events.
+	LastEvent int64 `cbor:"4,keyasint"`
+	// Versions are all versions that made an event so far.
+	Versions []int64 `cbor:"5,keyasint"`
+}
+
+// Partial is the kept beginning of an item's text.
+type Partial struct {
+	Events    [][]byte
+	LastEvent int64
+	Versions  []int64
+}
+
 // Batch is the folded state of one batch. Readers must not change it.
 type Batch struct {
 	Submission
@@ -96,6 +115,8 @@
 	// Listed says of each item whether it has a position.
 	Listed []bool
 	Ended  bool
+	// Partials are the kept beginnings of items without a position.
+	Partials map[int]Partial
 	// Signs counts the records that show the owner alive.
 	Signs int64
 }
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -98,6 +98,13 @@
 		if entry.Owner == b.Owner {
 			b.Signs++
 		}
+	case kindProgress:
+		if entry.Owner == b.Owner {
+			b.Signs++
+			for _, progress := range entry.Progress {
+				b.advance(progress)
+			}
+		}
 	case kindResults:
 		b.Signs++
 		for _, result := range entry.Results {
@@ -123,6 +130,27 @@
 	}
 }
 
+// advance keeps a further part of an item's text. It counts only if it joins
+// what is kept: an owner's records may be doubled or late, but what they say of
+// one event is the same each time.
+func (b *Batch) advance(progress Progress) {
+	if b.Ended || progress.Item < 0 || progress.Item >= len(b.Listed) || b.Listed[progress.Item] || !b.versionsFit(progress.Versions) {
+		return
+	}
+	kept := b.Partials[progress.Item]
+	known := len(kept.Events) - progress.From
+	if progress.From < 0 || known < 0 || known >= len(progress.Events) {
+		return
+	}
+	if b.Partials == nil {
+		b.Partials = map[int]Partial{}
+	}
+	// A new slice: readers may hold the one before.
+	events := make([][]byte, 0, len(kept.Events)+len(progress.Events)-known)
+	events = append(append(events, kept.Events...), progress.Events[known:]...)
+	b.Partials[progress.Item] = Partial{Events: events, LastEvent: progress.LastEvent, Versions: progress.Versions}
+}
+
 // list gives a result the next position if its item has none and the batch is
 // open.
 func (b *Batch) list(result Result) {
@@ -136,6 +164,7 @@
 		return
 	}
 	b.Listed[result.Item] = true
+	delete(b.Partials, result.Item)
 	b.Results = append(b.Results, result)
 }
 
@@ -155,6 +184,7 @@
 		return
 	}
 	b.Ended = true
+	b.Partials = nil
 	items := make([]Item, len(b.Items))
 	for i, item := range b.Items {
 		items[i] = Item{ID: item.ID, Group: item.Group}
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -30,12 +30,23 @@
 	}
 }
 
+// drawProgress draws a part of the text that each item has: event n is byte n.
+func drawProgress(t *rapid.T) Progress {
+	from := rapid.IntRange(-1, 6).Draw(t, "from")
+	made := Progress{Item: rapid.IntRange(-1, 6).Draw(t, "item"), From: from, Versions: rapid.SliceOfN(rapid.Int64Range(1, 4), 0, 2).Draw(t, "versions")}
+	for range rapid.IntRange(0, 4).Draw(t, "events") {
+		made.LastEvent = int64(from + len(made.Events))
+		made.Events = append(made.Events, []byte{byte(made.LastEvent)})
+	}
+	return made
+}
+
 // drawRecord draws any record that a daemon, also a stale or paused one, could
 // append.
 func drawRecord(t *rapid.T) []byte {
 	id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "batch")
 	owner := rapid.SampledFrom([]string{"", "one", "two", "three"})
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		return Accepted(submission(id, 5, 2), owner.Draw(t, "owner"))
 	case 1:
@@ -46,6 +57,8 @@
 		return Released(id, owner.Draw(t, "from"), []int{1, 2})
 	case 4:
 		return Beat(id, owner.Draw(t, "owner"))
+	case 5:
+		return Advanced(id, owner.Draw(t, "owner"), []Progress{drawProgress(t)})
 	default:
 		return Ended(id)
 	}
@@ -99,6 +112,24 @@
 			}
 		}
 	}
+	for i, partial := range known.Partials {
+		if known.Ended || known.Listed[i] {
+			t.Fatal("a beginning is kept of an item that has ended")
+		}
+		for n, event := range partial.Events {
+			if event[0] != byte(n) {
+				t.Fatalf("item %d: event %d stands where %d should", i, event[0], n)
+			}
+		}
+		if partial.LastEvent != int64(len(partial.Events)-1) {
+			t.Fatalf("item %d: last event %d of %d", i, partial.LastEvent, len(partial.Events))
+		}
+		for _, version := range partial.Versions {
+			if version < known.MinVersion {
+				t.Fatalf("a beginning of version %d is kept", version)
+			}
+		}
+	}
 	for i, each := range known.Items {
 		if !known.Ended && (len(each.Body) != 1 || each.Body[0] != byte(i)) {
 			t.Fatal("a body is gone before the end")
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -16,6 +16,7 @@
 	kindEnded
 	kindFragment
 	kindBeat
+	kindProgress
 )
 
 // record is one entry of a journal partition.
@@ -36,6 +37,8 @@
 	Index int    `cbor:"9,keyasint,omitempty"`
 	Count int    `cbor:"10,keyasint,omitempty"`
 	Part  []byte `cbor:"11,keyasint,omitempty"`
+	// Progress is what the owner has of items that run.
+	Progress []Progress `cbor:"12,keyasint,omitempty"`
 }
 
 // fragmentOverhead is room for the fields around a fragment's bytes.
@@ -85,6 +88,12 @@
 	return encode(record{Kind: kindBeat, BatchID: batchID, Owner: owner})
 }
 
+// Advanced is an owner's sign of life that keeps what it has of running items,
+// so that another owner can go on with them.
+func Advanced(batchID, owner string, progress []Progress) []byte {
+	return encode(record{Kind: kindProgress, BatchID: batchID, Owner: owner, Progress: progress})
+}
+
 // Fragment cuts a record that is longer than limit into records that are not.
 // The fold takes the parts together as the record itself, at the offset of the
 // last part. Key must be unique to this append.
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -135,7 +135,7 @@
 
 // startAgain forgets an item's text.
 func (each *item) startAgain() {
-	each.text, each.versions, each.lastEvent, each.hasEvent = nil, nil, 0, false
+	each.text, each.versions, each.lastEvent, each.hasEvent, each.kept = nil, nil, 0, false, 0
 }
 
 // retryItem decides what becomes of an item whose attempt failed.
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -55,6 +55,8 @@
 	lastEvent int64
 	hasEvent  bool
 	versions  []int64
+	// kept is how many of the events are in the journal.
+	kept int
 	// failures counts answers of the replica that say that the item failed.
 	failures       int
 	rewardFailures int
@@ -104,6 +106,7 @@
 			each.state = itemListed
 			made.listedAtStart++
 		}
+		each.goOnFrom(known.Partials[i])
 		if known.Handed[i] {
 			each.notBefore = made.adoptedAt.Add(handedPatience)
 		}
@@ -179,19 +182,6 @@
 	}
 }
 
-// beat appends a sign of life, which changes nothing in the fold.
-func (job *job) beat() {
-	job.mutex.Lock()
-	released := job.released
-	job.mutex.Unlock()
-	if released {
-		return
-	}
-	ctx, cancel := context.WithTimeout(job.context, heartbeatInterval)
-	defer cancel()
-	_ = job.partition.Append(ctx, batch.Beat(job.submission.ID, job.runner.self))
-}
-
 // over takes the fold into account and reports whether the job is done here.
 func (job *job) over() bool {
 	job.mutex.Lock()
@@ -225,7 +215,7 @@
 	for i, listed := range known.Listed {
 		if listed && job.items[i].state != itemListed {
 			job.items[i].state = itemListed
-			job.items[i].text = nil
+			job.items[i].text, job.items[i].kept = nil, 0
 			if job.items[i].move != nil {
 				job.items[i].move()
 			}
