Read the replicas of a service without copying what is known of each

Cause: each choice of a replica copied the versions of every replica listed, of all services.

Change: entries are kept by service with what was learned beside them, and the versions map is replaced, never changed, so that readers share it.

Tests for package forward, which had none of its own: what is told of a request follows from what its replicas did, in ten cases; further offers need leave.

--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -190,3 +190,18 @@
 		}
 	})
 }
+
+// BenchmarkApply folds a step of 1,000 items with texts of 10 KB.
+func BenchmarkApply(b *testing.B) {
+	records := [][]byte{Accepted(submission("a", 1000, 0), "one")}
+	for item := range 1000 {
+		records = append(records, Listed("a", []Result{{Item: item, Outcome: Done, Text: make([]byte, 10<<10), Versions: []int64{1}}}))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		state := NewState()
+		for _, each := range records {
+			state.Apply(each)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,188 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/headers"
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+var names = headers.Names{RequestID: "Id", DeadlineMs: "Deadline", ExpectReplica: "Expect-Replica", NotExecuted: "Not-Executed", Stamp: "Signature"}
+
+// behaviour is what a replica does with a request.
+type behaviour func(w http.ResponseWriter, r *http.Request)
+
+func answers(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Signature", "s")
+	_, _ = io.WriteString(w, "whole")
+}
+
+func declines(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func cuts(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func fails(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Signature", "s")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func unsigned(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "of somebody") }
+
+// hangs holds a request until its sender gives it up.
+func hangs(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// floor is some replicas of one service that behave as told, first offers first.
+type floor struct {
+	forwarder *Forwarder
+	mu        sync.Mutex
+	plan      []behaviour
+	offers    int
+}
+
+func newFloor(t *testing.T, replicas int, plan ...behaviour) *floor {
+	t.Helper()
+	f := &floor{plan: plan}
+	table := replica.NewTable(time.Second, zap.NewNop())
+	for i := range replicas {
+		server := httptest.NewServer(http.HandlerFunc(f.serve))
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		table.Set(replica.Entry{ID: string(rune('a' + i)), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4})
+	}
+	pool := upstream.NewPool(upstream.Options{ConnectTimeout: time.Second, UnackedTimeout: time.Second})
+	f.forwarder = &Forwarder{Pool: pool, Table: table, Names: names, Logger: zap.NewNop(), Observe: func(string, string, time.Duration) {}}
+	return f
+}
+
+func (f *floor) serve(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	f.mu.Lock()
+	does := f.plan[min(f.offers, len(f.plan)-1)]
+	f.offers++
+	f.mu.Unlock()
+	does(w, r)
+}
+
+func (f *floor) offered() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.offers
+}
+
+func (f *floor) call(t *testing.T, change func(*Call)) (*Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	call := &Call{RequestID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"r"}}, Services: []string{"s"}, MaxAttempts: 3}
+	change(call)
+	return f.forwarder.Do(ctx, call)
+}
+
+func repeatable(call *Call) { call.Repeatable = true }
+func once(*Call)            {}
+
+// What is told of a request without an answer follows from what its replicas did.
+func TestCertainty(t *testing.T) {
+	cases := map[string]struct {
+		plan      []behaviour
+		change    func(*Call)
+		offers    int
+		certainty Certainty // 0 where an answer is passed on
+	}{
+		"answered":                         {[]behaviour{answers}, once, 1, 0},
+		"declined, then answered":          {[]behaviour{declines, answers}, once, 2, 0},
+		"declined by all":                  {[]behaviour{declines}, once, 3, NotRun},
+		"cut, once only":                   {[]behaviour{cuts, answers}, once, 1, MayHaveRun},
+		"cut, repeatable":                  {[]behaviour{cuts, answers}, repeatable, 2, 0},
+		"not signed, once only":            {[]behaviour{unsigned, answers}, once, 1, MayHaveRun},
+		"its own failure, once only":       {[]behaviour{fails, answers}, once, 1, 0},
+		"its own failure, repeatable":      {[]behaviour{fails, answers}, repeatable, 2, 0},
+		"declined, then cut, once only":    {[]behaviour{declines, cuts, answers}, once, 2, MayHaveRun},
+		"cut at every attempt, repeatable": {[]behaviour{cuts}, repeatable, 3, MayHaveRun},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFloor(t, 3, one.plan...)
+			answer, err := f.call(t, one.change)
+			is.Equal(f.offered(), one.offers)
+			if one.certainty == 0 {
+				is.NoErr(err)
+				answer.Close()
+				return
+			}
+			var failure *Failure
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Certainty, one.certainty)
+		})
+	}
+}
+
+func TestAServiceWithoutReplicasHasRunNothing(t *testing.T) {
+	is := is.New(t)
+	_, err := newFloor(t, 0, answers).call(t, once)
+	var failure *Failure
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Certainty, NotRun)
+}
+
+// The retry budget and the policy are asked before each further offer, with the
+// number of offers so far, and not before the first.
+func TestFurtherOffersNeedLeave(t *testing.T) {
+	is := is.New(t)
+	f := newFloor(t, 3, cuts)
+	var asked []int
+	_, err := f.call(t, func(call *Call) {
+		call.Repeatable = true
+		call.MayRetry = func(offers int) bool {
+			asked = append(asked, offers)
+			return offers < 2
+		}
+	})
+	is.True(err != nil)
+	is.Equal(f.offered(), 2)
+	is.Equal(asked, []int{1, 2})
+}
+
+// A silent replica gets company after the operation's own time.
+func TestASilentReplicaGetsCompany(t *testing.T) {
+	is := is.New(t)
+	f := newFloor(t, 3, hangs, answers)
+	answer, err := f.call(t, func(call *Call) {
+		call.Repeatable, call.Hedge, call.HedgeAfter = true, true, time.Millisecond
+	})
+	is.NoErr(err)
+	answer.Close()
+	is.True(f.offered() >= 2)
+}
+
+// What may run once only never gets company.
+func TestARequestThatMayRunOnceGetsNoCompany(t *testing.T) {
+	is := is.New(t)
+	f := newFloor(t, 3, hangs, answers)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := f.forwarder.Do(ctx, &Call{RequestID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"r"}},
+		Services: []string{"s"}, MaxAttempts: 3, Hedge: true, HedgeAfter: time.Millisecond})
+	var failure *Failure
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Certainty, MayHaveRun)
+	is.Equal(f.offered(), 1)
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -56,12 +56,19 @@
 	latency    time.Duration
 	pace       time.Duration
 	pacedAt    time.Time
-	versions   map[string]int64
-	goneAt     time.Time
+	// versions is never changed, only replaced: readers hold it.
+	versions map[string]int64
+	goneAt   time.Time
 	// last is the entry that was removed at goneAt.
 	last Entry
 }
 
+// listed is an entry with what was learned of its replica.
+type listed struct {
+	Entry
+	learned *experience
+}
+
 // Table is the daemon's view of all replicas. It is safe for concurrent use.
 type Table struct {
 	logger *zap.Logger
@@ -69,8 +76,10 @@
 	// if its service has no other.
 	removedGrace time.Duration
 
-	mutex    sync.Mutex
-	entries  map[string]Entry
+	mutex   sync.Mutex
+	entries map[string]*listed
+	// services has the entries of each service, by id.
+	services map[string]map[string]*listed
 	learned  map[string]*experience
 	revision int64
 	changed  chan struct{}
@@ -79,7 +88,7 @@
 // NewTable returns an empty table. DrainBound is how long after a replica has
 // left the list new work may still reach it.
 func NewTable(drainBound time.Duration, logger *zap.Logger) *Table {
-	return &Table{logger: logger, removedGrace: drainBound / 2, entries: map[string]Entry{}, learned: map[string]*experience{}, changed: make(chan struct{})}
+	return &Table{logger: logger, removedGrace: drainBound / 2, entries: map[string]*listed{}, services: map[string]map[string]*listed{}, learned: map[string]*experience{}, changed: make(chan struct{})}
 }
 
 // Replace sets the whole list.
@@ -116,15 +125,23 @@
 }
 
 func (table *Table) set(entry Entry) {
-	before, known := table.entries[entry.ID]
-	table.entries[entry.ID] = entry
-	if !known {
+	before := table.entries[entry.ID]
+	if before != nil && before.Service != entry.Service {
+		delete(table.services[before.Service], entry.ID)
+	}
+	learned := table.experience(entry.ID)
+	now := &listed{Entry: entry, learned: learned}
+	table.entries[entry.ID] = now
+	if table.services[entry.Service] == nil {
+		table.services[entry.Service] = map[string]*listed{}
+	}
+	table.services[entry.Service][entry.ID] = now
+	if before == nil {
 		table.logger.Info("replica listed", zap.String("replica", entry.ID), zap.String("service", entry.Service),
 			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Bool("draining", entry.Draining))
 	} else if before.Draining != entry.Draining {
 		table.logger.Info("replica state changed", zap.String("replica", entry.ID), zap.Bool("draining", entry.Draining))
 	}
-	learned := table.experience(entry.ID)
 	learned.goneAt = time.Time{}
 	for model, version := range entry.Versions {
 		learned.raise(model, version)
@@ -132,14 +149,13 @@
 }
 
 func (table *Table) remove(id string) {
-	before, known := table.entries[id]
-	if !known {
+	before := table.entries[id]
+	if before == nil {
 		return
 	}
 	delete(table.entries, id)
-	if learned := table.learned[id]; learned != nil {
-		learned.goneAt, learned.last = time.Now(), before
-	}
+	delete(table.services[before.Service], id)
+	before.learned.goneAt, before.learned.last = time.Now(), before.Entry
 	table.logger.Info("replica gone from the list", zap.String("replica", id))
 }
 
@@ -156,7 +172,9 @@
 	if version <= learned.versions[model] {
 		return false
 	}
-	learned.versions[model] = version
+	versions := maps.Clone(learned.versions)
+	versions[model] = version
+	learned.versions = versions
 	return true
 }
 
@@ -179,10 +197,11 @@
 func (table *Table) Replicas(service string) []Replica {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	var found []Replica
-	for _, entry := range table.entries {
-		if entry.Service == service && !entry.Draining {
-			found = append(found, table.view(entry))
+	now := time.Now()
+	found := make([]Replica, 0, len(table.services[service]))
+	for _, each := range table.services[service] {
+		if !each.Draining {
+			found = append(found, each.view(now))
 		}
 	}
 	if len(found) == 0 {
@@ -203,7 +222,7 @@
 			continue
 		}
 		if learned.last.Service == service && !learned.last.Draining {
-			found = append(found, table.view(learned.last))
+			found = append(found, (&listed{Entry: learned.last, learned: learned}).view(now))
 		}
 	}
 	return found
@@ -214,8 +233,9 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	found := make([]Replica, 0, len(table.entries))
-	for _, entry := range table.entries {
-		found = append(found, table.view(entry))
+	now := time.Now()
+	for _, each := range table.entries {
+		found = append(found, each.view(now))
 	}
 	return found
 }
@@ -224,20 +244,21 @@
 func (table *Table) Get(id string) (Replica, bool) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	entry, listed := table.entries[id]
-	if !listed {
+	each := table.entries[id]
+	if each == nil {
 		return Replica{}, false
 	}
-	return table.view(entry), true
+	return each.view(time.Now()), true
 }
 
-func (table *Table) view(entry Entry) Replica {
-	learned := table.experience(entry.ID)
-	viewed := Replica{Entry: entry, InFlight: learned.inFlight, AvoidUntil: learned.avoidUntil, Latency: learned.latency, Pace: learned.pace}
-	if time.Since(learned.pacedAt) > paceHolds {
+// view is a replica as it is now.
+func (each *listed) view(now time.Time) Replica {
+	learned := each.learned
+	viewed := Replica{Entry: each.Entry, InFlight: learned.inFlight, AvoidUntil: learned.avoidUntil, Latency: learned.latency, Pace: learned.pace}
+	if now.Sub(learned.pacedAt) > paceHolds {
 		viewed.Pace = 0
 	}
-	viewed.Versions = maps.Clone(learned.versions)
+	viewed.Versions = learned.versions
 	return viewed
 }
 
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,3 +103,17 @@
 		}
 	})
 }
+
+func BenchmarkPick(b *testing.B) {
+	for _, count := range []int{50, 500, 5000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			table := NewTable(drainBound, zap.NewNop())
+			for i := range count {
+				table.Set(entry(fmt.Sprint("r", i)))
+			}
+			for b.Loop() {
+				Pick(table.Replicas("s"), nil, time.Now())
+			}
+		})
+	}
+}
