--- a/internal/runner/checkpoint.go
+++ b/internal/runner/checkpoint.go
@@ -77,13 +77,15 @@
 	}
 }
 
-// goOnFrom gives an item the beginning that an owner before has kept.
-func (each *item) goOnFrom(partial batch.Partial) {
+// goOnFrom gives an item the beginning that an owner before has kept, if there
+// is one.
+func (each *item) goOnFrom(partial batch.Partial) bool {
 	if len(partial.Events) == 0 {
-		return
+		return false
 	}
 	each.text = slices.Clone(partial.Events)
 	each.kept = len(partial.Events)
 	each.lastEvent, each.hasEvent = partial.LastEvent, true
 	each.versions = slices.Clone(partial.Versions)
+	return true
 }
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -77,7 +77,9 @@
 	submission    *batch.Submission
 	adoptedAt     time.Time
 	listedAtStart int
-	logger        *zap.Logger
+	// begunAtStart is how many items go on after a beginning that was kept.
+	begunAtStart int
+	logger       *zap.Logger
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -106,7 +108,9 @@
 			each.state = itemListed
 			made.listedAtStart++
 		}
-		each.goOnFrom(known.Partials[i])
+		if each.goOnFrom(known.Partials[i]) {
+			made.begunAtStart++
+		}
 		if known.Handed[i] {
 			each.notBefore = made.adoptedAt.Add(handedPatience)
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -192,7 +192,7 @@
 		return
 	}
 	runner.logger.Info("batch owned", zap.String("batch", batchID), zap.Int("items", len(adopted.items)),
-		zap.Int("listed", adopted.listedAtStart), zap.Int64("step", adopted.submission.Step), zap.String("model", adopted.submission.Model),
+		zap.Int("listed", adopted.listedAtStart), zap.Int("begun", adopted.begunAtStart), zap.Int64("step", adopted.submission.Step), zap.String("model", adopted.submission.Model),
 		zap.Int64("min_version", adopted.submission.MinVersion), zap.Int("desired", adopted.submission.Desired),
 		zap.String("topic", partition.Name().Topic), zap.Int("partition", partition.Name().Number))
 	go func() {
