Policies in force stay at hand; names told plainly

Cause: two older configurations read again would have pushed the newest one's policies out of the decoder, and the daemon would have known none. Found by reading; TestOlderPoliciesDoNotPushOutTheNewest failed before. The platform's way is not touched.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,11 +48,12 @@
 
 // Names are what requests to the ingress are told by.
 type Names struct {
-	// RequestID, DeadlineMs and Stamp are headers.
-	RequestID, DeadlineMs, Stamp string
-	SamplesHost                  func(trainer string) string
-	ServiceHost                  func(service string) string
-	OperationPath                func(operation string) string
+	// RequestID, DeadlineMs, Stamp and Versions are headers; the last is a line
+	// of events as well.
+	RequestID, DeadlineMs, Stamp, Versions string
+	SamplesHost                            func(trainer string) string
+	ServiceHost                            func(service string) string
+	OperationPath                          func(operation string) string
 }
 
 // Parts are the components that the gateway fronts.
--- a/internal/gateway/samples.go
+++ b/internal/gateway/samples.go
@@ -79,7 +79,7 @@
 	if wanted.TimeoutMillis > 0 {
 		timeout = time.Duration(wanted.TimeoutMillis) * time.Millisecond
 	}
-	lines := &sampleWriter{w: w, header: http.Header{}, stamp: g.parts.Names.Stamp, version: g.parts.Names.RequestID}
+	lines := &sampleWriter{w: w, header: http.Header{}, names: g.parts.Names}
 	g.parts.Ingress.ServeHTTP(lines, g.request(r.Context(), asked{
 		host: g.parts.Names.SamplesHost(wanted.Trainer), path: rollout.GeneratePath, kind: "application/json", body: body, timeout: timeout,
 	}))
@@ -89,13 +89,12 @@
 // sampleWriter turns the events of the ingress into lines. If the ingress ends
 // with a panic the answer stays without its last line.
 type sampleWriter struct {
-	w       http.ResponseWriter
-	header  http.Header
-	stamp   string
-	version string
-	status  int
-	sample  rollout.Result
-	broken  bool
+	w      http.ResponseWriter
+	header http.Header
+	names  Names
+	status int
+	sample rollout.Result
+	broken bool
 }
 
 // Header implements http.ResponseWriter.
@@ -115,7 +114,7 @@
 	s.w.WriteHeader(status)
 }
 
-func (s *sampleWriter) fromEngine() bool { return s.header.Get(s.stamp) != "" }
+func (s *sampleWriter) fromEngine() bool { return s.header.Get(s.names.Stamp) != "" }
 
 // Write implements http.ResponseWriter. The ingress writes one whole event at a
 // time.
@@ -123,7 +122,7 @@
 	if !s.fromEngine() {
 		return len(event), nil
 	}
-	read, err := eventstream.NewReader(bytes.NewReader(event), s.version).Next()
+	read, err := eventstream.NewReader(bytes.NewReader(event), s.names.Versions).Next()
 	if err != nil {
 		s.broken = true
 		return 0, err
--- a/internal/standalone/connect.go
+++ b/internal/standalone/connect.go
@@ -57,7 +57,7 @@
 		Replicas: parts.Replicas,
 		Ingress:  parts.Ingress,
 		Names: gateway.Names{
-			RequestID: names.RequestID, DeadlineMs: names.DeadlineMs, Stamp: names.Stamp,
+			RequestID: names.RequestID, DeadlineMs: names.DeadlineMs, Stamp: names.Stamp, Versions: names.Versions,
 			SamplesHost: SamplesHost, ServiceHost: ServiceHost, OperationPath: OperationPath,
 		},
 		Metrics: parts.Metrics, Logger: parts.Logger, NewID: newID, Identity: parts.Identity, Ready: parts.Ready, Stopping: parts.Stopping,
--- a/internal/standalone/decoder.go
+++ b/internal/standalone/decoder.go
@@ -1,6 +1,8 @@
 package standalone
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -73,10 +75,13 @@
 	return operation.Record{Configuration: configuration}, nil
 }
 
+// keep keeps the newest sets: one that is older than those in force never comes
+// into force again.
 func (d *Decoder) keep(fresh compiled) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sets = append([]compiled{fresh}, d.sets...)
+	d.sets = append(d.sets, fresh)
+	slices.SortStableFunc(d.sets, func(a, b compiled) int { return cmp.Compare(b.version, a.version) })
 	if len(d.sets) > setsKept {
 		d.sets = d.sets[:setsKept]
 	}
--- /dev/null
+++ b/internal/standalone/decoder_test.go
@@ -0,0 +1,59 @@
+package standalone
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"woodworks/examples"
+	"woodworks/internal/operator"
+	"woodworks/internal/route"
+)
+
+func policies(t *testing.T, version int64) []byte {
+	t.Helper()
+	documents := map[string]operator.Document{"qarmoud": {Source: examples.QarmoudPolicy, Version: version}}
+	encoded, err := cbor.Marshal(operator.Policies{Version: version, Documents: documents})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// The policies in force stay at hand whatever older records are read again.
+func TestOlderPoliciesDoNotPushOutTheNewest(t *testing.T) {
+	is := is.New(t)
+	decoder := &Decoder{}
+	var newest *route.Configuration
+	for _, version := range []int64{3, 1, 2, 1} {
+		record, err := decoder.Operator(operator.PoliciesKey, policies(t, version))
+		is.NoErr(err)
+		if version == 3 {
+			newest = record.Configuration
+		}
+	}
+	set, there := decoder.SetOf(newest)
+	is.True(there)
+	_, known := set.Trainers["bots"]
+	is.True(known)
+}
+
+func TestPoliciesBecomeRoutes(t *testing.T) {
+	is := is.New(t)
+	decoder := &Decoder{}
+	record, err := decoder.Operator(operator.PoliciesKey, policies(t, 1))
+	is.NoErr(err)
+	board, found := record.Configuration.Find(ServiceHost("game-front"), OperationPath("board"))
+	is.True(found)
+	is.Equal(board.Kind, route.Safe)
+	move, found := record.Configuration.Find(ServiceHost("game-front"), OperationPath("move"))
+	is.True(found)
+	is.Equal(move.Kind, route.Unsafe)
+	is.Equal(move.MaxAttempts, 1)
+	is.True(move.Priority <= board.Priority)
+	_, found = record.Configuration.Find(ServiceHost("nobody"), OperationPath("move"))
+	is.True(!found)
+	_, err = decoder.Operator(operator.PoliciesKey, []byte("no cbor"))
+	is.True(err != nil)
+}
