Watch a partition on for a while after it was dealt to another member

The partitions were dealt anew twice meanwhile; the member that gave one up stopped watching at once, the one that got it heard of it at its second join, up to 0.9 s later, and by then the store was down again until 13.1 s. The batch had no owner until 15.9 s.

Change: a partition is watched for 1.5 s after it was dealt away. Two watchers do no harm, as one takeover counts. A stopping daemon stops at once, as before.

Test: runner.TestPartitionsAreWatchedOnUntilAnotherWatches; the code before had neither the time nor the parameter, so it did not compile against it.

--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -23,6 +23,9 @@
 	// those alive: a new run there proves that the owner is gone.
 	silenceSuspect  = 500 * time.Millisecond
 	takeOverTimeout = 1500 * time.Millisecond
+	// watchOn is how long a partition is watched after it was dealt to another
+	// member, who hears of it only at its second join from then.
+	watchOn = 1500 * time.Millisecond
 )
 
 // Group tells which partitions this daemon watches, and who is alive.
@@ -45,6 +48,8 @@
 type watched struct {
 	release func()
 	owners  map[string]sighting
+	// dropped is when it was first seen to be dealt to another member, or zero.
+	dropped time.Time
 }
 
 // sighting is an owner's count of signs of life, and when it last rose.
@@ -63,7 +68,7 @@
 // Run watches until the context ends.
 func (watcher *Watcher) Run(ctx context.Context) {
 	periodic.Every(ctx, watchInterval, func(ctx context.Context) {
-		watcher.follow()
+		watcher.follow(time.Now())
 		var suspects []sighting
 		for name, each := range watcher.watched {
 			suspects = append(suspects, watcher.inspect(name, each, time.Now())...)
@@ -76,15 +81,23 @@
 }
 
 // follow starts and stops following as partitions come and go.
-func (watcher *Watcher) follow() {
+func (watcher *Watcher) follow(now time.Time) {
 	dealt := watcher.group.Partitions()
 	for name := range dealt {
-		if name.Topic != RunnersTopic && watcher.watched[name] == nil {
+		switch known := watcher.watched[name]; {
+		case name.Topic == RunnersTopic:
+		case known == nil:
 			watcher.watched[name] = &watched{release: watcher.runner.ledger.Partition(name).Follow(), owners: map[string]sighting{}}
+		default:
+			known.dropped = time.Time{}
 		}
 	}
 	for name, each := range watcher.watched {
-		if !dealt[name] {
+		switch {
+		case dealt[name]:
+		case each.dropped.IsZero() && !watcher.runner.stopping.Load():
+			each.dropped = now
+		case watcher.runner.stopping.Load() || now.Sub(each.dropped) > watchOn:
 			each.release()
 			delete(watcher.watched, name)
 		}
