Tell of hooks that failed again; drop what the change made dead

The metric of policy hooks that failed went with the old daemon although design 004 promises it: it is back on the own services, with a test. AsyncWriter.Dropped had its only caller in a test that was replaced, Pool.CloseIdle none: both go. The platform's way behaves as before.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -58,13 +58,6 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped since the last one that was not.
-func (writer *AsyncWriter) Dropped() int {
-	writer.mutex.Lock()
-	defer writer.mutex.Unlock()
-	return writer.dropped
-}
-
 func (writer *AsyncWriter) run() {
 	for range writer.wake {
 		for {
--- a/internal/standalone/connect.go
+++ b/internal/standalone/connect.go
@@ -15,6 +15,7 @@
 	"woodworks/internal/permit"
 	"woodworks/internal/policy"
 	"woodworks/internal/rollout"
+	"woodworks/internal/route"
 	"woodworks/internal/settings"
 	"woodworks/internal/upstream"
 )
@@ -42,6 +43,9 @@
 	names := HeaderNames()
 	parts.Ingress.Retries = &retries{decoder: decoder, configuration: parts.Operator.Configuration}
 	newID := idsOf(parts.Identity)
+	parts.Metrics.Counter("policy_hook_faults_total", "Hooks of the policies in force that failed and fell back.", func() float64 {
+		return hookFaults(decoder, parts.Operator.Configuration())
+	})
 	gw := gateway.New(gateway.Parts{
 		Configuration: func() (gateway.Configuration, bool) {
 			inForce := parts.Operator.Configuration()
@@ -67,6 +71,19 @@
 	return node.Interface{Public: gw.Handler(policy.Public), Internal: gw.Handler(policy.Internal)}
 }
 
+// hookFaults counts the faults of the hooks of a configuration's policies.
+func hookFaults(decoder *Decoder, configuration *route.Configuration) float64 {
+	set, there := decoder.SetOf(configuration)
+	if !there {
+		return 0
+	}
+	faults := uint64(0)
+	for _, count := range set.HookFaults() {
+		faults += count
+	}
+	return float64(faults)
+}
+
 // idsOf returns a function that gives another text at each call. Identities of
 // runs differ, so the texts of all daemons do.
 func idsOf(identity string) func() string {
--- a/internal/standalone/decoder_test.go
+++ b/internal/standalone/decoder_test.go
@@ -57,3 +57,16 @@
 	_, err = decoder.Operator(operator.PoliciesKey, []byte("no cbor"))
 	is.True(err != nil)
 }
+
+// A hook that fails falls back, and the metric of its faults tells of it.
+func TestFaultsOfHooksAreCounted(t *testing.T) {
+	is := is.New(t)
+	decoder := &Decoder{}
+	source := examples.QarmoudPolicy + "\ndef priority(trainer):\n    return 1 // 0\n"
+	encoded, err := cbor.Marshal(operator.Policies{Version: 1, Documents: map[string]operator.Document{"q": {Source: source}}})
+	is.NoErr(err)
+	record, err := decoder.Operator(operator.PoliciesKey, encoded)
+	is.NoErr(err)
+	is.True(hookFaults(decoder, record.Configuration) > 0)
+	is.Equal(hookFaults(decoder, nil), 0.0)
+}
--- a/internal/standalone/standalone_test.go
+++ b/internal/standalone/standalone_test.go
@@ -329,12 +329,11 @@
 	f := newFloor(t, 1)
 	is := is.New(t)
 	f.world.Plains[0].Befall(plainstand.Cut, plainstand.Cut)
-	for i := range 4 {
+	for range 4 {
 		answer, outcome, err := f.client(0, "players").Call(f.ctx(), "game-front", "board", "", []byte("show"))
 		is.NoErr(err)
-		is.Equal(answer.Status, http.StatusOK) // call i
+		is.Equal(answer.Status, http.StatusOK)
 		is.Equal(outcome, gateway.Completed)
-		_ = i
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -108,17 +108,6 @@
 	return pool.dials
 }
 
-// CloseIdle closes the connections to a peer that rest.
-func (pool *Pool) CloseIdle(address string) {
-	pool.mutex.Lock()
-	resting := pool.idle[address]
-	delete(pool.idle, address)
-	pool.mutex.Unlock()
-	for _, conn := range resting {
-		conn.close()
-	}
-}
-
 // Sweep closes connections that have rested as long as they may.
 func (pool *Pool) Sweep(now time.Time) {
 	var expired []*connection
