A stop leaves idle connections open, and closes the quiet ones so that nothing crosses

Ruled out: load (the unit test on a kept connection fails every time on the old code) and the stop's hand-over of batches (the failing call was a plain one). Beside it, net/http marks a connection busy only when the whole head has been read, so that a request could be passed on whose connection was already closed.

Now: the first answer after the stop began says that it is the last one of its connection; when new connections have stopped coming, those idle for 1 s are closed, and from a closed connection nothing more is read.

Before: TestAKeptConnectionIsAnsweredOnceMoreAfterAStopBegan failed.

--- a/internal/node/servers.go
+++ b/internal/node/front.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/periodic"
 	"woodworks/internal/route"
 )
 
@@ -17,8 +19,12 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 30 * time.Second
 	defaultHeaderBytes   = 32 << 10
-	healthTimeout        = 5 * time.Second
 	acceptPause          = 20 * time.Millisecond
+	// quietTime is how long a connection has been idle when a stop closes it: by
+	// then a client that was given it has sent its request.
+	quietTime = time.Second
+	// closePause is the time between two looks for such connections.
+	closePause = 20 * time.Millisecond
 )
 
 // frontServer is the listener for clients. It stands on net/http's server and
@@ -28,8 +34,10 @@
 // The limits of a connection are those in force when it was accepted: a change
 // of the limits makes a new http.Server, and the old one keeps its connections.
 type frontServer struct {
-	handler http.Handler
-	logger  *zap.Logger
+	handler  http.Handler
+	logger   *zap.Logger
+	conns    *clientConns
+	draining atomic.Bool
 
 	mutex    sync.Mutex
 	limits   route.Limits
@@ -37,10 +45,20 @@
 	bound    net.Listener
 	listener *handOver
 	servers  []*http.Server
-	draining bool
 }
 
-func newFrontServer(logger *zap.Logger) *frontServer { return &frontServer{logger: logger} }
+func newFrontServer(logger *zap.Logger) *frontServer {
+	return &frontServer{logger: logger, conns: newClientConns()}
+}
+
+// ServeHTTP implements http.Handler. While the daemon stops, each answer is the
+// last of its connection.
+func (front *frontServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if front.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	front.handler.ServeHTTP(w, r)
+}
 
 // listen binds the address and serves it.
 func (front *frontServer) listen(address string) error {
@@ -70,7 +88,7 @@
 		front.mutex.Lock()
 		target := front.listener
 		front.mutex.Unlock()
-		target.give(conn)
+		target.give(front.conns.add(conn, time.Now()))
 	}
 }
 
@@ -92,7 +110,8 @@
 // startServer makes a server with the limits in force. The mutex is held.
 func (front *frontServer) startServer() {
 	server := &http.Server{
-		Handler:           front.handler,
+		Handler:           front,
+		ConnState:         front.conns.stateChanged,
 		ReadHeaderTimeout: orDefault(front.limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(front.limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    defaultHeaderBytes,
@@ -101,9 +120,6 @@
 	if front.limits.MaxHeaderBytes > 0 {
 		server.MaxHeaderBytes = front.limits.MaxHeaderBytes
 	}
-	if front.draining {
-		server.SetKeepAlivesEnabled(false)
-	}
 	front.current = server
 	front.servers = append(front.servers, server)
 	front.listener = &handOver{connections: make(chan net.Conn), closed: make(chan struct{})}
@@ -117,18 +133,12 @@
 	return otherwise
 }
 
-// drain closes kept connections between requests from now on.
-func (front *frontServer) drain() {
-	front.mutex.Lock()
-	defer front.mutex.Unlock()
-	front.draining = true
-	for _, server := range front.servers {
-		server.SetKeepAlivesEnabled(false)
-	}
-}
+// drain makes each further answer the last one of its connection. Idle
+// connections stay open, as a request may be on its way.
+func (front *frontServer) drain() { front.draining.Store(true) }
 
-// shutdown takes no more connections and waits until no request is under way
-// or the context ends.
+// shutdown takes no more connections and waits until none is open or the
+// context ends. It closes those that have been quiet for quietTime.
 func (front *frontServer) shutdown(ctx context.Context) {
 	front.mutex.Lock()
 	servers := front.servers
@@ -136,11 +146,14 @@
 		_ = front.bound.Close()
 	}
 	front.mutex.Unlock()
+	for front.conns.closeQuiet(time.Now().Add(-quietTime)) > 0 && ctx.Err() == nil {
+		periodic.Pause(ctx, closePause)
+	}
+	if left := len(front.conns.all()); left > 0 {
+		front.logger.Warn("connections cut off by the stop", zap.Int("connections", left))
+	}
 	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			front.logger.Warn("requests cut off by the stop", zap.Error(err))
-			_ = server.Close()
-		}
+		_ = server.Close()
 	}
 }
 
@@ -178,43 +191,3 @@
 
 // Addr implements net.Listener.
 func (listener *handOver) Addr() net.Addr { return &net.TCPAddr{} }
-
-// healthServer tells whether clients should come here, and the metrics.
-type healthServer struct {
-	ready   func() (bool, string)
-	metrics http.Handler
-	logger  *zap.Logger
-}
-
-func (health *healthServer) listen(readyAddress, metricsAddress string) error {
-	readiness := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		ready, reason := health.ready()
-		if !ready {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-		_, _ = writer.Write([]byte(reason))
-	})
-	if readyAddress != "" {
-		if err := serveHealth(readyAddress, readiness); err != nil {
-			return err
-		}
-	}
-	if metricsAddress == "" {
-		return nil
-	}
-	// Without metrics a daemon still serves.
-	if err := serveHealth(metricsAddress, health.metrics); err != nil {
-		health.logger.Error("metrics not served", zap.String("address", metricsAddress), zap.Error(err))
-	}
-	return nil
-}
-
-func serveHealth(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return errors.Wrap(err, "health")
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: healthTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return nil
-}
--- /dev/null
+++ b/internal/node/front_test.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/route"
+)
+
+func startFront(t *testing.T, handler http.Handler) (*frontServer, string) {
+	t.Helper()
+	is := is.New(t)
+	front := newFrontServer(zap.NewNop())
+	front.handler = handler
+	is.NoErr(front.listen("127.0.0.1:0"))
+	t.Cleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		front.shutdown(ended)
+	})
+	return front, front.bound.Addr().String()
+}
+
+// A stop must end although a connection could still come: it once waited for
+// the accepting loop, which never ended, until the process was killed with a
+// request under way (bench: hunt-f73b-7, LOST).
+func TestShutdownEndsWithoutRequests(t *testing.T) {
+	front, _ := startFront(t, http.NotFoundHandler())
+	front.configured(&route.Configuration{Limits: route.Limits{MaxHeaderBytes: 8192}})
+	done := make(chan struct{})
+	go func() {
+		front.shutdown(context.Background())
+		close(done)
+	}()
+	<-done
+}
+
+// A request that is under way when the stop begins is answered whole, and
+// later connections are not taken.
+func TestShutdownFinishesRequestUnderWay(t *testing.T) {
+	is := is.New(t)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	front, address := startFront(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		<-leave
+		_, _ = writer.Write([]byte("whole"))
+	}))
+	answer := make(chan string, 1)
+	go func() {
+		response, err := http.Get("http://" + address + "/")
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(response.Body)
+		answer <- string(body)
+	}()
+	<-entered
+	front.drain()
+	done := make(chan struct{})
+	go func() {
+		front.shutdown(context.Background())
+		close(done)
+	}()
+	for {
+		conn, err := net.DialTimeout("tcp4", address, time.Second)
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+	}
+	close(leave)
+	is.Equal(<-answer, "whole")
+	<-done
+}
+
+// An address for metrics that is taken does not keep a daemon from serving.
+func TestAMetricsAddressInUseIsNotFatal(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	health := &healthServer{ready: func() (bool, string) { return true, "" }, metrics: http.NotFoundHandler(), logger: zap.NewNop()}
+	is.NoErr(health.listen("127.0.0.1:0", taken.Addr().String()))
+	is.True(health.listen(taken.Addr().String(), "") != nil)
+}
+
+// kept is a connection of a client that stays open between requests.
+type kept struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func keepOne(t *testing.T, address string) *kept {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &kept{Conn: conn, r: bufio.NewReader(conn)}
+}
+
+func (k *kept) ask(path string) (*http.Response, error) {
+	if _, err := io.WriteString(k, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(k.r, nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// A stop once closed the connections that were at rest as it began, and cut
+// off requests that crossed the close (platform.TestAPlannedStopLosesNothing
+// failed in CI: "EOF"). The next answer on such a connection says that it is
+// the last one.
+func TestAKeptConnectionIsAnsweredOnceMoreAfterAStopBegan(t *testing.T) {
+	is := is.New(t)
+	front, address := startFront(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
+	client := keepOne(t, address)
+	first, err := client.ask("/first")
+	is.NoErr(err)
+	is.True(!first.Close)
+	front.drain()
+	second, err := client.ask("/second")
+	is.NoErr(err)
+	is.True(second.Close)
+}
+
+// A connection at rest ends with the stop, so that the stop ends.
+func TestShutdownClosesConnectionsAtRest(t *testing.T) {
+	is := is.New(t)
+	front, address := startFront(t, http.NotFoundHandler())
+	client := keepOne(t, address)
+	_, err := client.ask("/")
+	is.NoErr(err)
+	front.drain()
+	front.shutdown(context.Background())
+	_, err = client.r.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// gatedConn gives its bytes to the reader when told to.
+type gatedConn struct {
+	net.Conn
+	arrived chan struct{}
+}
+
+func (g gatedConn) Read(p []byte) (int, error) {
+	<-g.arrived
+	return copy(p, "GET / HTTP/1.1\r\n"), nil
+}
+
+func (g gatedConn) Close() error { return nil }
+
+// A request whose bytes arrive as its connection is closed must not reach the
+// server: it would be passed on, and its answer could not be.
+func TestNothingIsReadFromAClosedConnection(t *testing.T) {
+	is := is.New(t)
+	conns := newClientConns()
+	gated := gatedConn{arrived: make(chan struct{})}
+	accepted := time.Now()
+	c := conns.add(gated, accepted)
+	read := make(chan int)
+	go func() {
+		n, _ := c.Read(make([]byte, 64))
+		read <- n
+	}()
+	is.Equal(conns.closeQuiet(accepted), 0)
+	close(gated.arrived)
+	is.Equal(<-read, 0)
+}
+
+// A connection on which a request has begun is not closed, and one that has
+// been quiet for a short time only isn't either.
+func TestABusyConnectionIsNotClosedAsQuiet(t *testing.T) {
+	is := is.New(t)
+	conns := newClientConns()
+	gated := gatedConn{arrived: make(chan struct{})}
+	close(gated.arrived)
+	accepted := time.Now()
+	c := conns.add(gated, accepted)
+	n, err := c.Read(make([]byte, 64))
+	is.NoErr(err)
+	is.True(n > 0)
+	is.Equal(conns.closeQuiet(accepted.Add(time.Hour)), 1)
+	answered := accepted.Add(time.Minute)
+	c.answered(answered)
+	is.Equal(conns.closeQuiet(answered.Add(-time.Millisecond)), 1)
+	is.Equal(conns.closeQuiet(answered), 0)
+}
--- /dev/null
+++ b/internal/node/health.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// healthTimeout is how long the head of a request for health or metrics may take.
+const healthTimeout = 5 * time.Second
+
+// healthServer tells whether clients should come here, and the metrics.
+type healthServer struct {
+	ready   func() (bool, string)
+	metrics http.Handler
+	logger  *zap.Logger
+}
+
+func (health *healthServer) listen(readyAddress, metricsAddress string) error {
+	readiness := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		ready, reason := health.ready()
+		if !ready {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_, _ = writer.Write([]byte(reason))
+	})
+	if readyAddress != "" {
+		if err := serveHealth(readyAddress, readiness); err != nil {
+			return err
+		}
+	}
+	if metricsAddress == "" {
+		return nil
+	}
+	// Without metrics a daemon still serves.
+	if err := serveHealth(metricsAddress, health.metrics); err != nil {
+		health.logger.Error("metrics not served", zap.String("address", metricsAddress), zap.Error(err))
+	}
+	return nil
+}
+
+func serveHealth(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errors.Wrap(err, "health")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: healthTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
