Owners are looked for among those alive once in each generation of the group

A batch whose owner's machine runs anew was taken over after 0.5 s of silence; the group tells of such a run as soon as it has joined, and a replaced owner is over for certain. The watcher now looks for each owner once in each generation.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -67,6 +67,13 @@
 	return member.partitions
 }
 
+// Generation returns the group's generation as last heard.
+func (member *Member) Generation() int64 {
+	member.mutex.Lock()
+	defer member.mutex.Unlock()
+	return member.generation
+}
+
 // LastContact is when the journal last answered.
 func (member *Member) LastContact() time.Time { return time.Unix(0, member.lastContact.Load()) }
 
--- a/internal/runner/takeover.go
+++ b/internal/runner/takeover.go
@@ -24,6 +24,9 @@
 	owner     string
 	signs     int64
 	at        time.Time
+	// judgedIn is the generation of the group in which the owner was last
+	// looked for among those alive.
+	judgedIn int64
 }
 
 // still reports whether nothing has been heard of the owner since.
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -29,6 +29,8 @@
 type Group interface {
 	Partitions() map[journal.Partition]bool
 	Alive(ctx context.Context) ([]string, error)
+	// Generation rises whenever a daemon comes or goes.
+	Generation() int64
 }
 
 // Watcher looks after the batches in the partitions dealt to this daemon: it
@@ -58,11 +60,15 @@
 func (watcher *Watcher) Run(ctx context.Context) {
 	periodic.Every(ctx, watchInterval, func(ctx context.Context) {
 		watcher.follow(time.Now())
+		generation := watcher.group.Generation()
 		var suspects []sighting
 		for name, each := range watcher.watched {
-			suspects = append(suspects, watcher.inspect(name, each, time.Now())...)
+			suspects = append(suspects, watcher.inspect(name, each, generation, time.Now())...)
+		}
+		confirmed := watcher.runner.confirm(ctx, suspects)
+		if watcher.judge(ctx, confirmed) {
+			watcher.judged(confirmed, generation)
 		}
-		watcher.judge(ctx, watcher.runner.confirm(ctx, suspects))
 	})
 	for _, each := range watcher.watched {
 		each.release()
@@ -94,8 +100,9 @@
 }
 
 // inspect returns the batches of one partition whose owner may be gone, and
-// starts those that this daemon owns.
-func (watcher *Watcher) inspect(name journal.Partition, each *watched, now time.Time) []sighting {
+// starts those that this daemon owns. An owner is looked for once in each
+// generation, and when it has been silent.
+func (watcher *Watcher) inspect(name journal.Partition, each *watched, generation int64, now time.Time) []sighting {
 	partition := watcher.runner.ledger.Partition(name)
 	// Silence counts only while the journal can be read: what an owner wrote
 	// during an outage is seen afterwards.
@@ -113,13 +120,17 @@
 			}
 			seen, ok := each.owners[known.ID]
 			if !ok || seen.owner != known.Owner || seen.signs != known.Signs {
-				seen = sighting{partition: name, batch: known.ID, owner: known.Owner, signs: known.Signs, at: now}
+				found := sighting{partition: name, batch: known.ID, owner: known.Owner, signs: known.Signs, at: now}
+				if seen.owner == known.Owner {
+					found.judgedIn = seen.judgedIn
+				}
+				seen = found
 				each.owners[known.ID] = seen
 			}
 			switch {
 			case known.Owner == watcher.runner.self:
 				own = append(own, known.ID)
-			case known.Owner == "" || now.Sub(seen.at) > silenceSuspect || identity.Machine(known.Owner) == identity.Machine(watcher.runner.self):
+			case known.Owner == "" || seen.judgedIn != generation || now.Sub(seen.at) > silenceSuspect || identity.Machine(known.Owner) == identity.Machine(watcher.runner.self):
 				suspects = append(suspects, seen)
 			}
 		})
@@ -130,14 +141,26 @@
 	return suspects
 }
 
-// judge takes over the suspects that are gone.
-func (watcher *Watcher) judge(ctx context.Context, suspects []sighting) {
+// judged notes the generation in which owners were looked for.
+func (watcher *Watcher) judged(suspects []sighting, generation int64) {
+	for _, suspect := range suspects {
+		each := watcher.watched[suspect.partition]
+		if seen := each.owners[suspect.batch]; seen.owner == suspect.owner {
+			seen.judgedIn = generation
+			each.owners[suspect.batch] = seen
+		}
+	}
+}
+
+// judge takes over the suspects that are gone, and reports whether it could
+// tell which are.
+func (watcher *Watcher) judge(ctx context.Context, suspects []sighting) bool {
 	if len(suspects) == 0 {
-		return
+		return true
 	}
 	alive, err := watcher.group.Alive(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	// This run is alive whatever the group says.
 	alive = append(alive, watcher.runner.self)
@@ -157,4 +180,5 @@
 		}
 		go watcher.runner.replaceOwner(ctx, suspect, reason)
 	}
+	return true
 }
--- a/internal/runner/watch_test.go
+++ b/internal/runner/watch_test.go
@@ -16,7 +16,12 @@
 )
 
 // dealing is a group whose partitions the test deals.
-type dealing struct{ partitions map[journal.Partition]bool }
+type dealing struct {
+	partitions map[journal.Partition]bool
+	generation int64
+}
+
+func (d *dealing) Generation() int64 { return d.generation }
 
 func (d *dealing) Partitions() map[journal.Partition]bool { return d.partitions }
 
@@ -115,9 +120,9 @@
 		is.NoErr(partition.Append(ctx, batch.Accepted(&batch.Submission{ID: "x", Items: []batch.Item{{ID: "i"}}}, "a/1")))
 		is.NoErr(partition.CatchUp(ctx))
 		seen := &watched{owners: map[string]sighting{}}
-		is.Equal(len(watcher.inspect(partition.Name(), seen, time.Now())), 0)
+		is.Equal(len(watcher.inspect(partition.Name(), seen, 0, time.Now())), 0)
 		time.Sleep(silenceSuspect + time.Millisecond)
-		suspects := watcher.inspect(partition.Name(), seen, time.Now())
+		suspects := watcher.inspect(partition.Name(), seen, 0, time.Now())
 		is.Equal(len(suspects), 1)
 		is.Equal(len(watcher.runner.confirm(ctx, suspects)), 1)
 		other := ledger.New(ctx, log, zap.NewNop())
@@ -127,3 +132,45 @@
 		is.Equal(len(watcher.runner.confirm(ctx, suspects)), 0)
 	})
 }
+
+// A batch whose owner has been replaced changes hands as soon as the group
+// tells of another run: after all daemons are killed at once, each step would
+// otherwise wait for half a second of silence.
+func TestAReplacedOwnerIsFoundWhenTheGroupChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		group := &replaced{}
+		log := journaltest.New()
+		watcher, partition := newWatched(ctx, log, group)
+		accepter := ledger.New(ctx, log, zap.NewNop())
+		is.NoErr(accepter.Of("x").Append(ctx, batch.Accepted(&batch.Submission{ID: "x", Items: []batch.Item{{ID: "i"}}}, "a/1")))
+		group.partitions, group.generation = map[journal.Partition]bool{partition.Name(): true}, 2
+		go watcher.Run(ctx)
+		time.Sleep(2*watchInterval + 20*time.Millisecond)
+		is.Equal(ownerOf(partition, "x"), "b/1")
+	})
+}
+
+// Each owner is looked for once in a generation, not at each of its signs.
+func TestALivingOwnerIsLookedForOnceInAGeneration(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	group := &replaced{}
+	watcher, partition := newWatched(ctx, journaltest.New(), group)
+	is.NoErr(partition.Append(ctx, batch.Accepted(&batch.Submission{ID: "x", Items: []batch.Item{{ID: "i"}}}, "c/1")))
+	is.NoErr(partition.CatchUp(ctx))
+	each := &watched{owners: map[string]sighting{}}
+	watcher.watched[partition.Name()] = each
+	suspects := watcher.inspect(partition.Name(), each, 7, time.Now())
+	is.Equal(len(suspects), 1)
+	is.True(watcher.judge(ctx, suspects))
+	watcher.judged(suspects, 7)
+	is.NoErr(partition.Append(ctx, batch.Beat("x", "c/1")))
+	is.NoErr(partition.CatchUp(ctx))
+	is.Equal(len(watcher.inspect(partition.Name(), each, 7, time.Now())), 0)
+	is.Equal(len(watcher.inspect(partition.Name(), each, 8, time.Now())), 1)
+	is.Equal(ownerOf(partition, "x"), "c/1")
+}
