--- /dev/null
+++ b/internal/journal/revive.go
@@ -0,0 +1,175 @@
+package journal
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// overduePatience is how long a call may be overdue when a later one has been
+	// answered.
+	overduePatience = 150 * time.Millisecond
+	// readPatience is how long a read may be overdue when a call to another
+	// partition has been answered: it costs little to read again.
+	readPatience = 600 * time.Millisecond
+	// slowness is how many times as long as the later call an overdue one may take.
+	slowness = 3
+	// silence is for how long no call was answered in an outage of the whole
+	// journal; for backTime after it, an answer says something of all partitions.
+	silence  = 500 * time.Millisecond
+	backTime = time.Second
+)
+
+// Revived is a journal that gives up calls which an outage has swallowed.
+//
+// A call whose answer is lost tells nothing until its timeout, and timeouts must
+// be long enough for a slow journal. But when a call that began later has been
+// answered, by the same partition or at the end of an outage of all, an older one
+// that has been overdue for much longer than that took is lost with all
+// likelihood. It then ends with ErrUnknown, as at its timeout, and its caller asks
+// again: a second or two earlier, just when the journal is back.
+//
+// Nothing rests on the guess: a call given up by mistake is an unknown one.
+//
+// # Usage
+//
+//	log := journal.Revive(log, logger)
+type Revived struct {
+	Journal
+	logger *zap.Logger
+
+	mu      sync.Mutex
+	pending map[*pendingCall]struct{}
+	givenUp uint64
+	// answeredAt is when a call was last answered, backAt when the last silence
+	// of all calls ended.
+	answeredAt, backAt time.Time
+}
+
+// pendingCall is a call that has no answer yet.
+type pendingCall struct {
+	// partition is the one called, or zero for calls of a group.
+	partition Partition
+	began     time.Time
+	// read says that it changes nothing, wait how long it may be held on purpose.
+	read   bool
+	wait   time.Duration
+	cancel context.CancelFunc
+}
+
+// Revive wraps a journal.
+func Revive(log Journal, logger *zap.Logger) *Revived {
+	return &Revived{Journal: log, logger: logger, pending: map[*pendingCall]struct{}{}, answeredAt: time.Now()}
+}
+
+// GivenUp returns how many calls were given up.
+func (r *Revived) GivenUp() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.givenUp
+}
+
+func (r *Revived) begin(ctx context.Context, call pendingCall) (context.Context, *pendingCall) {
+	bounded, cancel := context.WithCancel(ctx)
+	call.began, call.cancel = time.Now(), cancel
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending[&call] = struct{}{}
+	return bounded, &call
+}
+
+// end takes a call off the list. If it was answered, those that must be lost by
+// now are given up.
+func (r *Revived) end(call *pendingCall, err error) {
+	defer call.cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pending, call)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	if now.Sub(r.answeredAt) > silence {
+		r.backAt = now
+	}
+	r.answeredAt = now
+	givenUp := 0
+	for each := range r.pending {
+		if r.lost(each, call, now) {
+			each.cancel()
+			delete(r.pending, each)
+			givenUp++
+		}
+	}
+	if givenUp == 0 {
+		return
+	}
+	r.givenUp += uint64(givenUp)
+	r.logger.Info("journal answers again", zap.Int("calls_given_up", givenUp), zap.String("topic", call.partition.Topic),
+		zap.Int("partition", call.partition.Number), zap.Duration("took", now.Sub(call.began)))
+}
+
+// patience returns how long a call may be overdue when another has been
+// answered, and false if the answer says nothing of it.
+func (r *Revived) patience(older, answered *pendingCall, now time.Time) (time.Duration, bool) {
+	outageEnded := now.Sub(r.backAt) < backTime && older.began.Before(r.backAt)
+	switch {
+	case outageEnded, older.partition == answered.partition:
+		return overduePatience, true
+	case older.read:
+		return readPatience, true
+	}
+	return 0, false
+}
+
+// lost reports whether a call must be lost when a later one has been answered.
+func (r *Revived) lost(older, answered *pendingCall, now time.Time) bool {
+	patience, told := r.patience(older, answered, now)
+	overdue := now.Sub(older.began) - older.wait
+	return told && older.began.Before(answered.began) && overdue > max(patience, slowness*now.Sub(answered.began))
+}
+
+// Append implements Journal.
+func (r *Revived) Append(ctx context.Context, request Append) (appended Appended, err error) {
+	bounded, call := r.begin(ctx, pendingCall{partition: request.Partition})
+	defer func() { r.end(call, err) }()
+	return r.Journal.Append(bounded, request)
+}
+
+// Read implements Journal.
+func (r *Revived) Read(ctx context.Context, request Read) (read Records, err error) {
+	bounded, call := r.begin(ctx, pendingCall{partition: request.Partition, read: true, wait: request.Wait})
+	defer func() { r.end(call, err) }()
+	return r.Journal.Read(bounded, request)
+}
+
+// Newest implements Journal.
+func (r *Revived) Newest(ctx context.Context, partition Partition, afterKey string) (page KeyedPage, err error) {
+	bounded, call := r.begin(ctx, pendingCall{partition: partition, read: true})
+	defer func() { r.end(call, err) }()
+	return r.Journal.Newest(bounded, partition, afterKey)
+}
+
+// Join implements Journal.
+func (r *Revived) Join(ctx context.Context, request Join) (assignment Assignment, err error) {
+	bounded, call := r.begin(ctx, pendingCall{})
+	defer func() { r.end(call, err) }()
+	return r.Journal.Join(bounded, request)
+}
+
+// Leave implements Journal.
+func (r *Revived) Leave(ctx context.Context, group, member string) (err error) {
+	bounded, call := r.begin(ctx, pendingCall{})
+	defer func() { r.end(call, err) }()
+	return r.Journal.Leave(bounded, group, member)
+}
+
+// Owners implements Journal.
+func (r *Revived) Owners(ctx context.Context, group string) (rows []Ownership, err error) {
+	bounded, call := r.begin(ctx, pendingCall{})
+	defer func() { r.end(call, err) }()
+	return r.Journal.Owners(bounded, group)
+}
--- /dev/null
+++ b/internal/journal/revive_test.go
@@ -0,0 +1,189 @@
+package journal_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+)
+
+// outage is a journal whose calls hang while it is silent.
+func outage() (*journaltest.Journal, *atomic.Bool) {
+	log := journaltest.New()
+	silent := &atomic.Bool{}
+	log.Befall = func(journaltest.Call) journaltest.Fault {
+		if silent.Load() {
+			return journaltest.Hang
+		}
+		return journaltest.None
+	}
+	return log, silent
+}
+
+// ended runs a call in the background and tells how it ended, and when.
+type ended struct {
+	err error
+	at  time.Time
+}
+
+func background(call func() error) chan ended {
+	done := make(chan ended, 1)
+	go func() {
+		err := call()
+		done <- ended{err, time.Now()}
+	}()
+	return done
+}
+
+// A call that a silent outage has swallowed ends as soon as a later one is
+// answered, not at its timeout; its outcome is unknown.
+func TestSwallowedCallsEndWhenTheJournalAnswersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, silent := outage()
+		revived := journal.Revive(log, zap.NewNop())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		part := journal.Partition{Topic: "t"}
+		silent.Store(true)
+		appended := background(func() error {
+			_, err := revived.Append(ctx, journal.Append{Partition: part, Records: [][]byte{{1}}})
+			return err
+		})
+		held := background(func() error {
+			_, err := revived.Read(ctx, journal.Read{Partition: journal.Partition{Topic: "other"}, Wait: time.Second})
+			return err
+		})
+		time.Sleep(3 * time.Second)
+		silent.Store(false)
+		back := time.Now()
+		_, err := revived.Owners(ctx, "g")
+		is.NoErr(err)
+		for _, each := range []chan ended{appended, held} {
+			got := <-each
+			is.True(errors.Is(got.err, journal.ErrUnknown))
+			is.Equal(got.at, back)
+		}
+		is.Equal(revived.GivenUp(), uint64(2))
+	})
+}
+
+// Calls are left alone that are held on purpose, that began after the one that
+// was answered, or that are no slower than it.
+func TestCallsThatMayBeAnsweredYetAreLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, silent := outage()
+		revived := journal.Revive(log, zap.NewNop())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		part := journal.Partition{Topic: "t"}
+		held := background(func() error {
+			_, err := revived.Read(ctx, journal.Read{Partition: part, Wait: 10 * time.Second})
+			return err
+		})
+		time.Sleep(5 * time.Second)
+		_, err := revived.Owners(ctx, "g")
+		is.NoErr(err)
+		_, err = revived.Append(ctx, journal.Append{Partition: part, Records: [][]byte{{1}}})
+		is.NoErr(err)
+		got := <-held
+		is.NoErr(got.err)
+		// One partition alone may be silent: answers of others say nothing of it.
+		silent.Store(true)
+		young := background(func() error {
+			_, err := revived.Append(ctx, journal.Append{Partition: part, Records: [][]byte{{2}}})
+			return err
+		})
+		synctest.Wait()
+		silent.Store(false)
+		for range 20 {
+			time.Sleep(300 * time.Millisecond)
+			_, err = revived.Owners(ctx, "g")
+			is.NoErr(err)
+		}
+		synctest.Wait()
+		is.Equal(len(young), 0)
+		_, err = revived.Read(ctx, journal.Read{Partition: part})
+		is.NoErr(err)
+		is.True(errors.Is((<-young).err, journal.ErrUnknown))
+		is.Equal(revived.GivenUp(), uint64(1))
+	})
+}
+
+// slowly is a journal whose appends and reads take a time.
+type slowly struct {
+	*journaltest.Journal
+	appendTime, readTime time.Duration
+}
+
+func (s slowly) Append(ctx context.Context, request journal.Append) (journal.Appended, error) {
+	select {
+	case <-time.After(s.appendTime):
+	case <-ctx.Done():
+		return journal.Appended{}, errors.Wrap(journal.ErrUnknown, ctx.Err().Error())
+	}
+	return s.Journal.Append(ctx, request)
+}
+
+func (s slowly) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
+	time.Sleep(s.readTime)
+	return s.Journal.Read(ctx, request)
+}
+
+// In a journal that is slow as a whole nothing is given up.
+func TestASlowJournalIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		revived := journal.Revive(slowly{journaltest.New(), time.Second, 400 * time.Millisecond}, zap.NewNop())
+		part := journal.Partition{Topic: "t"}
+		appended := background(func() error {
+			_, err := revived.Append(t.Context(), journal.Append{Partition: part, Records: [][]byte{{1}}})
+			return err
+		})
+		time.Sleep(500 * time.Millisecond)
+		_, err := revived.Read(t.Context(), journal.Read{Partition: part})
+		is.NoErr(err)
+		is.NoErr((<-appended).err)
+		is.Equal(revived.GivenUp(), uint64(0))
+	})
+}
+
+// A read whose answer is lost, with no other call to its partition, ends some
+// time after calls to others are answered: reading again costs little.
+func TestALostReadIsToldByOtherPartitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, silent := outage()
+		revived := journal.Revive(log, zap.NewNop())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		const wait, step = time.Second, 100 * time.Millisecond
+		silent.Store(true)
+		began := time.Now()
+		lost := background(func() error {
+			_, err := revived.Read(ctx, journal.Read{Partition: journal.Partition{Topic: "t"}, Wait: wait})
+			return err
+		})
+		synctest.Wait()
+		silent.Store(false)
+		for len(lost) == 0 {
+			time.Sleep(step)
+			_, err := revived.Owners(ctx, "g")
+			is.NoErr(err)
+			synctest.Wait()
+		}
+		got := <-lost
+		is.True(errors.Is(got.err, journal.ErrUnknown))
+		is.True(got.at.Sub(began) > wait+500*time.Millisecond)
+		is.True(got.at.Sub(began) <= wait+600*time.Millisecond+step)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,7 +139,9 @@
 // build makes the parts; each depends only on those made before it.
 func (node *Node) build(drivers Drivers) {
 	logger := node.logger
-	drivers.Journal = journal.Observe(drivers.Journal, node.metrics.JournalCall)
+	revived := journal.Revive(journal.Observe(drivers.Journal, node.metrics.JournalCall), logger)
+	drivers.Journal = revived
+	node.metrics.Counter("journal_calls_given_up_total", "Calls to the journal given up as later ones were answered.", func() float64 { return float64(revived.GivenUp()) })
 	node.partitions = drivers.Journal.PartitionsPerTopic()
 	contact := node.settings.Timing.ContactBound.Std()
 	node.table = replica.NewTable(node.settings.Timing.DrainBound.Std(), logger)
