A keyed try that has certainly not run gives its key back

The claimant now appends a release; after it the next claim counts. A lost release leaves the key spent, as before. Weighed: an outcome 'not run' told to later tries, which they cannot use.

--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -143,12 +143,15 @@
 }
 
 // runOnce runs a request under its permit and records what it came to. A try
-// that has certainly not run is answered so, but its permit stays spent: the
-// caller comes back with another key.
+// that has certainly not run gives the permit back before it is answered so: the
+// caller comes back with the same key.
 func (g *Gateway) runOnce(w http.ResponseWriter, ctx context.Context, granted permit.Granted, call asked) {
 	got := g.ask(ctx, call)
 	if !got.whole(g.parts.Names.Stamp) {
 		status, problem := got.problem()
+		if problem.Outcome == NotExecuted {
+			g.giveBack(ctx, granted)
+		}
 		writeProblem(w, status, problem)
 		return
 	}
@@ -163,6 +166,14 @@
 	writeAnswer(w, outcome)
 }
 
+// giveBack lets a later try with the key run.
+func (g *Gateway) giveBack(ctx context.Context, granted permit.Granted) {
+	releasing, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	err := g.parts.Permits.Release(releasing, granted)
+	g.parts.Logger.Info("key given back", zap.String("key", granted.Key()), zap.Error(err))
+}
+
 // answerTaken answers a try whose request an earlier one may have run.
 func (g *Gateway) answerTaken(ctx context.Context, w http.ResponseWriter, name string) {
 	if outcome, known := g.parts.Permits.Await(ctx, name); known {
--- a/internal/permit/fold.go
+++ b/internal/permit/fold.go
@@ -12,6 +12,7 @@
 const (
 	kindClaim kind = iota + 1
 	kindOutcome
+	kindRelease
 )
 
 // record is one record of a permit partition.
@@ -52,7 +53,8 @@
 }
 
 // state is the fold of one partition: of the claims of a key the first counts,
-// of the outcomes the first that its claimant gave.
+// of the outcomes the first that its claimant gave. After the claimant has given
+// the key back, the next claim counts.
 type state map[string]*holding
 
 // apply folds the next record. One that is malformed or comes too late changes
@@ -73,6 +75,10 @@
 			outcome := r.Outcome
 			held.outcome = &outcome
 		}
+	case kindRelease:
+		if held != nil && held.claimant == r.Claimant && held.outcome == nil {
+			delete(s, r.Key)
+		}
 	}
 }
 
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -11,8 +11,12 @@
 //
 //	switch decision, err := permits.Claim(ctx, key, digest); d := decision.(type) {
 //	case permit.Granted:
-//		outcome := run()
-//		permits.Settle(ctx, d, outcome)
+//		outcome, ran := run()
+//		if ran {
+//			permits.Settle(ctx, d, outcome)
+//		} else {
+//			permits.Release(ctx, d)
+//		}
 //	case permit.Taken:
 //		outcome, known := permits.Await(ctx, key)
 //	case permit.OtherContent:
@@ -56,6 +60,9 @@
 // Granted lets its holder run the request, once.
 type Granted struct{ key, claimant string }
 
+// Key returns the key that was granted.
+func (g Granted) Key() string { return g.key }
+
 // Taken says that another try has the permit. Its request may have run.
 type Taken struct{}
 
@@ -153,6 +160,13 @@
 	return p.append(ctx, p.of(granted.key), settled)
 }
 
+// Release gives the permit back: the granted request has certainly not run and
+// will not, so that a later try may. Without it the key stays spent.
+func (p *Permits) Release(ctx context.Context, granted Granted) error {
+	released := record{Kind: kindRelease, Key: granted.key, Claimant: granted.claimant, AtMs: time.Now().UnixMilli()}
+	return p.append(ctx, p.of(granted.key), released)
+}
+
 // Await returns the outcome of a key's run, once it is recorded. It reports
 // false if the context ends before.
 func (p *Permits) Await(ctx context.Context, key string) (Outcome, bool) {
--- a/internal/standalone/standalone_test.go
+++ b/internal/standalone/standalone_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -539,3 +540,32 @@
 	})
 	is.True(seen < 64)
 }
+
+// A move that no back end took gives its key back: the same key runs it later,
+// once, at any daemon.
+func TestAKeyOfAMoveThatDidNotRunIsFreeAgain(t *testing.T) {
+	f := newFloor(t, 2)
+	is := is.New(t)
+	key := fmt.Sprintf("%d-abcdefgh", time.Now().UnixMilli())
+	declines := slices.Repeat([]plainstand.Fault{plainstand.Decline}, 500)
+	for _, plain := range f.world.Plains {
+		plain.Befall(declines...)
+	}
+	answer, outcome, err := f.client(0, "players").Call(f.ctx(), "game-front", "move", key, []byte("e4"))
+	is.NoErr(err)
+	is.Equal(answer.Status, http.StatusServiceUnavailable)
+	is.Equal(outcome, gateway.NotExecuted)
+	is.Equal(f.executions("e4"), 0)
+	for _, plain := range f.world.Plains {
+		plain.Befall()
+	}
+	f.until("the move runs", func() bool {
+		answer, _, err := f.client(1, "players").Call(f.ctx(), "game-front", "move", key, []byte("e4"))
+		return err == nil && answer.Status == http.StatusOK
+	})
+	is.Equal(f.executions("e4"), 1)
+	answer, _, err = f.client(0, "players").Call(f.ctx(), "game-front", "move", key, []byte("e4"))
+	is.NoErr(err)
+	is.Equal(answer.Status, http.StatusOK)
+	is.Equal(f.executions("e4"), 1)
+}
