An answer waits 0.2 s at most for its key to be given back

Found at the reading of the change: with the log away, a refusal would have waited for the release of its key, up to the time that an outcome may take; final answers are due at once. The release goes on in the background.

--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -23,6 +23,8 @@
 	defaultCallTimeout = 30 * time.Second
 	// settleTimeout bounds the recording of an outcome after the answer came.
 	settleTimeout = 2 * time.Second
+	// giveBackWait is how long an answer waits for a key to be given back.
+	giveBackWait = 200 * time.Millisecond
 	// maxOutcomeBytes is the longest answer that is kept for later tries.
 	maxOutcomeBytes = 32 << 10
 )
@@ -166,12 +168,22 @@
 	writeAnswer(w, outcome)
 }
 
-// giveBack lets a later try with the key run.
+// giveBack lets a later try with the key run. The caller's answer is due, so that
+// it is waited for only a little; if it takes longer, a try that comes meanwhile
+// hears that an earlier one may have run.
 func (g *Gateway) giveBack(ctx context.Context, granted permit.Granted) {
 	releasing, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	defer cancel()
-	err := g.parts.Permits.Release(releasing, granted)
-	g.parts.Logger.Info("key given back", zap.String("key", granted.Key()), zap.Error(err))
+	done := make(chan struct{})
+	go func() {
+		defer cancel()
+		defer close(done)
+		err := g.parts.Permits.Release(releasing, granted)
+		g.parts.Logger.Info("key given back", zap.String("key", granted.Key()), zap.Error(err))
+	}()
+	select {
+	case <-done:
+	case <-time.After(giveBackWait):
+	}
 }
 
 // answerTaken answers a try whose request an earlier one may have run.
