Signs of life are numbered, so that late ones show nobody alive

Now a sign counts only if its number is higher than those before, and results only if one of them is new. Numbers rise over all batches of a run. Records without a number count as before.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -119,6 +119,8 @@
 	Partials map[int]Partial
 	// Signs counts the records that show the owner alive.
 	Signs int64
+	// lastSign is the highest number of the owner's signs.
+	lastSign int64
 }
 
 // Open reports whether the batch still has work: it is not ended and an item
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -95,31 +95,32 @@
 func (b *Batch) apply(entry record) {
 	switch entry.Kind {
 	case kindBeat:
-		if entry.Owner == b.Owner {
-			b.Signs++
-		}
+		b.sign(entry)
 	case kindProgress:
 		if entry.Owner == b.Owner {
-			b.Signs++
+			b.sign(entry)
 			for _, progress := range entry.Progress {
 				b.advance(progress)
 			}
 		}
 	case kindResults:
-		b.Signs++
+		before := len(b.Results)
 		for _, result := range entry.Results {
 			b.list(result)
 		}
+		if len(b.Results) > before {
+			b.Signs++
+		}
 	case kindTakenOver:
 		// A takeover counts only against the owner it names, so that of two
 		// at the same time one wins for every reader.
 		if entry.From == b.Owner && !b.Ended {
-			b.Owner = entry.Owner
+			b.Owner, b.lastSign = entry.Owner, 0
 			b.Signs++
 		}
 	case kindReleased:
 		if entry.From == b.Owner && !b.Ended {
-			b.Owner = ""
+			b.Owner, b.lastSign = "", 0
 			b.Handed = make(map[int]bool, len(entry.Handed))
 			for _, item := range entry.Handed {
 				b.Handed[item] = true
@@ -130,6 +131,17 @@
 	}
 }
 
+// sign counts a sign of life of the owner. One that reached the journal late, after
+// a newer one, says nothing: its owner may have ended since. Records without a
+// number are those of earlier versions of this program.
+func (b *Batch) sign(entry record) {
+	if entry.Owner != b.Owner || entry.Number != 0 && entry.Number <= b.lastSign {
+		return
+	}
+	b.lastSign = entry.Number
+	b.Signs++
+}
+
 // advance keeps a further part of an item's text. It counts only if it joins
 // what is kept: an owner's records may be doubled or late, but what they say of
 // one event is the same each time.
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -56,9 +56,9 @@
 	case 3:
 		return Released(id, owner.Draw(t, "from"), []int{1, 2})
 	case 4:
-		return Beat(id, owner.Draw(t, "owner"))
+		return Beat(id, owner.Draw(t, "owner"), rapid.Int64Range(0, 9).Draw(t, "number"))
 	case 5:
-		return Advanced(id, owner.Draw(t, "owner"), []Progress{drawProgress(t)})
+		return Advanced(id, owner.Draw(t, "owner"), rapid.Int64Range(0, 9).Draw(t, "number"), []Progress{drawProgress(t)})
 	default:
 		return Ended(id)
 	}
@@ -205,3 +205,31 @@
 		}
 	}
 }
+
+// signsAfter counts the signs of life that records add to a batch of owner a.
+func signsAfter(records ...[]byte) int64 {
+	state := NewState()
+	state.Apply(Accepted(&Submission{ID: "x", Items: []Item{{ID: "i"}, {ID: "j"}}}, "a"))
+	for _, each := range records {
+		state.Apply(each)
+	}
+	known, _ := state.Get("x")
+	return known.Signs
+}
+
+// Signs that reach the journal late, and doubles, do not show the owner alive: the
+// store may do seconds later what it did not answer (own day all-at-once: batches of
+// owners that were gone stayed with them for seconds).
+func TestLateSignsDoNotShowTheOwnerAlive(t *testing.T) {
+	is := is.New(t)
+	is.Equal(signsAfter(Beat("x", "a", 1), Beat("x", "a", 5)), int64(2))
+	is.Equal(signsAfter(Beat("x", "a", 5), Beat("x", "a", 1), Beat("x", "a", 5), Advanced("x", "a", 3, nil)), int64(1))
+	is.Equal(signsAfter(Beat("x", "b", 9), Beat("x", "a", 1)), int64(1))
+	listed := Listed("x", []Result{{Item: 0, Outcome: Done}})
+	is.Equal(signsAfter(listed, listed, listed), int64(1))
+	// Another owner counts from anew, and so does one that has the batch again.
+	is.Equal(signsAfter(Beat("x", "a", 7), TakenOver("x", "a", "b"), Beat("x", "b", 2), Beat("x", "a", 9)), int64(3))
+	is.Equal(signsAfter(Beat("x", "a", 7), TakenOver("x", "a", "b"), TakenOver("x", "b", "a"), Beat("x", "a", 8)), int64(4))
+	// Records of programs that did not number their signs count all.
+	is.Equal(signsAfter(Beat("x", "a", 0), Beat("x", "a", 0)), int64(2))
+}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -39,6 +39,8 @@
 	Part  []byte `cbor:"11,keyasint,omitempty"`
 	// Progress is what the owner has of items that run.
 	Progress []Progress `cbor:"12,keyasint,omitempty"`
+	// Number rises with each sign of life of one owner of a batch, from 1.
+	Number int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // fragmentOverhead is room for the fields around a fragment's bytes.
@@ -83,15 +85,16 @@
 // Ended is the record after which nothing of the batch is run.
 func Ended(batchID string) []byte { return encode(record{Kind: kindEnded, BatchID: batchID}) }
 
-// Beat is an owner's sign of life. It changes nothing in the fold.
-func Beat(batchID, owner string) []byte {
-	return encode(record{Kind: kindBeat, BatchID: batchID, Owner: owner})
+// Beat is an owner's sign of life, the number-th of this owner. It changes nothing
+// else in the fold.
+func Beat(batchID, owner string, number int64) []byte {
+	return encode(record{Kind: kindBeat, BatchID: batchID, Owner: owner, Number: number})
 }
 
 // Advanced is an owner's sign of life that keeps what it has of running items,
 // so that another owner can go on with them.
-func Advanced(batchID, owner string, progress []Progress) []byte {
-	return encode(record{Kind: kindProgress, BatchID: batchID, Owner: owner, Progress: progress})
+func Advanced(batchID, owner string, number int64, progress []Progress) []byte {
+	return encode(record{Kind: kindProgress, BatchID: batchID, Owner: owner, Number: number, Progress: progress})
 }
 
 // Fragment cuts a record that is longer than limit into records that are not.
--- a/internal/runner/checkpoint.go
+++ b/internal/runner/checkpoint.go
@@ -23,18 +23,19 @@
 	released := job.released
 	progress := job.progress(time.Now())
 	job.mutex.Unlock()
+	number := job.runner.signNumber(time.Now())
 	if released {
 		return
 	}
 	ctx, cancel := context.WithTimeout(job.context, heartbeatInterval)
 	defer cancel()
 	if len(progress) == 0 {
-		_ = job.partition.Append(ctx, batch.Beat(job.submission.ID, job.runner.self))
+		_ = job.partition.Append(ctx, batch.Beat(job.submission.ID, job.runner.self, number))
 		return
 	}
 	// An append whose outcome is not known is repeated with the next one's
 	// events, which the fold takes once.
-	if job.partition.Append(ctx, batch.Advanced(job.submission.ID, job.runner.self, progress)) == nil {
+	if job.partition.Append(ctx, batch.Advanced(job.submission.ID, job.runner.self, number, progress)) == nil {
 		job.kept(progress)
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -50,6 +50,7 @@
 // Runner runs the batches of one daemon. It is safe for concurrent use.
 type Runner struct {
 	self      string
+	startedAt time.Time
 	ledger    *ledger.Ledger
 	table     *replica.Table
 	forwarder *forward.Forwarder
@@ -73,7 +74,7 @@
 // context.
 func New(ctx context.Context, self string, batches *ledger.Ledger, forwarder *forward.Forwarder, operator Operator, demands *demand.Publisher, assigner *Assigner, logger *zap.Logger) *Runner {
 	return &Runner{
-		self: self, ledger: batches, table: forwarder.Table, forwarder: forwarder, operator: operator, demands: demands, assigner: assigner,
+		self: self, startedAt: time.Now(), ledger: batches, table: forwarder.Table, forwarder: forwarder, operator: operator, demands: demands, assigner: assigner,
 		logger: logger, context: ctx, jobs: map[string]*job{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -230,6 +231,12 @@
 	return runner.appendUntil(ctx, runner.ledger.Of(batchID), batch.Ended(batchID))
 }
 
+// signNumber numbers a sign of life. It rises over all batches of this run, so that
+// one that comes back here is not taken for silent.
+func (runner *Runner) signNumber(now time.Time) int64 {
+	return now.Sub(runner.startedAt).Milliseconds() + 1
+}
+
 // jobList returns the batches that are run here.
 func (runner *Runner) jobList() []*job {
 	runner.mutex.Lock()
--- a/internal/runner/standby_test.go
+++ b/internal/runner/standby_test.go
@@ -70,7 +70,7 @@
 		is.NoErr(accepter.Accept(ctx, &oneItem))
 		time.Sleep(standByTime / 2)
 		owner := ledger.New(ctx, log, zap.NewNop())
-		is.NoErr(owner.Of("x").Append(ctx, batch.Beat("x", "a/1")))
+		is.NoErr(owner.Of("x").Append(ctx, batch.Beat("x", "a/1", 1)))
 		time.Sleep(10 * standByTime)
 		is.Equal(ownerOf(accepter.ledger.Of("x"), "x"), "a/1")
 	})
