The watcher asks sighting.still where it compared by hand

Found at the reading of the change: inspect compared owner and signs itself beside sighting.still, which takeover.go brought in, and was the longest function of the package. The noting of a sighting is now a step of its own. Behaviour is the same: open batches only come there, which is all that still asks beside.

--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -118,15 +118,7 @@
 				delete(each.owners, known.ID)
 				return
 			}
-			seen, ok := each.owners[known.ID]
-			if !ok || seen.owner != known.Owner || seen.signs != known.Signs {
-				found := sighting{partition: name, batch: known.ID, owner: known.Owner, signs: known.Signs, at: now}
-				if seen.owner == known.Owner {
-					found.judgedIn = seen.judgedIn
-				}
-				seen = found
-				each.owners[known.ID] = seen
-			}
+			seen := each.sight(name, known, now)
 			switch {
 			case known.Owner == watcher.runner.self:
 				own = append(own, known.ID)
@@ -141,6 +133,21 @@
 	return suspects
 }
 
+// sight returns what was last seen of the owner of an open batch, with the time
+// since when nothing new was.
+func (w *watched) sight(name journal.Partition, known *batch.Batch, now time.Time) sighting {
+	before, ok := w.owners[known.ID]
+	if ok && before.still(known) {
+		return before
+	}
+	seen := sighting{partition: name, batch: known.ID, owner: known.Owner, signs: known.Signs, at: now}
+	if before.owner == known.Owner {
+		seen.judgedIn = before.judgedIn
+	}
+	w.owners[known.ID] = seen
+	return seen
+}
+
 // judged notes the generation in which owners were looked for.
 func (watcher *Watcher) judged(suspects []sighting, generation int64) {
 	for _, suspect := range suspects {
