The test of a resignation makes its renewal between two of the holder's

The test made its own renewal 2 s after the start, at the same virtual instant as the holder's fifth one, and whichever came second failed on its condition, as it should. Ruled out: the lease (the failing append is the test's). It checks the same.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -334,7 +334,8 @@
 		time.Sleep(time.Second)
 		other := start(ctx, log, "b", 1, acts)
 		other.lease.SetCandidate(true)
-		time.Sleep(time.Second)
+		// Between two renewals, so that the one made here meets none of the holder's.
+		time.Sleep(time.Second + renewEvery/2)
 		first.lease.mutex.Lock()
 		end := first.lease.next
 		first.lease.mutex.Unlock()
