A partition counts as read only once the fold holds all of it

Cause: a partition that is dealt to a daemon again is read from where its fold stood; each read brings a page, and the first page already counted as contact. It needs a fold that is more than a page behind, so it was there before the relay.

Ruled out: the relay (the daemon's own path stood), the end's record (acknowledged and read by the same daemon 14 ms later). Test: ledger.TestAPartitionCountsAsReadOnceTheFoldHoldsAll, which failed before.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"woodworks/internal/batch"
+	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
 	"woodworks/internal/testseed"
 )
@@ -250,3 +251,35 @@
 	is.True(exists(partition, "b"))
 	is.Equal(partition.next, int64(2))
 }
+
+// paged is a journal whose reads bring one record at a time.
+type paged struct{ *journaltest.Journal }
+
+func (p paged) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
+	read, err := p.Journal.Read(ctx, request)
+	read.Records = read.Records[:min(len(read.Records), 1)]
+	return read, err
+}
+
+// A partition counts as read only once the fold holds all of it: a watcher that took
+// the first page for the present ran items of a batch 16.6 s after its end
+// (affittocerto-nord scale-2, seed 111).
+func TestAPartitionCountsAsReadOnceTheFoldHoldsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := paged{journaltest.New()}
+		writer := New(ctx, log, zap.NewNop()).Of("a")
+		is.NoErr(writer.Append(ctx, batch.Accepted(submission("a"), "one")))
+		is.NoErr(writer.Append(ctx, batch.Ended("a")))
+		reader := New(ctx, log, zap.NewNop()).Of("a")
+		_, err := reader.readOnce(ctx, 0)
+		is.NoErr(err)
+		is.True(exists(reader, "a"))
+		is.True(reader.LastRead().IsZero())
+		_, err = reader.readOnce(ctx, 0)
+		is.NoErr(err)
+		is.True(!reader.LastRead().IsZero())
+	})
+}
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -46,7 +46,7 @@
 	followers   int
 	stopFollow  context.CancelFunc
 	pending     []*pendingAppend
-	// lastRead is when the newest read that succeeded was answered.
+	// lastRead is when a read was last answered after which the fold held all.
 	lastRead  time.Time
 	appending bool
 }
@@ -168,7 +168,9 @@
 	}
 	partition.fold(from, read.Records)
 	partition.mutex.Lock()
-	partition.lastRead = time.Now()
+	if partition.next >= read.End {
+		partition.lastRead = time.Now()
+	}
 	partition.mutex.Unlock()
 	return read, nil
 }
@@ -186,7 +188,9 @@
 	return journal.Records{End: noEnd, First: first}
 }
 
-// LastRead is when the journal last answered a read of this partition.
+// LastRead is when the journal last answered a read that brought the fold up to the
+// partition's end. A long partition takes several reads, and what was folded of it
+// before the last of them may be long out of date.
 func (partition *Partition) LastRead() time.Time {
 	partition.mutex.Lock()
 	defer partition.mutex.Unlock()
