--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -73,8 +73,7 @@
 // collecting gets eager.
 const memoryShare = 0.7
 
-// serveDaemon runs a daemon until it is told to stop. A second signal while it
-// stops ends it at once.
+// serveDaemon runs a daemon until it is told to stop.
 func serveDaemon(chosen *options, loaded settings.Settings, logger *zap.Logger) error {
 	connect := chosen.drivers[loaded.Platform.Driver]
 	if connect == nil {
@@ -105,19 +104,29 @@
 	}
 }
 
-// stop ends a daemon by plan.
-func stop(running *node.Node, logger *zap.Logger, stops <-chan os.Signal) error {
+// stopper is a daemon that can be stopped by plan.
+type stopper interface{ Stop() }
+
+// stop ends a daemon by plan. An interrupt meanwhile, as from a terminal, ends it at
+// once. A supervisor that repeats SIGTERM does not mean that: requests in flight, and
+// items that run for seconds, still have the grace of the settings.
+func stop(running stopper, logger *zap.Logger, stops <-chan os.Signal) error {
 	done := make(chan struct{})
 	go func() {
 		running.Stop()
 		close(done)
 	}()
-	select {
-	case <-done:
-		_ = logger.Sync()
-		return nil
-	case <-stops:
-		return errors.New("stopped at once by a second signal; requests in flight were cut off")
+	for {
+		select {
+		case <-done:
+			_ = logger.Sync()
+			return nil
+		case received := <-stops:
+			if received == syscall.SIGINT {
+				return errors.New("stopped at once by an interrupt; requests in flight were cut off")
+			}
+			logger.Info("signal", zap.String("signal", received.String()), zap.String("reason", "the stop is under way"))
+		}
 	}
 }
 
