The pace of an engine is the median of 32 events

Cause: an engine that changes its weights holds all its texts up once, for several hundred milliseconds (it reads them anew). A median does not see them; an engine that turns slow shows within half a second all the same.

--- a/internal/replica/pace.go
+++ b/internal/replica/pace.go
@@ -1,12 +1,18 @@
 package replica
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// paceEvents is over how many events the pace of an engine is averaged: the
-	// times between two differ by a fifth, so that the mean is known to within
-	// a few hundredths, and an engine that turns slow shows within half a second.
-	paceEvents = 20
+	// paceEvents is over how many events the pace of an engine is taken. The times
+	// between two differ by a fifth, so that their median is known to within a few
+	// hundredths, and an engine with some texts that turns slow shows within half a
+	// second.
+	paceEvents = 32
+	// knownEvents is from how many events on a pace is known.
+	knownEvents = 3
 	// paceHolds is how long a pace is believed without new events: a replica
 	// that was slow gets work again and shows how it is now.
 	paceHolds = 3 * time.Second
@@ -14,12 +20,15 @@
 	soundSpan = 15 * time.Second
 )
 
-// pace is the time between two events of the texts that a replica makes.
+// pace is the time between two events of the texts that a replica makes: the median
+// of the last ones. A mean would not do: an engine that changes its weights holds all
+// its texts up once, for many times as long, and is as fast as before right after.
 type pace struct {
-	mean   time.Duration
+	gaps   [paceEvents]time.Duration
 	events int
 	at     time.Time
-	// sound is the best mean of the present span and of the one before, which
+	median time.Duration
+	// sound is the best median of the present span and of the one before, which
 	// tells replicas apart that get nothing to do for a while.
 	sound [2]time.Duration
 	since time.Time
@@ -30,22 +39,26 @@
 	if now.Sub(p.at) > paceHolds {
 		p.events = 0
 	}
-	p.events = min(p.events+1, paceEvents)
-	p.mean += (gap - p.mean) / time.Duration(p.events)
+	p.gaps[p.events%paceEvents] = gap
+	p.events++
 	p.at = now
-	if p.events < paceEvents {
+	known := min(p.events, paceEvents)
+	sorted := p.gaps
+	slices.Sort(sorted[:known])
+	p.median = sorted[known/2]
+	if known < paceEvents {
 		return
 	}
-	if now.Sub(p.since) > soundSpan {
-		p.sound, p.since = [2]time.Duration{p.mean, p.sound[0]}, now
+	if p.sound[0] == 0 || now.Sub(p.since) > soundSpan {
+		p.sound, p.since = [2]time.Duration{p.median, p.sound[0]}, now
 	}
-	p.sound[0] = min(p.sound[0], p.mean)
+	p.sound[0] = min(p.sound[0], p.median)
 }
 
 // value returns the pace to reckon with, 0 if it is unknown.
 func (p *pace) value(now time.Time) time.Duration {
-	if p.events > 0 && now.Sub(p.at) <= paceHolds {
-		return p.mean
+	if p.events >= knownEvents && now.Sub(p.at) <= paceHolds {
+		return p.median
 	}
 	if p.sound[1] > 0 {
 		return min(p.sound[0], p.sound[1])
--- a/internal/replica/pace_test.go
+++ b/internal/replica/pace_test.go
@@ -19,9 +19,15 @@
 	}
 	is.Equal(p.value(now), time.Duration(0))
 	run(1, 40*time.Millisecond)
+	is.Equal(p.value(now), time.Duration(0))
+	run(knownEvents, 40*time.Millisecond)
 	is.Equal(p.value(now), 40*time.Millisecond)
 	run(2*paceEvents, 40*time.Millisecond)
 	is.Equal(p.value(now), 40*time.Millisecond)
+	// A pause of all its texts, as while weights are changed, says nothing of it.
+	run(12, 400*time.Millisecond)
+	is.Equal(p.value(now), 40*time.Millisecond)
+	run(paceEvents, 40*time.Millisecond)
 	// A replica that turns slow shows within a few events.
 	run(paceEvents, 140*time.Millisecond)
 	is.True(p.value(now) > 90*time.Millisecond)
@@ -29,7 +35,7 @@
 	now = now.Add(paceHolds + time.Millisecond)
 	is.Equal(p.value(now), 40*time.Millisecond)
 	// After that its pace is measured anew.
-	run(1, 60*time.Millisecond)
+	run(knownEvents, 60*time.Millisecond)
 	is.Equal(p.value(now), 60*time.Millisecond)
 	// One that is always slower stays told apart while it has nothing to do.
 	for range 3 {
