An item is moved once the other replica has accepted it

Cause: engines decline for a second while they change their weights, and about two of eleven do so at any time.

Change: the run under way is cut when the other replica has begun to answer; its events are held back meanwhile, and count if the other replica declines. Ruled out: asking which engines load (their reports are some hundred ms old and the owner gives no orders).

--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
 	"woodworks/internal/scheduling"
@@ -42,7 +40,7 @@
 				runner.start(seen.pending[decision.Item], seen.replicas[decision.Engine])
 			case scheduling.Move:
 				each := seen.pending[decision.Item]
-				each.job.cutToMove(each.item, seen.replicas[decision.Engine].ID, decision.Gain)
+				each.job.handOver(each, seen.replicas[decision.Engine], decision.Gain)
 			}
 		}
 	}
@@ -85,7 +83,7 @@
 	}
 	for _, each := range job.items {
 		waits := each.state == itemWaiting && !now.Before(each.notBefore)
-		runs := running && each.state == itemRunning && each.move != nil
+		runs := running && each.state == itemRunning && each.cut != nil && !each.holding
 		if !waits && !runs {
 			continue
 		}
@@ -130,26 +128,15 @@
 	item.attempts++
 	item.lastReplica = chosen.ID
 	item.startedAt = time.Now()
+	item.release()
+	item.run++
+	run := item.run
 	job.groups[item.Group] = chosen.ID
 	runner.table.Started(chosen.ID)
 	runner.started.Add(1)
 	runner.running.Add(1)
 	go func() {
 		defer runner.running.Done()
-		job.runItem(item, chosen, each.route)
+		job.runItem(item, run, chosen, each.route)
 	}()
 }
-
-// cutToMove cuts the run of an item that should go on at another replica. It is
-// resumed after its last event, which costs the reading of what it has so far.
-func (job *job) cutToMove(each *item, to string, gain time.Duration) {
-	job.mutex.Lock()
-	defer job.mutex.Unlock()
-	if each.state != itemRunning || each.move == nil {
-		return
-	}
-	each.moved = true
-	job.logger.Info("item moved", zap.String("item", each.ID), zap.String("replica", each.lastReplica), zap.String("to", to),
-		zap.Int64("events", each.lastEvent), zap.Duration("gain", gain))
-	each.move()
-}
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -34,20 +34,34 @@
 // errTooOld: the replica's weights are older than the batch allows.
 var errTooOld = errors.New("runner: weights too old")
 
+// errHandedOver: another replica goes on with the item.
+var errHandedOver = errors.New("runner: handed over")
+
 // runItem runs one attempt at an item and takes its outcome into account.
-func (job *job) runItem(each *item, chosen replica.Replica, found *route.Route) {
+func (job *job) runItem(each *item, run int, chosen replica.Replica, found *route.Route) {
 	ctx, cancel := context.WithCancel(job.context)
 	defer cancel()
 	job.mutex.Lock()
-	each.move = cancel
+	each.cut = cancel
 	job.mutex.Unlock()
-	err := job.streamItem(ctx, cancel, each, chosen, found)
+	err := job.streamItem(ctx, cancel, each, run, chosen, found)
+	job.endRun(each, run, chosen, found, err)
+}
+
+// endRun takes the outcome of an item's run into account.
+func (job *job) endRun(each *item, run int, chosen replica.Replica, found *route.Route, err error) {
 	job.runner.table.Ended(chosen.ID)
 	job.mutex.Lock()
-	each.move = nil
+	current := each.run == run
+	if current {
+		each.cut = nil
+		if heldErr := job.thaw(each); err == nil {
+			err = heldErr
+		}
+	}
 	listed := each.state == itemListed
 	job.mutex.Unlock()
-	if listed || job.context.Err() != nil {
+	if !current || listed || job.context.Err() != nil {
 		return
 	}
 	if err == nil {
@@ -59,7 +73,7 @@
 }
 
 // streamItem reads an item's events until the text is whole.
-func (job *job) streamItem(ctx context.Context, cancel context.CancelFunc, each *item, chosen replica.Replica, found *route.Route) error {
+func (job *job) streamItem(ctx context.Context, cancel context.CancelFunc, each *item, run int, chosen replica.Replica, found *route.Route) error {
 	patience := min(headPatience<<min(each.attempts-1, 3), maxPatience)
 	watchdog := time.AfterFunc(patience, cancel)
 	defer watchdog.Stop()
@@ -67,6 +81,12 @@
 	if err != nil {
 		return err
 	}
+	watchdog.Stop()
+	return job.followStream(cancel, each, run, chosen, found, stream)
+}
+
+// followStream reads the events of an open stream until the text is whole.
+func (job *job) followStream(cancel context.CancelFunc, each *item, run int, chosen replica.Replica, found *route.Route, stream *forward.Stream) error {
 	defer stream.Close()
 	job.runner.table.Accepted(chosen.ID)
 	model := job.submission.Model
@@ -74,9 +94,12 @@
 	if version > 0 {
 		job.runner.table.HoldsVersion(chosen.ID, model, version)
 	}
+	patience := max(gapPatience, 4*chosen.Pace)
+	watchdog := time.AfterFunc(patience, cancel)
+	defer watchdog.Stop()
 	var last time.Time
 	for {
-		watchdog.Reset(max(gapPatience, 4*chosen.Pace))
+		watchdog.Reset(patience)
 		event, err := stream.Next()
 		if err == io.EOF {
 			return nil
@@ -88,7 +111,7 @@
 			version = event.Version
 			job.runner.table.HoldsVersion(chosen.ID, model, version)
 		}
-		if err := job.take(each, event, version, found); err != nil {
+		if err := job.take(each, run, event, version, found); err != nil {
 			return err
 		}
 		now := time.Now()
@@ -109,18 +132,40 @@
 	}
 }
 
-// take adds an event to an item's text. Events come in order without gaps, and
-// each was made by a version that the batch allows.
-func (job *job) take(each *item, event eventstream.Event, version int64, found *route.Route) error {
+// take adds an event of a run to an item's text, unless another run goes on with it.
+func (job *job) take(each *item, run int, event eventstream.Event, version int64, found *route.Route) error {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if each.run != run {
+		return errHandedOver
+	}
+	made := madeEvent{event: event, version: version, single: found.SingleVersion}
+	if each.holding {
+		each.held = append(each.held, made)
+		return nil
+	}
+	return job.add(each, made)
+}
+
+// madeEvent is an event with the version of the weights that made it.
+type madeEvent struct {
+	event   eventstream.Event
+	version int64
+	// single says that a text must be of one version.
+	single bool
+}
+
+// add adds an event to an item's text. Events come in order without gaps, and each
+// was made by a version that the batch allows. The mutex is held.
+func (job *job) add(each *item, made madeEvent) error {
+	event, version := made.event, made.version
 	if !event.HasID || (each.hasEvent && event.ID != each.lastEvent+1) {
 		return errors.Errorf("event %d after %d", event.ID, each.lastEvent)
 	}
 	if version < job.submission.MinVersion {
 		return errTooOld
 	}
-	job.mutex.Lock()
-	defer job.mutex.Unlock()
-	if found.SingleVersion && len(each.versions) > 0 && each.versions[0] != version {
+	if made.single && len(each.versions) > 0 && each.versions[0] != version {
 		each.startAgain()
 		return errors.New("version changed within a text of one version")
 	}
@@ -144,8 +189,6 @@
 	pause := failedPause
 	dead := ""
 	switch {
-	case each.moved:
-		pause = 0
 	case errors.Is(cause, forward.ErrDeclined), errors.Is(cause, errTooOld):
 		table.Declined(chosen.ID)
 	case errors.As(cause, &status):
@@ -165,7 +208,6 @@
 		return
 	}
 	each.state = itemWaiting
-	each.moved = false
 	each.notBefore = time.Now().Add(pause)
 }
 
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -61,10 +61,15 @@
 	attempts       int
 	// lastReplica ran the item last.
 	lastReplica string
-	// move, if not nil, cuts the run under way so that another replica resumes it.
-	move func()
-	// moved says that the run under way was cut to be resumed elsewhere.
-	moved     bool
+	// run numbers the run whose events count. A run that was handed over to another
+	// replica has a lower number.
+	run int
+	// cut, if not nil, ends the run under way.
+	cut func()
+	// holding says that events are held back in held, while another replica is asked
+	// to go on after the last one before.
+	holding   bool
+	held      []madeEvent
 	startedAt time.Time
 }
 
@@ -91,6 +96,11 @@
 	required map[string]bool
 	// lengths forecasts the lengths of texts of the batch's model.
 	lengths *scheduling.Lengths
+	// needed is the longest remainder, in events, that the trainer should wait for,
+	// next the oldest version of the weights that the batch should allow in which
+	// the groups that are left come again, 0 if none come.
+	needed  float64
+	next    int64
 	results []batch.Result
 	newList chan struct{}
 }
@@ -212,9 +222,7 @@
 		if listed && job.items[i].state != itemListed {
 			job.items[i].state = itemListed
 			job.items[i].text, job.items[i].kept = nil, 0
-			if job.items[i].move != nil {
-				job.items[i].move()
-			}
+			job.items[i].cutRun()
 		}
 	}
 }
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -90,8 +90,8 @@
 // is nearer its end than one that waits, then the starts.
 func Plan(snapshot Snapshot) []Decision {
 	planner := newPlanner(snapshot)
-	decisions := planner.moves()
-	return append(decisions, planner.starts()...)
+	moves := planner.moves()
+	return append(moves, planner.starts()...)
 }
 
 // planner is one round of decisions. It counts the room that they take.
