Each batch tells where the time of its last item went

An operator's daily question: why did this batch take so long? One line a batch, also in `woodworks explain BATCH`, and histograms by part: before the owner had it, waiting for a slot, the prompt, the events at which pace, the reward call, the listing, until the caller ended it.

--- a/bench/compare.py
+++ b/bench/compare.py
@@ -53,12 +53,19 @@
         except ValueError:
             return {"error": (done.stdout + done.stderr)[-400:]}
     return {
-        "worth": told["G"], "breaks": told.get("breaks") or {}, "fault": told.get("fault"), "first": told.get("first"),
+        "worth": told["G"], "behind": behind_of(told.get("hints") or []), "breaks": told.get("breaks") or {}, "fault": told.get("fault"), "first": told.get("first"),
         "parts": {name: share for name, _, share in told["parts"]},
         "prices": {name: price for name, _, price in told["prices"]},
     }
 
 
+def behind_of(hints):
+    """Returns by how many seconds the trainers' last steps came late: steadier than the
+    worth, which falls by whole steps."""
+    late = [float(each) for hint in hints for each in re.findall(r"steps asked, the last ([\d.]+) s behind", hint)]
+    return statistics.mean(late) if late else 0.0
+
+
 def error_of(values):
     return statistics.stdev(values) / len(values) ** 0.5 if len(values) > 1 else float("nan")
 
@@ -79,7 +86,8 @@
         worths += [told["worth"] for _, told in good]
         lowest, at = min((told["worth"], seed) for seed, told in good)
         parts = ", ".join(f"{part} {statistics.mean(told['parts'][part] for _, told in good):.3f}" for part in good[0][1]["parts"])
-        print(f"  {os.path.basename(day):12} {statistics.mean(told['worth'] for _, told in good):.3f}  lowest {lowest:.3f} (seed {at})  {parts}")
+        late = statistics.mean(told.get("behind", 0.0) for _, told in good)
+        print(f"  {os.path.basename(day):12} {statistics.mean(told['worth'] for _, told in good):.3f}  lowest {lowest:.3f} (seed {at})  {parts}, last steps {late:.1f} s late")
         for _, told in good:
             for price, part in told["prices"].items():
                 prices[price] = prices.get(price, 0) + part
@@ -89,13 +97,13 @@
         print("  prices: " + ", ".join(f"{price} {part:.4f}" for part, price in told if part >= LEAST_PRICE))
 
 
-def differences(first, second, days, seeds, got):
+def differences(first, second, days, seeds, got, figure="worth"):
     found = []
     for day in days:
         for seed in seeds:
             one, two = got(first, day, seed), got(second, day, seed)
             if "error" not in one and "error" not in two:
-                found.append(two["worth"] - one["worth"])
+                found.append(two.get(figure, 0.0) - one.get(figure, 0.0))
     return found
 
 
@@ -163,7 +171,8 @@
     for name in names[1:]:
         found = differences(names[0], name, days, seeds, got)
         if found:
-            print(f"== {name} less {names[0]}: {statistics.mean(found):+.4f} +- {error_of(found):.4f} over {len(found)}")
+            late = differences(names[0], name, days, seeds, got, "behind")
+            print(f"== {name} less {names[0]}: {statistics.mean(found):+.4f} +- {error_of(found):.4f} over {len(found)}, last steps {statistics.mean(late):+.2f} +- {error_of(late):.2f} s")
     if asked.plot:
         plot(asked.plot, names, days, seeds, got)
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -28,7 +28,7 @@
 // batchEvents and replicaEvents are the lines that explain an item or a request
 // although they do not name it.
 var (
-	batchEvents   = map[string]bool{"batch owned": true, "batch left": true, "batch released": true, "batch taken over": true, "batch not taken over": true, "results not listed yet": true, "results listed": true}
+	batchEvents   = map[string]bool{"batch owned": true, "batch left": true, "batch account": true, "batch released": true, "batch taken over": true, "batch not taken over": true, "results not listed yet": true, "results listed": true}
 	replicaEvents = map[string]bool{"replica listed": true, "replica state changed": true, "replica gone from the list": true, "replica failed": true, "order": true, "weights": true}
 	// contextEvents are told of each node that a line of the story comes from.
 	contextEvents = map[string]bool{"started": true, "stopping": true, "stopped": true, "dependency lost": true, "dependency regained": true,
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -22,6 +22,7 @@
 	samples  *prometheus.CounterVec
 	journal  *prometheus.HistogramVec
 	attempts *prometheus.HistogramVec
+	batches  *prometheus.HistogramVec
 }
 
 // New returns a registry with the counters that the gateway feeds.
@@ -48,8 +49,12 @@
 			Namespace: namespace, Name: "attempt_seconds",
 			Help: "Time of offers of requests and items to replicas by service and outcome.", Buckets: latencyBuckets,
 		}, []string{"service", "outcome"}),
+		batches: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "batch_part_seconds",
+			Help: "Where the time of the item went that each batch listed last, by part.", Buckets: latencyBuckets,
+		}, []string{"part"}),
 	}
-	metrics.registry.MustRegister(metrics.requests, metrics.latency, metrics.samples, metrics.journal, metrics.attempts)
+	metrics.registry.MustRegister(metrics.requests, metrics.latency, metrics.samples, metrics.journal, metrics.attempts, metrics.batches)
 	return metrics
 }
 
@@ -69,6 +74,11 @@
 	metrics.attempts.WithLabelValues(service, outcome).Observe(took.Seconds())
 }
 
+// BatchPart counts a part of the time of the item that a batch listed last.
+func (metrics *Metrics) BatchPart(part string, took time.Duration) {
+	metrics.batches.WithLabelValues(part).Observe(took.Seconds())
+}
+
 // Delivered counts samples handed to a trainer.
 func (metrics *Metrics) Delivered(trainer string, samples int) {
 	metrics.samples.WithLabelValues(trainer).Add(float64(samples))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 	node.member = group.New(drivers.Journal, node.identity, append(ledger.TopicNames(), runner.RunnersTopic), logger)
 	node.assigner = runner.NewAssigner(drivers.Journal, node.member, node.identity, logger)
 	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator, demand.NewPublisher(drivers.Journal, logger), node.assigner, logger)
+	node.runner.SetObserver(node.metrics.BatchPart)
 	node.watcher = runner.NewWatcher(node.runner, node.member)
 	node.demands = demand.NewState()
 	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
--- /dev/null
+++ b/internal/runner/account.go
@@ -0,0 +1,89 @@
+package runner
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// phase is what an item's time is spent on.
+type phase int
+
+// Phases of an item, in the order in which it goes through them; an item whose run
+// failed waits again.
+const (
+	// phaseWaiting: for a slot at a replica.
+	phaseWaiting phase = iota
+	// phasePrompt: from the start of a run to its first event.
+	phasePrompt
+	// phaseMaking: between the first event of a run and its end.
+	phaseMaking
+	// phaseScoring: the reward call.
+	phaseScoring
+	// phaseListing: until the result stands in the journal.
+	phaseListing
+	// phaseDone: the result is listed.
+	phaseDone
+	phases
+)
+
+// String returns the phase's name in logs and metrics.
+func (p phase) String() string {
+	return [...]string{"waiting", "prompt", "making", "scoring", "listing", "done"}[p]
+}
+
+// account is where an item's time went at this owner.
+type account struct {
+	phase phase
+	since time.Time
+	spent [phases]time.Duration
+}
+
+// enter ends the phase that an item is in and begins another.
+func (a *account) enter(next phase, now time.Time) {
+	a.spent[a.phase] += now.Sub(a.since)
+	a.phase, a.since = next, now
+}
+
+// Observer is told how long an item spent on something.
+type Observer func(part string, took time.Duration)
+
+// SetObserver sets who is told where the time of batches went. It is called before
+// Run.
+func (runner *Runner) SetObserver(observe Observer) { runner.observe = observe }
+
+// giveAccount tells where the time of a batch went: that of the item listed last, as
+// it decided when the batch had all that it came to. The mutex is held.
+func (job *job) giveAccount(reason string, now time.Time) {
+	var last *item
+	listed := 0
+	for _, each := range job.items {
+		if each.state != itemListed || each.account.phase != phaseDone {
+			continue
+		}
+		listed++
+		if last == nil || each.account.since.After(last.account.since) {
+			last = each
+		}
+	}
+	if last == nil {
+		return
+	}
+	spent := last.account.spent
+	fields := []zap.Field{
+		zap.String("reason", reason), zap.Int("listed", listed), zap.Int("items", len(job.items)),
+		zap.Duration("before", max(job.adoptedAt.Sub(job.submission.AcceptedAt()), 0)), zap.Duration("owned", now.Sub(job.adoptedAt)),
+		zap.String("last_item", last.ID), zap.Bool("required", job.required[last.Group]), zap.Int64("events", last.lastEvent), zap.Int("attempts", last.attempts),
+		zap.Int64s("versions", last.versions), zap.String("replica", last.lastReplica),
+	}
+	if last.lastEvent > 0 {
+		fields = append(fields, zap.Duration("pace", spent[phaseMaking]/time.Duration(last.lastEvent)))
+	}
+	for part := phaseWaiting; part < phaseDone; part++ {
+		fields = append(fields, zap.Duration(part.String(), spent[part]))
+		job.runner.observe(part.String(), spent[part])
+	}
+	afterLast := now.Sub(last.account.since)
+	job.runner.observe("until left", afterLast)
+	job.logger.Info("batch account", append(fields, zap.Duration("until_left", afterLast))...)
+}
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -128,6 +128,7 @@
 	item.attempts++
 	item.lastReplica = chosen.ID
 	item.startedAt = time.Now()
+	item.account.enter(phasePrompt, item.startedAt)
 	item.release()
 	item.run++
 	run := item.run
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -169,6 +169,9 @@
 		each.startAgain()
 		return errors.New("version changed within a text of one version")
 	}
+	if each.account.phase == phasePrompt {
+		each.account.enter(phaseMaking, time.Now())
+	}
 	each.text = append(each.text, event.Data)
 	each.lastEvent, each.hasEvent = event.ID, true
 	if version > 0 && !slices.Contains(each.versions, version) {
@@ -208,6 +211,7 @@
 		return
 	}
 	each.state = itemWaiting
+	each.account.enter(phaseWaiting, time.Now())
 	each.notBefore = time.Now().Add(pause)
 }
 
@@ -234,6 +238,7 @@
 		return
 	}
 	each.state = itemScoring
+	each.account.enter(phaseScoring, time.Now())
 	job.lengths.Finished(each.cost, len(each.text))
 	result := batch.Result{Item: each.index, Outcome: batch.Done, Text: bytes.Join(each.text, []byte("\n")), Versions: slices.Clone(each.versions)}
 	job.mutex.Unlock()
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -71,6 +71,7 @@
 	holding   bool
 	held      []madeEvent
 	startedAt time.Time
+	account   account
 }
 
 // job is one batch that this daemon runs.
@@ -124,6 +125,7 @@
 		if each.goOnFrom(known.Partials[i]) {
 			made.begunAtStart++
 		}
+		each.account.since = made.adoptedAt
 		if known.Handed[i] {
 			each.notBefore = made.adoptedAt.Add(handedPatience)
 		}
@@ -212,6 +214,7 @@
 		over, reason = true, "released"
 	}
 	if over {
+		job.giveAccount(reason, time.Now())
 		job.logger.Info("batch left", zap.String("reason", reason), zap.Duration("after", time.Since(job.adoptedAt)))
 	}
 	return over
@@ -222,6 +225,7 @@
 		if listed && job.items[i].state != itemListed {
 			job.items[i].state = itemListed
 			job.items[i].text, job.items[i].kept = nil, 0
+			job.items[i].account.enter(phaseDone, time.Now())
 			job.items[i].cutRun()
 		}
 	}
@@ -292,6 +296,7 @@
 // finish hands a result to be listed. The mutex is held.
 func (job *job) finish(each *item, result batch.Result, reason string) {
 	each.state = itemScoring
+	each.account.enter(phaseListing, time.Now())
 	job.results = append(job.results, result)
 	outcome := "done"
 	if result.Outcome == batch.Dead {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -58,6 +58,7 @@
 	demands   *demand.Publisher
 	assigner  *Assigner
 	history   *history
+	observe   Observer
 	logger    *zap.Logger
 	context   context.Context
 
@@ -76,7 +77,7 @@
 func New(ctx context.Context, self string, batches *ledger.Ledger, forwarder *forward.Forwarder, operator Operator, demands *demand.Publisher, assigner *Assigner, logger *zap.Logger) *Runner {
 	return &Runner{
 		self: self, startedAt: time.Now(), ledger: batches, table: forwarder.Table, forwarder: forwarder, operator: operator, demands: demands, assigner: assigner,
-		history: newHistory(), logger: logger, context: ctx, jobs: map[string]*job{}, wake: make(chan struct{}, 1),
+		history: newHistory(), observe: func(string, time.Duration) {}, logger: logger, context: ctx, jobs: map[string]*job{}, wake: make(chan struct{}, 1),
 	}
 }
 
