Long texts are spread over the engines; zones count less

Cause: by the accounts of the batches a step is the making of its longest texts, at 40 to 44 ms an event, where an engine with one text takes 37.

Change: an engine's load is the requests there and the events that their texts should have (0.005 each and 0.0001 an event, from the paces in the logs), another zone weighs as much as one short text, and a move needs 8 % instead of 12 %.

Ruled out: pauses while weights change (all gaps above 60 ms of the longest text of a step add up to 0.07 to 0.26 s, most of it its second event, when the others' prompts are read).

--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -33,7 +33,8 @@
 	if moves {
 		runner.movedAt = now
 	}
-	for _, seen := range runner.views(now, moves) {
+	for _, seen := range runner.views(now) {
+		seen.Settled = !moves
 		for _, decision := range scheduling.Plan(seen.Snapshot) {
 			switch decision := decision.(type) {
 			case scheduling.Start:
@@ -46,15 +47,15 @@
 	}
 }
 
-// views takes a snapshot of each service that has items to start, or to move.
-func (runner *Runner) views(now time.Time, moves bool) map[string]*view {
+// views takes a snapshot of each service that has items to start or to move.
+func (runner *Runner) views(now time.Time) map[string]*view {
 	views := map[string]*view{}
 	for _, job := range runner.jobList() {
 		_, found, ok := job.route()
 		if !ok {
 			continue
 		}
-		job.addTo(views, found, now, moves)
+		job.addTo(views, found, now)
 	}
 	for service, seen := range views {
 		seen.Zone = runner.forwarder.Zone
@@ -73,9 +74,9 @@
 	}
 }
 
-// addTo adds the job's items that may start now, and if asked those that run, to
-// the views of their services.
-func (job *job) addTo(views map[string]*view, found *route.Route, now time.Time, running bool) {
+// addTo adds the job's items that may start now, and those that run, to the views of
+// their services.
+func (job *job) addTo(views map[string]*view, found *route.Route, now time.Time) {
 	job.mutex.Lock()
 	defer job.mutex.Unlock()
 	if job.released {
@@ -83,7 +84,7 @@
 	}
 	for _, each := range job.items {
 		waits := each.state == itemWaiting && !now.Before(each.notBefore)
-		runs := running && each.state == itemRunning && each.cut != nil && !each.holding
+		runs := each.state == itemRunning
 		if !waits && !runs {
 			continue
 		}
@@ -103,11 +104,12 @@
 	described := scheduling.Item{
 		Priority: found.Priority, BatchSince: job.adoptedAt,
 		Model: job.submission.Model, MinVersion: job.submission.MinVersion,
-		Required: job.required[each.Group], Remaining: job.lengths.Remaining(each.cost, len(each.text)),
+		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Remaining(each.cost, len(each.text)),
 		GroupEngine: job.groups[each.Group],
 	}
 	if each.state == itemRunning {
 		described.Engine, described.RunFor = each.lastReplica, now.Sub(each.startedAt)
+		described.Fixed = each.cut == nil || each.holding
 	}
 	return described
 }
--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -16,7 +16,7 @@
 	leastGain = 150 * time.Millisecond
 	// clearlyFaster is how much of the time at its engine an item may take at
 	// another one for a move: paces are known to within a few hundredths.
-	clearlyFaster = 0.88
+	clearlyFaster = 0.92
 )
 
 // candidate is a running item with the engine that it runs at.
@@ -29,6 +29,9 @@
 // moves returns the running items that end sooner at another engine with room. The
 // cost counts as lost, so that an item is not moved to and fro.
 func (p *planner) moves() []Decision {
+	if p.Settled {
+		return nil
+	}
 	var decisions []Decision
 	for _, each := range p.movable() {
 		item := &p.Items[each.item]
@@ -41,7 +44,7 @@
 		if gain < leastGain || there > clearlyFaster*each.time {
 			continue
 		}
-		p.inFlight[target]++
+		p.take(target, item)
 		decisions = append(decisions, Move{Item: each.item, Engine: target, Gain: gain})
 	}
 	return decisions
@@ -54,7 +57,7 @@
 	for i := range p.Items {
 		item := &p.Items[i]
 		engine, known := p.byID[item.Engine]
-		if !known || item.RunFor < leastRun || p.Engines[engine].Pace == 0 {
+		if !known || item.Fixed || item.RunFor < leastRun || p.Engines[engine].Pace == 0 {
 			continue
 		}
 		found = append(found, candidate{item: i, engine: engine, time: item.Remaining * float64(p.Engines[engine].Pace)})
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -10,16 +10,19 @@
 const (
 	// defaultSlots is assumed where an engine names no slots.
 	defaultSlots = 8
-	// crowding is by how much each request under way slows the others at an
-	// engine: texts take 39 ms an event at an engine with few and 42 ms at one
-	// with twelve.
-	crowding = 0.008
+	// crowding is by how much each request under way slows the others at an engine,
+	// and eventCrowding by how much more for each event of its text, as an engine
+	// reads all that it has so far for each token: texts take 37 ms an event at an
+	// engine with one and 42 ms at one with twelve, some of them long.
+	crowding      = 0.005
+	eventCrowding = 0.0001
 	// groupBonus is taken off the score of the engine that read the group's
 	// shared prompt: reading it again takes about as long as a tenth of an event.
 	groupBonus = 0.02
-	// otherZone is added for an engine in another zone: bytes between zones cost,
-	// and calls take longer.
-	otherZone = 0.03
+	// otherZone is added for an engine in another zone: bytes between zones cost.
+	// It is as much as a short text under way, as a long one is sooner done where
+	// there is less beside it.
+	otherZone = 0.008
 )
 
 // paces are the engines' paces relative to each other.
@@ -30,7 +33,7 @@
 	ratio []float64
 }
 
-func pacesOf(engines []Engine) paces {
+func pacesOf(engines []Engine, loads []float64) paces {
 	var known []time.Duration
 	for _, engine := range engines {
 		if engine.Pace > 0 {
@@ -47,13 +50,13 @@
 		if engine.Pace > 0 {
 			made.ratio[i] = float64(engine.Pace) / float64(made.usual)
 		}
-		made.ratio[i] /= crowded(engine.InFlight)
+		made.ratio[i] /= 1 + loads[i]
 	}
 	return made
 }
 
-// crowded is by what factor requests under way slow an engine.
-func crowded(inFlight int) float64 { return 1 + crowding*float64(inFlight) }
+// loadOf is by how much a request slows the others, with the events of its text.
+func loadOf(events float64) float64 { return crowding + eventCrowding*events }
 
 // class is what an engine must fulfil for an item.
 type class struct {
@@ -140,6 +143,12 @@
 	return nil
 }
 
+// take counts an item that an engine gets.
+func (p *planner) take(engine int, item *Item) {
+	p.inFlight[engine]++
+	p.loads[engine] += loadOf(item.Length())
+}
+
 // mayRun reports whether an engine may run an item now.
 func (p *planner) mayRun(engine int, item *Item) bool {
 	if !p.hasRoom(engine) {
@@ -170,7 +179,7 @@
 // score is lower for a better engine: the pace that one more request would have
 // there, by the usual pace.
 func (p *planner) score(engine int) float64 {
-	score := p.paces.ratio[engine] * crowded(p.inFlight[engine])
+	score := p.paces.ratio[engine] * (1 + p.loads[engine])
 	if p.Engines[engine].Zone != p.Zone {
 		score += otherZone
 	}
@@ -179,7 +188,7 @@
 
 // pace is the expected time between the events of one more request at an engine.
 func (p *planner) pace(engine int) float64 {
-	return p.paces.ratio[engine] * crowded(p.inFlight[engine]) * float64(p.paces.usual)
+	return p.paces.ratio[engine] * (1 + p.loads[engine]) * float64(p.paces.usual)
 }
 
 // rounded turns nanoseconds that need not be whole into a duration.
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -51,7 +51,8 @@
 	MinVersion int64
 	// Required items are of a group without which the batch's trainer does not go on.
 	Required bool
-	// Remaining is how many events are expected to come.
+	// Done is how many events its text has, Remaining how many are expected to come.
+	Done      int
 	Remaining float64
 	// GroupEngine is the engine that last read the prompt of the item's group, "" if none.
 	GroupEngine string
@@ -59,8 +60,13 @@
 	Engine string
 	// RunFor is for how long it has run there.
 	RunFor time.Duration
+	// Fixed items cannot be moved now.
+	Fixed bool
 }
 
+// Length is how many events the text should have in the end.
+func (item *Item) Length() float64 { return float64(item.Done) + item.Remaining }
+
 // Snapshot is what the decisions rest on: the engines of one service and the
 // items that are for them.
 type Snapshot struct {
@@ -68,6 +74,8 @@
 	Zone    string
 	Engines []Engine
 	Items   []Item
+	// Settled says that no item is to be moved in this round.
+	Settled bool
 }
 
 // Decision is one of Start and Move.
@@ -98,19 +106,28 @@
 type planner struct {
 	Snapshot
 	inFlight []int
-	byID     map[string]int
-	paces    paces
-	pools    map[class]*pool
+	// loads are by how much the requests at each engine slow one more.
+	loads []float64
+	byID  map[string]int
+	paces paces
+	pools map[class]*pool
 }
 
 func newPlanner(snapshot Snapshot) *planner {
 	made := &planner{Snapshot: snapshot, byID: make(map[string]int, len(snapshot.Engines)), pools: map[class]*pool{}}
-	made.inFlight = make([]int, len(snapshot.Engines))
+	made.inFlight, made.loads = make([]int, len(snapshot.Engines)), make([]float64, len(snapshot.Engines))
 	for i, engine := range snapshot.Engines {
 		made.inFlight[i] = engine.InFlight
+		made.loads[i] = float64(engine.InFlight) * loadOf(0)
 		made.byID[engine.ID] = i
 	}
-	made.paces = pacesOf(snapshot.Engines)
+	for i := range snapshot.Items {
+		item := &snapshot.Items[i]
+		if engine, ok := made.byID[item.Engine]; ok {
+			made.loads[engine] += loadOf(item.Length()) - loadOf(0)
+		}
+	}
+	made.paces = pacesOf(snapshot.Engines, made.loads)
 	return made
 }
 
@@ -126,7 +143,7 @@
 	var decisions []Decision
 	for _, i := range waiting {
 		if engine := p.pick(&p.Items[i]); engine >= 0 {
-			p.inFlight[engine]++
+			p.take(engine, &p.Items[i])
 			decisions = append(decisions, Start{Item: i, Engine: engine})
 		}
 	}
