Plain requests go by the load that replicas tell; the order of items in one comparison

Replicas of some services tell in their answers how many requests of all callers they run and hold (the users' news): a daemon knew its own ones only. The figure counts for 0.1 s. Tests failed first (no such field). internal/scheduling sorts without stability and keeps the last pool at hand.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -358,6 +358,7 @@
 	if err != nil {
 		return nil, !errors.Is(err, upstream.ErrNotSent), err
 	}
+	forwarder.noteLoad(chosen.ID, response.Header)
 	if response.Header.Get(forwarder.Names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, bufferedBytes))
 		response.Close()
@@ -370,6 +371,17 @@
 	return forwarder.readAnswer(response)
 }
 
+// noteLoad notes what an answer tells of its replica's load. The request that it
+// answers is over.
+func (forwarder *Forwarder) noteLoad(replicaID string, header http.Header) {
+	if forwarder.Names.Load == nil {
+		return
+	}
+	if load, told := forwarder.Names.Load(header); told {
+		forwarder.Table.Reported(replicaID, load.Running+load.Waiting)
+	}
+}
+
 func (forwarder *Forwarder) readAnswer(response *upstream.Answer) (*Answer, bool, error) {
 	answer := &Answer{Status: response.Status, Header: response.Header}
 	body, err := io.ReadAll(io.LimitReader(response, bufferedBytes))
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -30,8 +30,14 @@
 	LengthHint string
 	// WaitMs is how long a call may be held for news, in milliseconds.
 	WaitMs string
+	// Load, if not nil, decodes what an answer tells of its replica's load, and
+	// reports whether it tells any.
+	Load func(header http.Header) (Load, bool)
 }
 
+// Load is a replica's load, of the requests of all its callers.
+type Load struct{ Running, Waiting, Slots int }
+
 // connectionHeaders concern one connection and are never passed on.
 var connectionHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -6,7 +6,8 @@
 )
 
 // Pick chooses the replica for a plain request: not yet tried, rather not one
-// to be avoided, the least loaded for its slots, and by chance among equals. The
+// to be avoided, the least loaded for its slots (by our own requests there, or by what
+// it told of all), and by chance among equals. The
 // way to another zone counts as far as answers from there take longer. It returns
 // false if every candidate was tried.
 func Pick(candidates []Replica, tried map[string]bool, now time.Time) (Replica, bool) {
@@ -35,7 +36,7 @@
 
 // loadScore is lower for a better choice.
 func loadScore(candidate Replica, now time.Time) float64 {
-	score := float64(candidate.InFlight) / float64(max(candidate.Slots, 1))
+	score := float64(max(candidate.InFlight, candidate.Reported)) / float64(max(candidate.Slots, 1))
 	score += float64(candidate.Latency) / float64(latencyPerUnit)
 	if now.Before(candidate.AvoidUntil) {
 		score += avoidPenalty + candidate.AvoidUntil.Sub(now).Seconds()
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -28,6 +28,9 @@
 	Entry
 	// InFlight is how many of this daemon's requests are under way there.
 	InFlight int
+	// Reported is how many requests of all callers it had, running or waiting, by an
+	// answer of a moment ago; 0 if there was none.
+	Reported int
 	// AvoidUntil is until when other replicas are to be preferred.
 	AvoidUntil time.Time
 	// Declining says that the replica declined the last request, Probing that one
@@ -49,6 +52,9 @@
 	longestDecline = 300 * time.Millisecond
 	firstAvoid     = 200 * time.Millisecond
 	longestAvoid   = 3 * time.Second
+	// loadHolds is how long a load is believed that an answer told: requests to
+	// plain replicas take some tens of milliseconds.
+	loadHolds = 100 * time.Millisecond
 	// forgetAfter is how long what was learned of a replica outlives its entry.
 	forgetAfter = 30 * time.Second
 )
@@ -64,6 +70,9 @@
 	probing  bool
 	latency  time.Duration
 	pace     pace
+	// reported is the load that an answer told at reportedAt.
+	reported   int
+	reportedAt time.Time
 	// versions is never changed, only replaced: readers hold it.
 	versions map[string]int64
 	goneAt   time.Time
@@ -261,6 +270,9 @@
 func (each *listed) view(now time.Time) Replica {
 	learned := each.learned
 	viewed := Replica{Entry: each.Entry, InFlight: learned.inFlight, AvoidUntil: learned.avoidUntil, Declining: learned.declines > 0, Probing: learned.probing, Latency: learned.latency, Pace: learned.pace.value(now)}
+	if now.Sub(learned.reportedAt) <= loadHolds {
+		viewed.Reported = learned.reported
+	}
 	viewed.Versions = learned.versions
 	return viewed
 }
@@ -294,6 +306,14 @@
 	learned.latency = average(learned.latency, took)
 }
 
+// Reported notes how many requests of all callers a replica has, as its answer tells.
+func (table *Table) Reported(id string, requests int) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	learned := table.experience(id)
+	learned.reported, learned.reportedAt = requests, time.Now()
+}
+
 // Paced notes the time between two events of a stream.
 func (table *Table) Paced(id string, gap time.Duration) {
 	table.mutex.Lock()
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -159,3 +159,28 @@
 		is.True(!seen().Probing)
 	})
 }
+
+// Each daemon knows its own requests only: what a replica tells of all of them keeps
+// daemons from meeting at one.
+func TestAReportedLoadCountsForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(drainBound, zap.NewNop())
+		table.Replace([]Entry{entry("a"), entry("b")})
+		picked := func() string {
+			chosen, found := Pick(table.Replicas("s"), nil, time.Now())
+			is.True(found)
+			return chosen.ID
+		}
+		table.Reported("a", 3)
+		for range 20 {
+			is.Equal(picked(), "b")
+		}
+		time.Sleep(loadHolds + time.Millisecond)
+		seen := map[string]bool{}
+		for range 200 {
+			seen[picked()] = true
+		}
+		is.Equal(len(seen), 2)
+	})
+}
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -67,6 +67,7 @@
 // pool has the engines that may run the items of one class, the best on top. Its
 // order may be out of date as room is taken: top puts it right.
 type pool struct {
+	class
 	planner *planner
 	engines []int
 	scores  []float64
@@ -79,6 +80,9 @@
 		return -1
 	}
 	// The engine that has the group's prompt is preferred unless it is clearly worse.
+	if item.GroupEngine == "" || item.GroupEngine == p.Engines[best].ID {
+		return best
+	}
 	if near, ok := p.byID[item.GroupEngine]; ok && near != best && p.mayRun(near, item) && p.score(near)-groupBonus < p.score(best) {
 		return near
 	}
@@ -87,10 +91,14 @@
 
 func (p *planner) pool(item *Item) *pool {
 	key := class{model: item.Model, minVersion: item.MinVersion}
+	if p.last != nil && p.last.class == key {
+		return p.last
+	}
 	if known := p.pools[key]; known != nil {
+		p.last = known
 		return known
 	}
-	made := &pool{planner: p}
+	made := &pool{planner: p, class: key}
 	for i := range p.Engines {
 		if p.mayRun(i, item) {
 			made.engines = append(made.engines, i)
@@ -99,6 +107,7 @@
 	}
 	heap.Init(made)
 	p.pools[key] = made
+	p.last = made
 	return made
 }
 
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -18,7 +18,8 @@
 package scheduling
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -111,6 +112,8 @@
 	byID  map[string]int
 	paces paces
 	pools map[class]*pool
+	// last is the pool asked for last: items in order mostly share one.
+	last *pool
 }
 
 func newPlanner(snapshot Snapshot) *planner {
@@ -139,7 +142,7 @@
 			waiting = append(waiting, i)
 		}
 	}
-	sort.SliceStable(waiting, func(a, b int) bool { return before(&p.Items[waiting[a]], &p.Items[waiting[b]]) })
+	slices.SortFunc(waiting, func(a, b int) int { return cmp.Or(compare(&p.Items[a], &p.Items[b]), cmp.Compare(a, b)) })
 	var decisions []Decision
 	for _, i := range waiting {
 		if engine := p.pick(&p.Items[i]); engine >= 0 {
@@ -150,18 +153,21 @@
 	return decisions
 }
 
-// before orders waiting items: by rank of the route, age of the batch, those that
+// compare orders waiting items: by rank of the route, age of the batch, those that
 // must be whole, and then the longest first, as they decide when the last group is
 // whole.
-func before(first, second *Item) bool {
+func compare(first, second *Item) int {
 	switch {
 	case first.Priority != second.Priority:
-		return first.Priority < second.Priority
+		return cmp.Compare(first.Priority, second.Priority)
 	case !first.BatchSince.Equal(second.BatchSince):
-		return first.BatchSince.Before(second.BatchSince)
+		return first.BatchSince.Compare(second.BatchSince)
 	case first.Required != second.Required:
-		return first.Required
+		if first.Required {
+			return -1
+		}
+		return 1
 	default:
-		return first.Remaining > second.Remaining
+		return cmp.Compare(second.Remaining, first.Remaining)
 	}
 }
