The end of a batch is no failure of the replica that was asked to go on

Cause: an exchange that asks another replica to go on with an item was cut when its batch ended, and noted as a failure there: the other batch avoided that engine for 0.2 s, doubling with each such end in a row up to 3 s. Test: runner.TestTheEndOfABatchIsNoFailureOfTheReplicaAsked, which failed before.

--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -83,6 +83,10 @@
 		stream.Close()
 	}
 	job.runner.table.Ended(to.ID)
+	if job.context.Err() != nil {
+		// The batch ended meanwhile, which says nothing of the replica.
+		return
+	}
 	switch {
 	case errors.Is(err, forward.ErrDeclined):
 		job.runner.table.Declined(to.ID)
--- /dev/null
+++ b/internal/runner/run_test.go
@@ -0,0 +1,92 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/eventstream"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+)
+
+func movedJob(t *testing.T) (*job, *item) {
+	t.Helper()
+	table := replica.NewTable(time.Second, zap.NewNop())
+	table.Replace([]replica.Entry{{ID: "from", Service: "s", Slots: 4}, {ID: "to", Service: "s", Slots: 4}})
+	made := &job{runner: &Runner{table: table}, submission: &batch.Submission{}, groups: map[string]string{}, logger: zap.NewNop()}
+	made.context, made.cancel = context.WithCancel(t.Context())
+	t.Cleanup(made.cancel)
+	each := &item{state: itemRunning, run: 1, lastReplica: "from", cut: func() {}, holding: true}
+	made.items = []*item{each}
+	return made, each
+}
+
+func event(id int64) eventstream.Event {
+	return eventstream.Event{ID: id, HasID: true, Data: []byte{byte('a' + id)}}
+}
+
+// Events that come while another replica is asked are held back: dropped if that one
+// goes on after the last event before, and added if it does not.
+func TestEventsAreHeldBackWhileAnotherReplicaIsAsked(t *testing.T) {
+	is := is.New(t)
+	found := &route.Route{}
+	for _, accepted := range []bool{true, false} {
+		made, each := movedJob(t)
+		each.holding = false
+		is.NoErr(made.take(each, 1, event(1), 1, found))
+		each.holding = true
+		is.NoErr(made.take(each, 1, event(2), 1, found))
+		is.NoErr(made.take(each, 1, event(3), 1, found))
+		is.Equal(each.lastEvent, int64(1))
+		cause := errors.New("declined")
+		if accepted {
+			cause = nil
+		}
+		next, taken := made.takeRun(each, 1, replica.Replica{Entry: replica.Entry{ID: "to"}}, func() {}, 0, cause)
+		is.Equal(taken, accepted)
+		if !accepted {
+			is.Equal(each.lastEvent, int64(3))
+			is.NoErr(made.take(each, 1, event(4), 1, found))
+			continue
+		}
+		is.Equal(each.lastReplica, "to")
+		is.True(errors.Is(made.take(each, 1, event(4), 1, found), errHandedOver))
+		is.NoErr(made.take(each, next, event(2), 2, found))
+		is.Equal(each.lastEvent, int64(2))
+		is.Equal(each.versions, []int64{1, 2})
+	}
+}
+
+// A run that ended while another replica was asked keeps all its events, and that
+// replica's exchange does not become the item's.
+func TestARunThatEndsMeanwhileIsWhole(t *testing.T) {
+	is := is.New(t)
+	made, each := movedJob(t)
+	each.state = itemListed // the outcome of the run is taken into account elsewhere
+	is.NoErr(made.take(each, 1, event(1), 1, &route.Route{}))
+	made.endRun(each, 1, replica.Replica{Entry: replica.Entry{ID: "from"}}, &route.Route{}, nil)
+	is.Equal(each.lastEvent, int64(1))
+	_, taken := made.takeRun(each, 1, replica.Replica{Entry: replica.Entry{ID: "to"}}, func() {}, 0, nil)
+	is.True(!taken)
+}
+
+// An exchange that is cut as the batch ends says nothing of its replica, which would
+// otherwise be avoided for up to three seconds by the batches that go on.
+func TestTheEndOfABatchIsNoFailureOfTheReplicaAsked(t *testing.T) {
+	is := is.New(t)
+	for _, ended := range []bool{true, false} {
+		made, _ := movedJob(t)
+		if ended {
+			made.cancel()
+		}
+		made.notTaken(nil, replica.Replica{Entry: replica.Entry{ID: "to"}}, context.Canceled)
+		known, _ := made.runner.table.Get("to")
+		is.Equal(known.AvoidUntil.IsZero(), ended)
+	}
+}
