--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -97,11 +97,6 @@
 	required map[string]bool
 	// lengths forecasts the lengths of texts of the batch's model.
 	lengths *scheduling.Lengths
-	// needed is the longest remainder, in events, that the trainer should wait for,
-	// next the oldest version of the weights that the batch should allow in which
-	// the groups that are left come again, 0 if none come.
-	needed  float64
-	next    int64
 	results []batch.Result
 	newList chan struct{}
 }
