--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,10 @@
 	// contactLimit is how long the journal may be silent before this daemon
 	// calls itself not ready.
 	contactLimit = 1500 * time.Millisecond
+	// peerContact is within which time the list of peers is up to date after an
+	// outage. It changes only as machines come, so that its reads are held for long:
+	// each daemon makes them.
+	peerContact = 30 * time.Second
 	// connectTimeout bounds the making of a connection to a replica.
 	connectTimeout = 400 * time.Millisecond
 	unackedTimeout = 1200 * time.Millisecond
@@ -147,7 +151,7 @@
 	drivers.Journal = revived
 	if address := node.settings.Listen.Peer; address != "" {
 		node.relay = relay.New(revived, relay.Options{Name: node.settings.Name, Zone: node.settings.Zone, Address: address}, logger)
-		node.peerFollower = journal.NewKeyedFollower(node.relay, relay.Partition(revived), node.relay.Peers(), node.settings.Timing.ContactBound.Std(), logger)
+		node.peerFollower = journal.NewKeyedFollower(node.relay, relay.Partition(revived), node.relay.Peers(), peerContact, logger)
 		drivers.Journal = node.relay
 	}
 	node.metrics.Counter("journal_calls_given_up_total", "Calls to the journal given up as later ones were answered.", func() float64 { return float64(revived.GivenUp()) })
