Texts of one version are not moved once they have begun

Found by reading: with moves for gains of 8 % an item of a route with texts of one version would begin anew at an engine that holds other weights. Test failed first.

--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -109,7 +109,8 @@
 	}
 	if each.state == itemRunning {
 		described.Engine, described.RunFor = each.lastReplica, now.Sub(each.startedAt)
-		described.Fixed = each.cut == nil || each.holding
+		// A text of one version would begin anew at an engine of another.
+		described.Fixed = each.cut == nil || each.holding || found.SingleVersion && len(each.text) > 0
 	}
 	return described
 }
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -13,6 +13,7 @@
 	"woodworks/internal/eventstream"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/scheduling"
 )
 
 func movedJob(t *testing.T) (*job, *item) {
@@ -90,3 +91,18 @@
 		is.Equal(known.AvoidUntil.IsZero(), ended)
 	}
 }
+
+// A text that must be of one version is not moved once it has begun: another engine
+// may hold other weights, and the text would begin anew.
+func TestATextOfOneVersionStaysWhereItBegan(t *testing.T) {
+	is := is.New(t)
+	made, each := movedJob(t)
+	made.lengths, each.holding = scheduling.NewLengths(), false
+	fixed := func(single bool) bool {
+		return made.describe(each, &route.Route{SingleVersion: single}, time.Now()).Fixed
+	}
+	is.True(!fixed(true))
+	is.NoErr(made.take(each, 1, event(1), 1, &route.Route{SingleVersion: true}))
+	is.True(fixed(true))
+	is.True(!fixed(false))
+}
