--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -52,6 +52,8 @@
 
 	mu     sync.Mutex
 	client *rpc.Client
+	// closed peers are connected to no more: the daemon ends.
+	closed bool
 	// restUntil is until when others are asked.
 	restUntil time.Time
 }
@@ -65,6 +67,8 @@
 
 	mu    sync.Mutex
 	known map[string]*peer
+	// closed says that the daemon ends.
+	closed bool
 	// current is the peer that answered last, "" if none did.
 	current string
 }
@@ -143,6 +147,9 @@
 func (p *peers) candidates(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
 	var names []string
 	rank := map[string]float64{}
 	for name, each := range p.known {
@@ -226,7 +233,11 @@
 func (p *peers) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, each := range p.known {
+		each.mu.Lock()
+		each.closed = true
+		each.mu.Unlock()
 		each.drop()
 	}
 }
@@ -267,6 +278,9 @@
 func (each *peer) connect(ctx context.Context, dial dial) (*rpc.Client, error) {
 	each.mu.Lock()
 	defer each.mu.Unlock()
+	if each.closed {
+		return nil, errors.New("relay: the daemon ends")
+	}
 	if each.client != nil {
 		return each.client, nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,6 +84,7 @@
 		}
 		bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
+		// What it tells is what viaOwn learns from its outcome.
 		_, _ = viaOwn(j, 0, func() (journal.KeyedPage, error) {
 			return j.Journal.Newest(bounded, Partition(j.Journal), lastKey)
 		})
@@ -106,29 +107,46 @@
 	return lost
 }
 
-// do makes a call on the own path while that stands, and through a peer while it does
-// not. A call that the loss overtakes is repeated through a peer if it is repeatable,
-// and of unknown outcome otherwise. With no peer that helps, the own path is tried
-// all the same: in an outage of the whole store it is as good as any.
-func do[T any](ctx context.Context, j *Journal, call operation, repeatable bool, wait time.Duration, direct func(ctx context.Context) (T, error), take func(reply) T) (T, error) {
+// call is one call of a journal with its two ways.
+type call[T any] struct {
+	// operation is the call as a peer gets it, take its answer out of a peer's reply.
+	operation operation
+	take      func(told reply) T
+	// own makes the call on the own path.
+	own func(ctx context.Context) (T, error)
+	// repeatable calls change nothing, or nothing more when made again.
+	repeatable bool
+	// wait is how long the call may be held on purpose.
+	wait time.Duration
+}
+
+// make makes the call on the own path while that stands, and through a peer while it
+// does not. With no peer that helps, the own path is tried all the same: in an outage
+// of the whole store it is as good as any.
+func (c call[T]) make(ctx context.Context, j *Journal) (T, error) {
 	lost, turned := j.path.state()
-	if lost {
-		told, err := j.peers.call(ctx, call, wait)
-		if !errors.Is(err, errNoPeer) {
-			j.counts.note(err)
-			return take(told), err
-		}
-		return viaOwn(j, wait, func() (T, error) { return direct(ctx) })
+	if !lost {
+		return c.makeUntil(ctx, j, turned)
 	}
-	bounded, cancel := context.WithCancel(ctx)
-	defer cancel()
+	answer, err := c.throughPeer(ctx, j)
+	if errors.Is(err, errNoPeer) {
+		return viaOwn(j, c.wait, func() (T, error) { return c.own(ctx) })
+	}
+	return answer, err
+}
+
+// makeUntil makes the call on the own path. If that is lost meanwhile, the call is
+// repeated through a peer if it is repeatable, and of unknown outcome otherwise.
+func (c call[T]) makeUntil(ctx context.Context, j *Journal, turned <-chan struct{}) (T, error) {
 	type outcome struct {
 		answer T
 		err    error
 	}
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
 	done := make(chan outcome, 1)
 	go func() {
-		answer, err := viaOwn(j, wait, func() (T, error) { return direct(bounded) })
+		answer, err := viaOwn(j, c.wait, func() (T, error) { return c.own(bounded) })
 		done <- outcome{answer, err}
 	}()
 	select {
@@ -141,59 +159,79 @@
 		return got.answer, got.err
 	}
 	cancel()
-	var none T
-	if !repeatable {
+	if !c.repeatable {
+		var none T
 		return none, errors.Wrap(journal.ErrUnknown, "relay: the path was lost")
 	}
-	told, err := j.peers.call(ctx, call, wait)
-	j.counts.note(err)
+	answer, err := c.throughPeer(ctx, j)
 	if errors.Is(err, errNoPeer) {
-		return none, errors.Wrap(journal.ErrUnknown, err.Error())
+		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
+	}
+	return answer, err
+}
+
+// throughPeer makes the call through a peer. An error that wraps errNoPeer says that no
+// peer has made it.
+func (c call[T]) throughPeer(ctx context.Context, j *Journal) (T, error) {
+	told, err := j.peers.call(ctx, c.operation, c.wait)
+	if !errors.Is(err, errNoPeer) {
+		j.counts.note(err)
 	}
-	return take(told), err
+	return c.take(told), err
 }
 
 // Append implements journal.Journal.
 func (j *Journal) Append(ctx context.Context, request journal.Append) (journal.Appended, error) {
-	return do(ctx, j, operation{Append: &request}, false, 0,
-		func(ctx context.Context) (journal.Appended, error) { return j.Journal.Append(ctx, request) },
-		func(told reply) journal.Appended { return told.Appended })
+	return call[journal.Appended]{
+		operation: operation{Append: &request}, take: func(told reply) journal.Appended { return told.Appended },
+		own: func(ctx context.Context) (journal.Appended, error) { return j.Journal.Append(ctx, request) },
+	}.make(ctx, j)
 }
 
 // Read implements journal.Journal.
 func (j *Journal) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
-	return do(ctx, j, operation{Read: &request}, true, request.Wait,
-		func(ctx context.Context) (journal.Records, error) { return j.Journal.Read(ctx, request) },
-		func(told reply) journal.Records { return told.Records })
+	return call[journal.Records]{
+		operation: operation{Read: &request}, take: func(told reply) journal.Records { return told.Records },
+		own:        func(ctx context.Context) (journal.Records, error) { return j.Journal.Read(ctx, request) },
+		repeatable: true, wait: request.Wait,
+	}.make(ctx, j)
 }
 
 // Newest implements journal.Journal.
 func (j *Journal) Newest(ctx context.Context, partition journal.Partition, afterKey string) (journal.KeyedPage, error) {
-	return do(ctx, j, operation{Newest: &newestCall{Partition: partition, After: afterKey}}, true, 0,
-		func(ctx context.Context) (journal.KeyedPage, error) {
+	return call[journal.KeyedPage]{
+		operation: operation{Newest: &newestCall{Partition: partition, After: afterKey}}, take: func(told reply) journal.KeyedPage { return told.Page },
+		own: func(ctx context.Context) (journal.KeyedPage, error) {
 			return j.Journal.Newest(ctx, partition, afterKey)
 		},
-		func(told reply) journal.KeyedPage { return told.Page })
+		repeatable: true,
+	}.make(ctx, j)
 }
 
 // Join implements journal.Journal. A member that joins twice has joined once.
 func (j *Journal) Join(ctx context.Context, request journal.Join) (journal.Assignment, error) {
-	return do(ctx, j, operation{Join: &request}, true, 0,
-		func(ctx context.Context) (journal.Assignment, error) { return j.Journal.Join(ctx, request) },
-		func(told reply) journal.Assignment { return told.Assignment })
+	return call[journal.Assignment]{
+		operation: operation{Join: &request}, take: func(told reply) journal.Assignment { return told.Assignment },
+		own:        func(ctx context.Context) (journal.Assignment, error) { return j.Journal.Join(ctx, request) },
+		repeatable: true,
+	}.make(ctx, j)
 }
 
 // Leave implements journal.Journal.
 func (j *Journal) Leave(ctx context.Context, group, member string) error {
-	_, err := do(ctx, j, operation{Leave: &leaveCall{Group: group, Member: member}}, true, 0,
-		func(ctx context.Context) (struct{}, error) { return struct{}{}, j.Journal.Leave(ctx, group, member) },
-		func(reply) struct{} { return struct{}{} })
+	_, err := call[struct{}]{
+		operation: operation{Leave: &leaveCall{Group: group, Member: member}}, take: func(reply) struct{} { return struct{}{} },
+		own:        func(ctx context.Context) (struct{}, error) { return struct{}{}, j.Journal.Leave(ctx, group, member) },
+		repeatable: true,
+	}.make(ctx, j)
 	return err
 }
 
 // Owners implements journal.Journal.
 func (j *Journal) Owners(ctx context.Context, group string) ([]journal.Ownership, error) {
-	return do(ctx, j, operation{Owners: &ownersCall{Group: group}}, true, 0,
-		func(ctx context.Context) ([]journal.Ownership, error) { return j.Journal.Owners(ctx, group) },
-		func(told reply) []journal.Ownership { return told.Owners })
+	return call[[]journal.Ownership]{
+		operation: operation{Owners: &ownersCall{Group: group}}, take: func(told reply) []journal.Ownership { return told.Owners },
+		own:        func(ctx context.Context) ([]journal.Ownership, error) { return j.Journal.Owners(ctx, group) },
+		repeatable: true,
+	}.make(ctx, j)
 }
