--- a/internal/journal/follow.go
+++ b/internal/journal/follow.go
@@ -20,6 +20,9 @@
 	slackShare = 0.30
 	// followPause is the pause after a failed read.
 	followPause = 150 * time.Millisecond
+	// lostAfter is for how long reads must fail until a partition counts as
+	// disconnected: a single refusal says nothing of it.
+	lostAfter = 500 * time.Millisecond
 )
 
 // KeyedHandler takes the records of a keyed partition. Its methods are called
@@ -40,19 +43,37 @@
 	wait      time.Duration
 	slack     time.Duration
 	logger    *zap.Logger
+	// pace is the least time between two reads; no more than mostPace is kept to.
+	pace     Pace
+	mostPace time.Duration
 
 	synced      atomic.Bool
 	lastContact atomic.Int64
-	lost        bool
+	outage      outage
+}
+
+// outage is a row of failed reads.
+type outage struct {
+	since    time.Time
+	failures int
+	// throttled counts those at the end of the row that were refused for their rate.
+	throttled int
+	// told says that the outage was logged.
+	told bool
 }
 
 // NewKeyedFollower returns a follower; Run starts it. ContactBound is the time
 // within which the handler must be up to date after an outage.
 func NewKeyedFollower(log Journal, partition Partition, handler KeyedHandler, contactBound time.Duration, logger *zap.Logger) *KeyedFollower {
-	return &KeyedFollower{journal: log, partition: partition, handler: handler,
-		wait: time.Duration(waitShare * float64(contactBound)), slack: time.Duration(slackShare * float64(contactBound)), logger: logger.With(zap.String("topic", partition.Topic))}
+	return &KeyedFollower{journal: log, partition: partition, handler: handler, pace: unpaced,
+		mostPace: time.Duration(mostPaceShare * float64(contactBound)),
+		wait:     time.Duration(waitShare * float64(contactBound)), slack: time.Duration(slackShare * float64(contactBound)), logger: logger.With(zap.String("topic", partition.Topic))}
 }
 
+// SetPace sets the least time between two reads; there is none before. It is called
+// before Run.
+func (follower *KeyedFollower) SetPace(pace Pace) { follower.pace = pace }
+
 // Synced reports whether a full read has ever succeeded.
 func (follower *KeyedFollower) Synced() bool { return follower.synced.Load() }
 
@@ -64,9 +85,10 @@
 // Run follows the partition until the context ends.
 func (follower *KeyedFollower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		next, err := follower.readFully(ctx)
 		if err != nil {
-			follower.noteFailure(ctx, err)
+			follower.noteFailure(ctx, began, err)
 			continue
 		}
 		follower.follow(ctx, next)
@@ -107,13 +129,14 @@
 // follow reads records from an offset on until they are trimmed.
 func (follower *KeyedFollower) follow(ctx context.Context, next int64) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		read, err := follower.readOnce(ctx, next)
 		if errors.Is(err, ErrTrimmed) {
 			follower.logger.Warn("records trimmed, reading fully", zap.Int64("offset", next))
 			return
 		}
 		if err != nil {
-			follower.noteFailure(ctx, err)
+			follower.noteFailure(ctx, began, err)
 			continue
 		}
 		follower.noteContact()
@@ -131,6 +154,9 @@
 			}
 			next++
 		}
+		if rest := min(follower.pace(), follower.mostPace) - time.Since(began); rest > 0 {
+			periodic.Pause(ctx, rest)
+		}
 	}
 }
 
@@ -142,20 +168,38 @@
 
 func (follower *KeyedFollower) noteContact() {
 	follower.lastContact.Store(time.Now().UnixNano())
-	if follower.lost {
-		follower.lost = false
-		follower.logger.Info("dependency regained")
+	if follower.outage.told {
+		follower.logger.Info("dependency regained", zap.Duration("after", time.Since(follower.outage.since)), zap.Int("failures", follower.outage.failures))
 	}
+	follower.outage = outage{}
 }
 
-// noteFailure logs the first failure of a row and pauses.
-func (follower *KeyedFollower) noteFailure(ctx context.Context, err error) {
+// noteFailure logs a row of failures once it is long enough, and pauses. Began is when
+// the failed read did.
+func (follower *KeyedFollower) noteFailure(ctx context.Context, began time.Time, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if !follower.lost {
-		follower.lost = true
-		follower.logger.Warn("dependency lost", zap.Error(err))
+	row := &follower.outage
+	if row.failures == 0 {
+		row.since = began
+	}
+	row.failures++
+	if !row.told && time.Since(row.since) >= lostAfter {
+		row.told = true
+		follower.logger.Warn("dependency lost", zap.Int("failures", row.failures), zap.Duration("for", time.Since(row.since)), zap.Error(err))
+	}
+	periodic.Pause(ctx, follower.pauseAfter(err))
+}
+
+// pauseAfter returns how long to wait after a failed read.
+func (follower *KeyedFollower) pauseAfter(err error) time.Duration {
+	var throttled *ThrottledError
+	if !errors.As(err, &throttled) {
+		follower.outage.throttled = 0
+		return followPause
 	}
-	periodic.Pause(ctx, followPause)
+	pause := throttledPause << min(follower.outage.throttled, maxDoublings)
+	follower.outage.throttled++
+	return jittered(min(pause, follower.mostPace))
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -52,6 +52,19 @@
 // Unwrap makes the error an ErrNotDone.
 func (unavailable *UnavailableError) Unwrap() error { return ErrNotDone }
 
+// ThrottledError says that the journal refused the call as more calls came than it
+// grants: the call had no effect, and the same call made again at once makes it worse.
+// It is an ErrNotDone.
+type ThrottledError struct{ Reason string }
+
+// Error implements error.
+func (throttled *ThrottledError) Error() string {
+	return "journal: throttled: " + throttled.Reason
+}
+
+// Unwrap makes the error an ErrNotDone.
+func (throttled *ThrottledError) Unwrap() error { return ErrNotDone }
+
 // Partition names one partition.
 type Partition struct {
 	Topic  string
@@ -79,6 +92,8 @@
 	From      int64
 	// Wait is how long the call may be held while there is no record.
 	Wait time.Duration
+	// MaxBytes, if not 0, bounds the records of the answer; there is at least one.
+	MaxBytes int
 }
 
 // Records is a run of records, the first of them at the offset asked for.
@@ -147,4 +162,7 @@
 	// MaxRecordBytes and MaxAppendBytes bound a record and an append.
 	MaxRecordBytes() int
 	MaxAppendBytes() int
+	// ReadsPerSecond is how many reads the journal grants all daemons together, 0 if
+	// that is not known.
+	ReadsPerSecond() float64
 }
--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -53,6 +53,9 @@
 	Partitions int
 	// RecordBytes and AppendBytes are MaxRecordBytes and MaxAppendBytes.
 	RecordBytes, AppendBytes int
+	// GrantedReads is ReadsPerSecond. Where it is not 0, further reads within a second
+	// are throttled.
+	GrantedReads float64
 
 	mutex      sync.Mutex
 	logs       map[journal.Partition]*log
@@ -62,6 +65,20 @@
 	members    map[string]time.Time
 	topics     []string
 	turn       int
+	usage      Usage
+	// second is the one in which reads were counted last, inSecond how many.
+	second   int64
+	inSecond int
+}
+
+// Usage is what a journal's callers used of it.
+type Usage struct {
+	// Reads counts the reads of all kinds, Throttled those of them that were refused.
+	Reads, Throttled int
+	// ReadBytes counts the bytes of the records read.
+	ReadBytes int
+	// MostInSecond is the largest number of reads in one second.
+	MostInSecond int
 }
 
 type log struct {
@@ -88,6 +105,9 @@
 // MaxAppendBytes implements journal.Journal.
 func (j *Journal) MaxAppendBytes() int { return j.AppendBytes }
 
+// ReadsPerSecond implements journal.Journal.
+func (j *Journal) ReadsPerSecond() float64 { return j.GrantedReads }
+
 // SetBefall sets Befall while calls may be under way.
 func (j *Journal) SetBefall(befall func(call Call) Fault) {
 	j.mutex.Lock()
@@ -95,6 +115,44 @@
 	j.Befall = befall
 }
 
+// Usage returns what was used since the journal was made or ResetUsage was called.
+func (j *Journal) Usage() Usage {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.usage
+}
+
+// ResetUsage begins to count anew.
+func (j *Journal) ResetUsage() {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.usage = Usage{}
+}
+
+// countRead counts a read, and refuses it if more come in a second than are granted.
+func (j *Journal) countRead() error {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if second := time.Now().Unix(); second != j.second {
+		j.second, j.inSecond = second, 0
+	}
+	j.inSecond++
+	j.usage.Reads++
+	j.usage.MostInSecond = max(j.usage.MostInSecond, j.inSecond)
+	if j.GrantedReads > 0 && float64(j.inSecond) > j.GrantedReads {
+		j.usage.Throttled++
+		return &journal.ThrottledError{Reason: "too many reads"}
+	}
+	return nil
+}
+
+// countBytes counts the bytes of records read. The mutex is held.
+func (j *Journal) countBytes(records [][]byte) {
+	for _, record := range records {
+		j.usage.ReadBytes += len(record)
+	}
+}
+
 // fault returns what befalls a call; hanging calls have already hung.
 func (j *Journal) fault(ctx context.Context, call Call) (Fault, error) {
 	fault := None
@@ -189,6 +247,9 @@
 
 // Read implements journal.Journal.
 func (j *Journal) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
+	if err := j.countRead(); err != nil {
+		return journal.Records{}, err
+	}
 	if _, err := j.fault(ctx, Read); err != nil {
 		return journal.Records{}, err
 	}
@@ -204,7 +265,8 @@
 			return journal.Records{}, &journal.TrimmedError{First: target.first}
 		}
 		if request.From < target.end() {
-			read.Records = append(read.Records, target.records[request.From-target.first:]...)
+			read.Records = append(read.Records, cut(target.records[request.From-target.first:], request.MaxBytes)...)
+			j.countBytes(read.Records)
 		}
 		j.mutex.Unlock()
 		if len(read.Records) > 0 || request.Wait == 0 {
@@ -220,8 +282,26 @@
 	}
 }
 
+// cut returns the first records that fit in a number of bytes, at least one; 0 is no bound.
+func cut(records [][]byte, maxBytes int) [][]byte {
+	if maxBytes <= 0 {
+		return records
+	}
+	size := 0
+	for i, record := range records {
+		size += len(record)
+		if i > 0 && size > maxBytes {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 // Newest implements journal.Journal.
 func (j *Journal) Newest(ctx context.Context, partition journal.Partition, afterKey string) (journal.KeyedPage, error) {
+	if err := j.countRead(); err != nil {
+		return journal.KeyedPage{}, err
+	}
 	if _, err := j.fault(ctx, Newest); err != nil {
 		return journal.KeyedPage{}, err
 	}
--- a/internal/journal/observe.go
+++ b/internal/journal/observe.go
@@ -28,9 +28,12 @@
 
 // outcomeOf names what an error says of a call.
 func outcomeOf(err error) string {
+	var throttled *ThrottledError
 	switch {
 	case err == nil:
 		return "done"
+	case errors.As(err, &throttled):
+		return "throttled"
 	case errors.Is(err, ErrNotDone):
 		return "not done"
 	case errors.Is(err, ErrPosition):
--- /dev/null
+++ b/internal/journal/pace_test.go
@@ -0,0 +1,126 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+)
+
+// fleet is a number of daemons that follow one partition at a pace.
+type fleet struct {
+	log  *journaltest.Journal
+	seen []*values
+}
+
+const (
+	// fleetShare is the part of the granted reads that the followers use.
+	fleetShare = 0.1
+	fleetBound = 5 * time.Second
+	// changesPerSecond is how often 92 replicas write that do so each 1.2 s.
+	changesPerSecond = 77
+)
+
+func startFleet(ctx context.Context, daemons int, granted float64) *fleet {
+	made := &fleet{log: journaltest.New()}
+	made.log.GrantedReads = granted
+	for range daemons {
+		seen := &values{values: map[string]string{}}
+		follower := journal.NewKeyedFollower(made.log, followed, seen, fleetBound, zap.NewNop())
+		follower.SetPace(journal.SharedPace(made.log, fleetShare, func() int { return daemons }))
+		go follower.Run(ctx)
+		made.seen = append(made.seen, seen)
+	}
+	return made
+}
+
+// change writes for a while at changesPerSecond, and returns the last value.
+func (f *fleet) change(t *testing.T, duration time.Duration) string {
+	last := ""
+	for began := time.Now(); time.Since(began) < duration; {
+		last = strconv.FormatInt(time.Now().UnixNano(), 10)
+		put(t, f.log, "key", last)
+		time.Sleep(time.Second / changesPerSecond)
+	}
+	return last
+}
+
+// The reads of a fleet of followers stay within their share of what the journal
+// grants, however often the partition changes, and all see a change well within the
+// contact bound. Without a pace 300 followers make 23,100 reads a second here.
+func TestFollowersOfAFleetKeepToTheirShareOfReads(t *testing.T) {
+	for _, daemons := range []int{12, 60, 300} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const granted, calm = 16000, 5 * time.Second
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := startFleet(ctx, daemons, granted)
+				time.Sleep(time.Second)
+				f.log.ResetUsage()
+				last := f.change(t, calm)
+				used := f.log.Usage()
+				is.Equal(used.Throttled, 0)
+				is.True(float64(used.Reads) <= granted*fleetShare*calm.Seconds()*1.05)
+				time.Sleep(fleetBound / 10)
+				synctest.Wait()
+				for _, seen := range f.seen {
+					is.Equal(seen.get("key"), last)
+				}
+			})
+		})
+	}
+}
+
+// Reads grow as the daemons, not as the daemons times the changes.
+func TestReadsOfFollowersDoNotGrowWithChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := startFleet(ctx, 300, 2000)
+		time.Sleep(fleetBound)
+		reads := func(writers int) int {
+			f.log.ResetUsage()
+			for range writers {
+				go f.change(t, 5*time.Second)
+			}
+			time.Sleep(6 * time.Second)
+			return f.log.Usage().Reads
+		}
+		few, many := reads(1), reads(8)
+		is.True(many <= few*11/10)
+	})
+}
+
+// Followers that are throttled come back one after the other: after an outage of the
+// whole journal all are up to date within the contact bound, though it grants a tenth
+// of what they would ask for at once.
+func TestAThrottledFleetIsUpToDateWithinTheContactBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const daemons, granted = 300, 500
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := startFleet(ctx, daemons, granted)
+		time.Sleep(2 * fleetBound)
+		f.log.SetBefall(func(journaltest.Call) journaltest.Fault { return journaltest.Refuse })
+		time.Sleep(3 * time.Second)
+		f.log.SetBefall(nil)
+		put(t, f.log, "key", "back")
+		time.Sleep(fleetBound)
+		synctest.Wait()
+		for _, seen := range f.seen {
+			is.Equal(seen.get("key"), "back")
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,13 @@
 	// outage. It changes only as machines come, so that its reads are held for long:
 	// each daemon makes them.
 	peerContact = 30 * time.Second
+	// operatorReadShare, replicaReadShare and peerReadShare are the parts of the reads
+	// that the journal grants which all daemons together use to follow the operator's
+	// records, the replicas' and the peers'. Half of the reads and more are left for
+	// batches.
+	operatorReadShare = 0.1
+	replicaReadShare  = 0.1
+	peerReadShare     = 0.02
 	// connectTimeout bounds the making of a connection to a replica.
 	connectTimeout = 400 * time.Millisecond
 	unackedTimeout = 1200 * time.Millisecond
@@ -153,6 +160,7 @@
 		node.relay = relay.New(revived, relay.Options{Name: node.settings.Name, Zone: node.settings.Zone, Address: address}, logger)
 		node.peerFollower = journal.NewKeyedFollower(node.relay, relay.Partition(revived), node.relay.Peers(), peerContact, logger)
 		drivers.Journal = node.relay
+		node.peerFollower.SetPace(journal.SharedPace(revived, peerReadShare, node.daemons))
 	}
 	node.metrics.Counter("journal_calls_given_up_total", "Calls to the journal given up as later ones were answered.", func() float64 { return float64(revived.GivenUp()) })
 	node.partitions = drivers.Journal.PartitionsPerTopic()
@@ -162,6 +170,8 @@
 	node.operator = operation.NewState(drivers.Decoder, node.front.configured, logger)
 	node.operatorFollower = journal.NewKeyedFollower(drivers.Journal, drivers.OperatorRecords, node.operator, contact, logger)
 	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), contact, logger)
+	node.operatorFollower.SetPace(journal.SharedPace(drivers.Journal, operatorReadShare, node.daemons))
+	node.replicaFollower.SetPace(journal.SharedPace(drivers.Journal, replicaReadShare, node.daemons))
 	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Logger: logger, Observe: node.metrics.Attempt}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
 	node.member = group.New(drivers.Journal, node.identity, append(ledger.TopicNames(), runner.RunnersTopic), logger)
@@ -285,6 +295,14 @@
 		dealt[journal.Partition{Topic: last, Number: partitionsPerTopic - 1}]
 }
 
+// daemons returns how many daemons share the journal, as far as is known.
+func (node *Node) daemons() int {
+	if node.relay == nil {
+		return 1
+	}
+	return node.relay.Daemons()
+}
+
 func (node *Node) lastContact() time.Time {
 	last := node.member.LastContact()
 	for _, follower := range []*journal.KeyedFollower{node.operatorFollower, node.replicaFollower} {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -53,6 +53,7 @@
 	outcomePosition
 	outcomeTrimmed
 	outcomeUnknown
+	outcomeThrottled
 )
 
 // reply is the answer to an operation.
@@ -73,7 +74,10 @@
 	told := reply{Outcome: outcomeUnknown, Reason: err.Error()}
 	var trimmed *journal.TrimmedError
 	var unavailable *journal.UnavailableError
+	var throttled *journal.ThrottledError
 	switch {
+	case errors.As(err, &throttled):
+		told.Outcome = outcomeThrottled
 	case errors.As(err, &trimmed):
 		told.Outcome, told.First = outcomeTrimmed, trimmed.First
 	case errors.Is(err, journal.ErrPosition):
@@ -93,6 +97,8 @@
 		return nil
 	case outcomeTrimmed:
 		return &journal.TrimmedError{First: told.First}
+	case outcomeThrottled:
+		return &journal.ThrottledError{Reason: told.Reason}
 	case outcomePosition:
 		return errors.Wrap(journal.ErrPosition, told.Reason)
 	case outcomeUnavailable:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,6 +107,10 @@
 	return lost
 }
 
+// Daemons returns how many daemons have announced themselves, this one included.
+// Those that are gone for good are among them.
+func (j *Journal) Daemons() int { return j.peers.count() + 1 }
+
 // call is one call of a journal with its two ways.
 type call[T any] struct {
 	// operation is the call as a peer gets it, take its answer out of a peer's reply.
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -55,6 +55,10 @@
 	// loadHolds is how long a load is believed that an answer told: requests to
 	// plain replicas take some tens of milliseconds.
 	loadHolds = 100 * time.Millisecond
+	// toldSingly is how many changes of one full list are logged a line each; more are
+	// summed in one, as each of hundreds of daemons reads hundreds of replicas anew
+	// after an outage.
+	toldSingly = 20
 	// forgetAfter is how long what was learned of a replica outlives its entry.
 	forgetAfter = 30 * time.Second
 )
@@ -112,23 +116,64 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	kept := make(map[string]bool, len(entries))
+	var changes []change
 	for _, entry := range entries {
 		kept[entry.ID] = true
-		table.set(entry)
+		changes = table.set(entry, changes)
 	}
 	for id := range table.entries {
 		if !kept[id] {
-			table.remove(id)
+			changes = table.remove(id, changes)
 		}
 	}
+	table.tell(changes)
 	table.notify()
 }
 
+// change is one of the list. Its before is nil for a replica that is new, its now for
+// one that is gone.
+type change struct{ before, now *Entry }
+
+// tell logs changes of the list, one by one or in one line.
+func (table *Table) tell(changes []change) {
+	if len(changes) <= toldSingly {
+		for _, each := range changes {
+			table.tellOne(each)
+		}
+		return
+	}
+	var added, gone, state []string
+	for _, each := range changes {
+		switch {
+		case each.before == nil:
+			added = append(added, each.now.ID)
+		case each.now == nil:
+			gone = append(gone, each.before.ID)
+		default:
+			state = append(state, each.now.ID)
+		}
+	}
+	table.logger.Info("replicas read", zap.Int("listed", len(table.entries)), zap.Strings("added", added),
+		zap.Strings("gone", gone), zap.Strings("state_changed", state))
+}
+
+func (table *Table) tellOne(each change) {
+	switch {
+	case each.before == nil:
+		table.logger.Info("replica listed", zap.String("replica", each.now.ID), zap.String("service", each.now.Service),
+			zap.String("address", each.now.Address), zap.String("zone", each.now.Zone), zap.Bool("draining", each.now.Draining))
+	case each.now == nil:
+		table.logger.Info("replica gone from the list", zap.String("replica", each.before.ID))
+	default:
+		table.logger.Info("replica state changed", zap.String("replica", each.now.ID), zap.Bool("draining", each.now.Draining))
+	}
+}
+
 // Set changes or adds one entry.
 func (table *Table) Set(entry Entry) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.set(entry)
+	table.tell(table.set(entry, nil))
 	table.notify()
 }
 
@@ -136,11 +181,13 @@
 func (table *Table) Remove(id string) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	table.remove(id)
+	table.tell(table.remove(id, nil))
 	table.notify()
 }
 
-func (table *Table) set(entry Entry) {
+// set changes or adds an entry. It returns the changes with this one, if it is one to
+// be told. The mutex is held.
+func (table *Table) set(entry Entry, changes []change) []change {
 	before := table.entries[entry.ID]
 	if before != nil && before.Service != entry.Service {
 		delete(table.services[before.Service], entry.ID)
@@ -152,27 +199,30 @@
 		table.services[entry.Service] = map[string]*listed{}
 	}
 	table.services[entry.Service][entry.ID] = now
-	if before == nil {
-		table.logger.Info("replica listed", zap.String("replica", entry.ID), zap.String("service", entry.Service),
-			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Bool("draining", entry.Draining))
-	} else if before.Draining != entry.Draining {
-		table.logger.Info("replica state changed", zap.String("replica", entry.ID), zap.Bool("draining", entry.Draining))
-	}
 	learned.goneAt = time.Time{}
 	for model, version := range entry.Versions {
 		learned.raise(model, version)
 	}
+	switch {
+	case before == nil:
+		return append(changes, change{now: &entry})
+	case before.Draining != entry.Draining:
+		return append(changes, change{before: &before.Entry, now: &entry})
+	default:
+		return changes
+	}
 }
 
-func (table *Table) remove(id string) {
+// remove drops an entry. It returns the changes with this one. The mutex is held.
+func (table *Table) remove(id string, changes []change) []change {
 	before := table.entries[id]
 	if before == nil {
-		return
+		return changes
 	}
 	delete(table.entries, id)
 	delete(table.services[before.Service], id)
 	before.learned.goneAt, before.learned.last = time.Now(), before.Entry
-	table.logger.Info("replica gone from the list", zap.String("replica", id))
+	return append(changes, change{before: &before.Entry})
 }
 
 func (table *Table) experience(id string) *experience {
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 
 	"woodworks/internal/testseed"
@@ -184,3 +185,24 @@
 		is.Equal(len(seen), 2)
 	})
 }
+
+// A list of hundreds that is read anew leaves one line, which names all that changed;
+// single changes leave a line each.
+func TestALongListIsLoggedInOneLine(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.InfoLevel)
+	table := NewTable(time.Second, zap.New(core))
+	var entries []Entry
+	for i := range 98 {
+		entries = append(entries, Entry{ID: fmt.Sprintf("r%d", i), Service: "s"})
+	}
+	table.Replace(entries)
+	is.Equal(logs.Len(), 1)
+	is.Equal(len(logs.All()[0].ContextMap()["added"].([]any)), len(entries))
+	table.Replace(entries)
+	is.Equal(logs.Len(), 1)
+	table.Set(Entry{ID: "r0", Service: "s", Draining: true})
+	table.Remove("r1")
+	is.Equal(logs.FilterMessage("replica state changed").Len(), 1)
+	is.Equal(logs.FilterMessage("replica gone from the list").Len(), 1)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,6 +84,9 @@
 	// RecordBytes and AppendBytes are the largest record and append, in bytes.
 	RecordBytes int `yaml:"record_bytes"`
 	AppendBytes int `yaml:"append_bytes"`
+	// ReadsPerSecond is how many reads the store grants all daemons together; 0 if it
+	// names no bound.
+	ReadsPerSecond float64 `yaml:"reads_per_second"`
 }
 
 // Limits bounds what one daemon holds at a time.
@@ -259,6 +262,7 @@
 	require(store.Partitions > 0, "platform.store.partitions", "must be above 0")
 	require(store.RecordBytes >= minRecordBytes, "platform.store.record_bytes", fmt.Sprintf("must be at least %d", minRecordBytes))
 	require(store.AppendBytes >= store.RecordBytes, "platform.store.append_bytes", "must not be less than record_bytes")
+	require(store.ReadsPerSecond >= 0, "platform.store.reads_per_second", "must not be below 0")
 	for i, operator := range loaded.Operators {
 		require(operator.Name != "", fmt.Sprintf("operators[%d].name", i), "is required")
 		require(digestPattern.MatchString(operator.KeySHA256), fmt.Sprintf("operators[%d].key_sha256", i), "must be 64 lower-case hexadecimal digits")
