Requests go rather to a replica to which a connection rests

Now a replica without a resting connection counts as if a little more than one further request were under way there; one that was never asked counts as fast as the fastest known, not as infinitely fast.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -254,11 +254,21 @@
 	return max(hedgeFactor*chosen.Latency, leastHedge)
 }
 
+// Replicas returns the replicas of a service that may get new work, with whether a
+// connection to each rests here.
+func (forwarder *Forwarder) Replicas(service string) []replica.Replica {
+	replicas := forwarder.Table.Replicas(service)
+	for i := range replicas {
+		replicas[i].Connected = forwarder.Pool.Rests(replicas[i].Address)
+	}
+	return replicas
+}
+
 // choose picks a replica of the first service that has one.
 func (run *running) choose() (replica.Replica, bool) {
 	now := time.Now()
 	for _, service := range run.call.Services {
-		if chosen, found := replica.Pick(run.forwarder.Table.Replicas(service), run.tried, now); found {
+		if chosen, found := replica.Pick(run.forwarder.Replicas(service), run.tried, now); found {
 			return chosen, true
 		}
 	}
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -76,7 +76,7 @@
 
 func (relaying *relay) choose() (replica.Replica, bool) {
 	for _, service := range relaying.route.Order(relaying.id) {
-		chosen, found := replica.Pick(relaying.handler.Forwarder.Table.Replicas(service), relaying.tried, time.Now())
+		chosen, found := replica.Pick(relaying.handler.Forwarder.Replicas(service), relaying.tried, time.Now())
 		if found {
 			return chosen, true
 		}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -7,17 +7,22 @@
 
 // Pick chooses the replica for a plain request: not yet tried, rather not one
 // to be avoided, the least loaded for its slots (by our own requests there, or by what
-// it told of all), and by chance among equals. The
-// way to another zone counts as far as answers from there take longer. It returns
-// false if every candidate was tried.
+// it told of all), rather one to which a connection rests, and by chance among equals.
+// The way to another zone counts as far as answers from there take longer; a replica
+// that was never asked counts as fast as the fastest. It returns false if every
+// candidate was tried.
 func Pick(candidates []Replica, tried map[string]bool, now time.Time) (Replica, bool) {
 	best := Replica{}
 	found := false
 	bestScore := 0.0
+	fastest := fastestOf(candidates)
 	for _, candidate := range candidates {
 		if tried[candidate.ID] {
 			continue
 		}
+		if candidate.Latency == 0 {
+			candidate.Latency = fastest
+		}
 		score := loadScore(candidate, now)
 		if !found || score < bestScore {
 			best, bestScore, found = candidate, score, true
@@ -32,12 +37,30 @@
 	// to count like one whose slots are all in use.
 	latencyPerUnit = 200 * time.Millisecond
 	jitter         = 0.05
+	// connectPenalty is added where a connection must be made: a little more than one
+	// request under way at a replica of six slots. Making one takes the replica's time,
+	// and with hundreds of daemons that each ask seldom, every request would make one.
+	connectPenalty = 0.2
 )
 
+// fastestOf returns the lowest latency known, or 0.
+func fastestOf(candidates []Replica) time.Duration {
+	fastest := time.Duration(0)
+	for _, candidate := range candidates {
+		if candidate.Latency > 0 && (fastest == 0 || candidate.Latency < fastest) {
+			fastest = candidate.Latency
+		}
+	}
+	return fastest
+}
+
 // loadScore is lower for a better choice.
 func loadScore(candidate Replica, now time.Time) float64 {
 	score := float64(max(candidate.InFlight, candidate.Reported)) / float64(max(candidate.Slots, 1))
 	score += float64(candidate.Latency) / float64(latencyPerUnit)
+	if !candidate.Connected {
+		score += connectPenalty
+	}
 	if now.Before(candidate.AvoidUntil) {
 		score += avoidPenalty + candidate.AvoidUntil.Sub(now).Seconds()
 	}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -36,6 +36,8 @@
 	// Declining says that the replica declined the last request, Probing that one
 	// is finding out whether it still does.
 	Declining, Probing bool
+	// Connected says that a connection to it rests here, as its user has found out.
+	Connected bool
 	// Latency is the mean time of recent answers, 0 if there were none.
 	Latency time.Duration
 	// Pace is the mean time between the events of recent streams, 0 if unknown.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -106,6 +106,13 @@
 	return pool.open[address]
 }
 
+// Rests reports whether a connection to a peer rests that may be used at once.
+func (pool *Pool) Rests(address string) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return len(pool.idle[address]) > 0
+}
+
 // Dials returns how many connections were made.
 func (pool *Pool) Dials() uint64 {
 	pool.mutex.Lock()
