--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -124,29 +124,34 @@
 // Results returns a page of results: at least one if there is one at the position, or
 // if one comes within the query's wait. The error wraps ErrBehind.
 func (r *Reader) Results(ctx context.Context, query Query) (Page, error) {
-	return read(ctx, r, query.BatchID, methodResults, query, query.Wait, func(ctx context.Context) (Page, error) { return r.resultsHere(ctx, query) })
+	return read(ctx, r, query.BatchID, methodResults, query, query.Wait, func(ctx context.Context, wait time.Duration) (Page, error) {
+		return r.resultsHere(ctx, Query{BatchID: query.BatchID, After: query.After, Wait: wait})
+	})
 }
 
 // Item returns the body of an item. The error wraps ErrBehind.
 func (r *Reader) Item(ctx context.Context, batchID, itemID string) (Body, error) {
-	return read(ctx, r, batchID, methodItem, ItemQuery{batchID, itemID}, 0, func(ctx context.Context) (Body, error) { return r.itemHere(ctx, batchID, itemID) })
+	return read(ctx, r, batchID, methodItem, ItemQuery{batchID, itemID}, 0, func(ctx context.Context, _ time.Duration) (Body, error) {
+		return r.itemHere(ctx, batchID, itemID)
+	})
 }
 
 // read answers a question from the fold held here, through the daemon that holds it, or
-// by reading the partition.
-func read[T any](ctx context.Context, r *Reader, batchID, method string, asked any, wait time.Duration, here func(context.Context) (T, error)) (T, error) {
+// by reading the partition. Wait is how long the question may be held on purpose, here
+// answers it from this daemon's fold.
+func read[T any](ctx context.Context, r *Reader, batchID, method string, asked any, wait time.Duration, here func(ctx context.Context, wait time.Duration) (T, error)) (T, error) {
+	began := time.Now()
 	partition := r.batches.Of(batchID)
 	if r.peers == nil || time.Since(partition.LastRead()) < warmFor {
-		return here(ctx)
+		return here(ctx, wait)
 	}
 	var answer T
 	holder, known := r.holder(ctx, partition.Name())
 	if known && holder == r.self {
-		return here(ctx)
+		return here(ctx, wait)
 	}
 	reason := "not known who watches the partition"
 	if known {
-		began := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 		err := r.peers.Ask(bounded, identity.Machine(holder), method, asked, &answer)
 		cancel()
@@ -154,7 +159,6 @@
 			return answer, nil
 		}
 		reason = err.Error()
-		wait = max(wait-time.Since(began), 0)
 	}
 	r.logger.Info("partition read for a question", zap.String("batch", batchID), zap.String("topic", partition.Name().Topic),
 		zap.Int("partition", partition.Name().Number), zap.String("holder", holder), zap.String("reason", reason))
@@ -163,7 +167,7 @@
 	select {
 	case r.cold <- struct{}{}:
 		defer func() { <-r.cold }()
-		return here(ctx)
+		return here(ctx, max(wait-time.Since(began), 0))
 	case <-timer.C:
 		return answer, errors.Wrap(ErrBehind, "other partitions are being read")
 	case <-ctx.Done():
