--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -20,7 +20,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,12 +46,6 @@
 	// warmFor is how long after its last read a fold is brought up to date here: little
 	// is missing of it, while a partition that is followed is read every second.
 	warmFor = 2 * time.Second
-	// A partition about which oftenAsked questions came, none more than oftenWithin after
-	// the one before, has its fold kept here. With few daemons each of them is asked about
-	// a batch every few seconds; what is missing then comes cheaper from the journal than,
-	// time and again, from another zone.
-	oftenAsked  = 3
-	oftenWithin = 10 * time.Second
 	// pageBytes bounds the texts of one page of results, in bytes.
 	pageBytes = 900 << 10
 	// holderWait is how long a question waits until it is known who watches the
@@ -120,22 +113,12 @@
 	logger  *zap.Logger
 	// cold has a place for each question that may read a partition from its beginning.
 	cold chan struct{}
-
-	mu sync.Mutex
-	// asked are the rows of questions about each partition, those of peers aside.
-	asked map[journal.Partition]row
-}
-
-// row is a row of questions with little time between them.
-type row struct {
-	last  time.Time
-	count int
 }
 
 // NewReader returns a reader of the batches for the run named self. Without peers, nil,
 // it reads the journal itself.
 func NewReader(batches *ledger.Ledger, holders Holders, peers Peers, self string, logger *zap.Logger) *Reader {
-	return &Reader{batches: batches, holders: holders, peers: peers, self: self, logger: logger, cold: make(chan struct{}, coldReads), asked: map[journal.Partition]row{}}
+	return &Reader{batches: batches, holders: holders, peers: peers, self: self, logger: logger, cold: make(chan struct{}, coldReads)}
 }
 
 // Results returns a page of results: at least one if there is one at the position, or
@@ -159,8 +142,7 @@
 func read[T any](ctx context.Context, r *Reader, batchID, method string, asked any, wait time.Duration, here func(ctx context.Context, wait time.Duration) (T, error)) (T, error) {
 	began := time.Now()
 	partition := r.batches.Of(batchID)
-	often := r.askedOften(partition.Name(), began)
-	if r.peers == nil || often || time.Since(partition.LastRead()) < warmFor {
+	if r.peers == nil || time.Since(partition.LastRead()) < warmFor {
 		return here(ctx, wait)
 	}
 	var answer T
@@ -196,20 +178,6 @@
 	}
 }
 
-// askedOften notes a question about a partition, and reports whether they come often.
-func (r *Reader) askedOften(name journal.Partition, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.asked[name]
-	if now.Sub(known.last) > oftenWithin {
-		known.count = 0
-	}
-	known.last = now
-	known.count++
-	r.asked[name] = known
-	return known.count >= oftenAsked
-}
-
 // holder returns the run that watches a partition. Just after a start it waits a little
 // until that is known.
 func (r *Reader) holder(ctx context.Context, name journal.Partition) (string, bool) {
--- a/internal/results/results_test.go
+++ b/internal/results/results_test.go
@@ -133,31 +133,6 @@
 	})
 }
 
-// A daemon that is asked about a partition again and again keeps the fold itself, and
-// gives it up when the questions cease.
-func TestAFoldIsKeptWhereQuestionsComeOften(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		d := newDaemons(ctx, 2)
-		d.accept(t, "b", 1)
-		ask := func() {
-			page, err := d.readers[1].Results(ctx, Query{BatchID: "b"})
-			is.NoErr(err)
-			is.True(page.Found)
-		}
-		for range 2 * oftenAsked {
-			time.Sleep(oftenWithin / 2)
-			ask()
-		}
-		is.Equal(d.asked, oftenAsked-1)
-		time.Sleep(2 * oftenWithin)
-		ask()
-		is.Equal(d.asked, oftenAsked)
-	})
-}
-
 // With the holder dark or not known, a question is answered from the journal.
 func TestQuestionsAreAnsweredWithoutTheHolder(t *testing.T) {
 	for name, holder := range map[string]int{"dark": 1, "not known": -1} {
