--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -162,7 +162,14 @@
 	// MaxRecordBytes and MaxAppendBytes bound a record and an append.
 	MaxRecordBytes() int
 	MaxAppendBytes() int
-	// ReadsPerSecond is how many reads the journal grants all daemons together, 0 if
-	// that is not known.
-	ReadsPerSecond() float64
+	// Grants is what the journal grants all daemons together.
+	Grants() Grants
+}
+
+// Grants is what a journal grants all daemons together; 0 where that is not known.
+type Grants struct {
+	// ReadsPerSecond is how many reads they may make in a second.
+	ReadsPerSecond float64
+	// ReadBytesPerSecond is how many bytes it reads out in a second.
+	ReadBytesPerSecond float64
 }
--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -53,9 +53,9 @@
 	Partitions int
 	// RecordBytes and AppendBytes are MaxRecordBytes and MaxAppendBytes.
 	RecordBytes, AppendBytes int
-	// GrantedReads is ReadsPerSecond. Where it is not 0, further reads within a second
-	// are throttled.
-	GrantedReads float64
+	// Granted is Grants. Where it has ReadsPerSecond, further reads within a second are
+	// throttled.
+	Granted journal.Grants
 
 	mutex      sync.Mutex
 	logs       map[journal.Partition]*log
@@ -105,8 +105,8 @@
 // MaxAppendBytes implements journal.Journal.
 func (j *Journal) MaxAppendBytes() int { return j.AppendBytes }
 
-// ReadsPerSecond implements journal.Journal.
-func (j *Journal) ReadsPerSecond() float64 { return j.GrantedReads }
+// Grants implements journal.Journal.
+func (j *Journal) Grants() journal.Grants { return j.Granted }
 
 // SetBefall sets Befall while calls may be under way.
 func (j *Journal) SetBefall(befall func(call Call) Fault) {
@@ -139,7 +139,7 @@
 	j.inSecond++
 	j.usage.Reads++
 	j.usage.MostInSecond = max(j.usage.MostInSecond, j.inSecond)
-	if j.GrantedReads > 0 && float64(j.inSecond) > j.GrantedReads {
+	if granted := j.Granted.ReadsPerSecond; granted > 0 && float64(j.inSecond) > granted {
 		j.usage.Throttled++
 		return &journal.ThrottledError{Reason: "too many reads"}
 	}
--- a/internal/journal/pace.go
+++ b/internal/journal/pace.go
@@ -26,7 +26,7 @@
 // SharedPace returns the pace at which the followers of one partition, one a daemon,
 // use a share of the reads that a journal grants. Daemons tells how many there are.
 func SharedPace(log Journal, share float64, daemons func() int) Pace {
-	granted := log.ReadsPerSecond() * share
+	granted := log.Grants().ReadsPerSecond * share
 	if granted <= 0 {
 		return unpaced
 	}
--- a/internal/journal/pace_test.go
+++ b/internal/journal/pace_test.go
@@ -31,7 +31,7 @@
 
 func startFleet(ctx context.Context, daemons int, granted float64) *fleet {
 	made := &fleet{log: journaltest.New()}
-	made.log.GrantedReads = granted
+	made.log.Granted.ReadsPerSecond = granted
 	for range daemons {
 		seen := &values{values: map[string]string{}}
 		follower := journal.NewKeyedFollower(made.log, followed, seen, fleetBound, zap.NewNop())
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -24,8 +24,8 @@
 	Partitions  int
 	RecordBytes int
 	AppendBytes int
-	// ReadsPerSecond is how many reads all daemons together may make, 0 for any.
-	ReadsPerSecond float64
+	// Grants is what all daemons together may use.
+	Grants journal.Grants
 }
 
 // Client is the service's client. It is safe for concurrent use.
@@ -134,5 +134,5 @@
 // MaxAppendBytes implements journal.Journal.
 func (c *Client) MaxAppendBytes() int { return c.shape.AppendBytes }
 
-// ReadsPerSecond implements journal.Journal.
-func (c *Client) ReadsPerSecond() float64 { return c.shape.ReadsPerSecond }
+// Grants implements journal.Journal.
+func (c *Client) Grants() journal.Grants { return c.shape.Grants }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -185,7 +185,7 @@
 	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
 	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, node.demands, logger)
 	node.demandFollower = journal.NewKeyedFollower(drivers.Journal, demand.Partition(drivers.Journal), node.demands, contact, logger)
-	node.results = node.newReader()
+	node.results = node.newReader(drivers.Journal.Grants())
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
@@ -201,11 +201,11 @@
 }
 
 // newReader returns the reader of batches, which answers peers as well.
-func (node *Node) newReader() *results.Reader {
+func (node *Node) newReader(grants journal.Grants) *results.Reader {
 	if node.relay == nil {
-		return results.NewReader(node.ledger, node.member, nil, node.identity, node.logger)
+		return results.NewReader(node.ledger, node.member, nil, grants, node.identity, node.logger)
 	}
-	made := results.NewReader(node.ledger, node.member, node.relay, node.identity, node.logger)
+	made := results.NewReader(node.ledger, node.member, node.relay, grants, node.identity, node.logger)
 	node.relay.Register(results.ServiceName, made.Service(node.context))
 	return made
 }
--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -4,16 +4,16 @@
 // the partition holds the fold; any other would have to read the partition from its
 // beginning to answer a single question. With hundreds of daemons nearly every question
 // comes to one without the fold, so that such reads would be most of what the journal
-// serves, and after a restart of all daemons more than it can. A reader therefore asks
-// the daemon that watches the partition, and reads the journal itself only if that one
-// cannot be asked.
+// serves, and after a restart of all daemons more than it can. Where the daemons are too
+// many for the journal's bandwidth, a reader therefore asks the daemon that watches the
+// partition, and reads the journal itself only if that one cannot be asked.
 //
 // What a caller is told is never older than what any daemon told before: whoever
 // answers that there is nothing has begun a read of the journal after the question.
 //
 // # Usage
 //
-//	reader := results.NewReader(batches, member, peers, self, logger)
+//	reader := results.NewReader(batches, member, peers, log.Grants(), self, logger)
 //	peers.Register(results.ServiceName, reader.Service(ctx))
 //	page, err := reader.Results(ctx, results.Query{BatchID: id, After: 12, Wait: time.Second})
 package results
@@ -46,6 +46,15 @@
 	// warmFor is how long after its last read a fold is brought up to date here: little
 	// is missing of it, while a partition that is followed is read every second.
 	warmFor = 2 * time.Second
+	// partitionBytes is what a partition holds that is read from its beginning, about:
+	// 0.7 MB by the middle of a day of 8 trainers, 1.4 MB at its end. Daemons read
+	// partitions by themselves where a half of the journal's bandwidth (ownReadShare) gives
+	// each of them that much in ownReadTime; else they leave it to the holder. Twelve and
+	// 84 daemons may, 295 may not. Where daemons may, the journal is the better way: what
+	// the holder tells crosses zones each time.
+	partitionBytes = 1 << 20
+	ownReadShare   = 0.5
+	ownReadTime    = 4 * time.Second
 	// pageBytes bounds the texts of one page of results, in bytes.
 	pageBytes = 900 << 10
 	// holderWait is how long a question waits until it is known who watches the
@@ -101,6 +110,8 @@
 
 // Peers calls other daemons, named by their machines.
 type Peers interface {
+	// Daemons is how many daemons there are.
+	Daemons() int
 	Ask(ctx context.Context, machine, method string, asked, answer any) error
 }
 
@@ -109,6 +120,7 @@
 	batches *ledger.Ledger
 	holders Holders
 	peers   Peers
+	grants  journal.Grants
 	self    string
 	logger  *zap.Logger
 	// cold has a place for each question that may read a partition from its beginning.
@@ -116,9 +128,9 @@
 }
 
 // NewReader returns a reader of the batches for the run named self. Without peers, nil,
-// it reads the journal itself.
-func NewReader(batches *ledger.Ledger, holders Holders, peers Peers, self string, logger *zap.Logger) *Reader {
-	return &Reader{batches: batches, holders: holders, peers: peers, self: self, logger: logger, cold: make(chan struct{}, coldReads)}
+// it reads the journal itself, as it does where the journal's grants allow for it.
+func NewReader(batches *ledger.Ledger, holders Holders, peers Peers, grants journal.Grants, self string, logger *zap.Logger) *Reader {
+	return &Reader{batches: batches, holders: holders, peers: peers, grants: grants, self: self, logger: logger, cold: make(chan struct{}, coldReads)}
 }
 
 // Results returns a page of results: at least one if there is one at the position, or
@@ -142,7 +154,7 @@
 func read[T any](ctx context.Context, r *Reader, batchID, method string, asked any, wait time.Duration, here func(ctx context.Context, wait time.Duration) (T, error)) (T, error) {
 	began := time.Now()
 	partition := r.batches.Of(batchID)
-	if r.peers == nil || time.Since(partition.LastRead()) < warmFor {
+	if r.readsByItself() || time.Since(partition.LastRead()) < warmFor {
 		return here(ctx, wait)
 	}
 	var answer T
@@ -178,6 +190,16 @@
 	}
 }
 
+// readsByItself reports whether this daemon's share of the journal's bandwidth lets it
+// read partitions for questions.
+func (r *Reader) readsByItself() bool {
+	if r.peers == nil || r.grants.ReadBytesPerSecond <= 0 {
+		return true
+	}
+	share := r.grants.ReadBytesPerSecond * ownReadShare / float64(r.peers.Daemons())
+	return share*ownReadTime.Seconds() >= partitionBytes
+}
+
 // holder returns the run that watches a partition. Just after a start it waits a little
 // until that is known.
 func (r *Reader) holder(ctx context.Context, name journal.Partition) (string, bool) {
--- a/internal/results/results_test.go
+++ b/internal/results/results_test.go
@@ -46,7 +46,7 @@
 		batches := ledger.New(ctx, made.log, zap.NewNop())
 		made.runs = append(made.runs, run)
 		made.ledgers = append(made.ledgers, batches)
-		made.readers = append(made.readers, NewReader(batches, made, made, run, zap.NewNop()))
+		made.readers = append(made.readers, NewReader(batches, made, made, scarce, run, zap.NewNop()))
 	}
 	return made
 }
@@ -57,6 +57,12 @@
 	d.holder = daemon
 }
 
+// Daemons implements Peers.
+func (d *daemons) Daemons() int { return len(d.runs) }
+
+// scarce is too little for any number of daemons to read partitions by themselves.
+var scarce = journal.Grants{ReadBytesPerSecond: 1}
+
 // OwnerOf implements Holders.
 func (d *daemons) OwnerOf(context.Context, journal.Partition) (string, bool) {
 	d.mu.Lock()
@@ -133,6 +139,18 @@
 	})
 }
 
+// Daemons read by themselves where the journal's bandwidth is enough for that many.
+func TestDaemonsReadByThemselvesWhereBandwidthIsEnough(t *testing.T) {
+	is := is.New(t)
+	grants := journal.Grants{ReadBytesPerSecond: 80e6}
+	for count, want := range map[int]bool{12: true, 84: true, 295: false, 770: false} {
+		d := &daemons{runs: make([]string, count)}
+		is.Equal(NewReader(nil, d, d, grants, "self", zap.NewNop()).readsByItself(), want)
+		is.True(NewReader(nil, d, d, journal.Grants{}, "self", zap.NewNop()).readsByItself())
+	}
+	is.True(NewReader(nil, nil, nil, grants, "self", zap.NewNop()).readsByItself())
+}
+
 // With the holder dark or not known, a question is answered from the journal.
 func TestQuestionsAreAnsweredWithoutTheHolder(t *testing.T) {
 	for name, holder := range map[string]int{"dark": 1, "not known": -1} {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,8 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
+
+	"woodworks/internal/journal"
 )
 
 // Settings is the whole configuration of one daemon process. What operators
@@ -87,6 +89,17 @@
 	// ReadsPerSecond is how many reads the store grants all daemons together; 0 if it
 	// names no bound.
 	ReadsPerSecond float64 `yaml:"reads_per_second"`
+	// ReadMBPerSecond is how many megabytes it reads out in a second; 0 if it names no
+	// bound.
+	ReadMBPerSecond float64 `yaml:"read_mb_per_second"`
+}
+
+// megabyte is the unit of ReadMBPerSecond, in bytes.
+const megabyte = 1e6
+
+// Grants is what the store grants all daemons together.
+func (store Store) Grants() journal.Grants {
+	return journal.Grants{ReadsPerSecond: store.ReadsPerSecond, ReadBytesPerSecond: store.ReadMBPerSecond * megabyte}
 }
 
 // Limits bounds what one daemon holds at a time.
@@ -263,6 +276,7 @@
 	require(store.RecordBytes >= minRecordBytes, "platform.store.record_bytes", fmt.Sprintf("must be at least %d", minRecordBytes))
 	require(store.AppendBytes >= store.RecordBytes, "platform.store.append_bytes", "must not be less than record_bytes")
 	require(store.ReadsPerSecond >= 0, "platform.store.reads_per_second", "must not be below 0")
+	require(store.ReadMBPerSecond >= 0, "platform.store.read_mb_per_second", "must not be below 0")
 	for i, operator := range loaded.Operators {
 		require(operator.Name != "", fmt.Sprintf("operators[%d].name", i), "is required")
 		require(digestPattern.MatchString(operator.KeySHA256), fmt.Sprintf("operators[%d].key_sha256", i), "must be 64 lower-case hexadecimal digits")
--- a/internal/standalone/connect.go
+++ b/internal/standalone/connect.go
@@ -28,7 +28,7 @@
 		return node.Drivers{}, errors.Wrap(err, "platform.store.address")
 	}
 	log := logservice.New(addr, loaded.Listen.Public, logservice.Shape{
-		Partitions: shape.Partitions, RecordBytes: shape.RecordBytes, AppendBytes: shape.AppendBytes, ReadsPerSecond: shape.ReadsPerSecond,
+		Partitions: shape.Partitions, RecordBytes: shape.RecordBytes, AppendBytes: shape.AppendBytes, Grants: shape.Grants(),
 	})
 	decoder := &Decoder{}
 	return node.Drivers{
