The flaky lease test is traced: its run became a candidate after it had begun

Cause: Run's first turns may come before the test's SetCandidate. Then the lease forgets what it read, pauses for renewEvery (0.4 s) and counts the other's lease from there, while the test looks 0.15 s after the claim is due.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -77,8 +77,15 @@
 }
 
 func start(ctx context.Context, log journal.Journal, machine string, number int, acts *history) *run {
+	return startAs(ctx, log, machine, number, acts, false)
+}
+
+// startAs starts a run that is a candidate from its beginning, or is not. One that
+// becomes a candidate while it runs begins to watch up to renewEvery later.
+func startAs(ctx context.Context, log journal.Journal, machine string, number int, acts *history, candidate bool) *run {
 	bounded, cancel := context.WithCancel(ctx)
 	started := &run{lease: New(log, duty, fmt.Sprintf("%s/%d", machine, number), machine, quiet, zap.NewNop()), stop: cancel}
+	started.lease.SetCandidate(candidate)
 	started.done.Add(2)
 	go func() {
 		defer started.done.Done()
@@ -359,12 +366,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		first := start(ctx, log, "a", 1, acts)
-		first.lease.SetCandidate(true)
+		first := startAs(ctx, log, "a", 1, acts, true)
 		time.Sleep(time.Second)
 		first.kill()
-		second := start(ctx, log, "b", 1, acts)
-		second.lease.SetCandidate(true)
+		second := startAs(ctx, log, "b", 1, acts, true)
 		time.Sleep(Duration + margin + quiet - claimLead/2)
 		is.True(second.lease.Held())
 		second.lease.Withdraw(ctx)
