One pick in twenty passes over connections, so that new replicas get work

Ruled out: a smaller penalty (equal replicas would still never change places).

Test that fails first: TestAConnectionCountsButIsNotAll.

--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -16,6 +16,7 @@
 	found := false
 	bestScore := 0.0
 	fastest := fastestOf(candidates)
+	exploring := rand.Float64() < exploreShare
 	for _, candidate := range candidates {
 		if tried[candidate.ID] {
 			continue
@@ -23,6 +24,7 @@
 		if candidate.Latency == 0 {
 			candidate.Latency = fastest
 		}
+		candidate.Connected = candidate.Connected || exploring
 		score := loadScore(candidate, now)
 		if !found || score < bestScore {
 			best, bestScore, found = candidate, score, true
@@ -41,6 +43,9 @@
 	// request under way at a replica of six slots. Making one takes the replica's time,
 	// and with hundreds of daemons that each ask seldom, every request would make one.
 	connectPenalty = 0.2
+	// exploreShare is the part of the picks for which connections do not count, so that a
+	// replica that is new or has recovered gets work from a daemon that asks seldom.
+	exploreShare = 0.05
 )
 
 // fastestOf returns the lowest latency known, or 0.
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -186,6 +186,26 @@
 	})
 }
 
+// A daemon that asks seldom rather uses the connection that it has, but not only: a
+// replica that was added gets work (our floor test of leaving replicas, in CI).
+func TestAConnectionCountsButIsNotAll(t *testing.T) {
+	is := is.New(t)
+	const picks = 2000
+	connected, added := Replica{Entry: entry("a"), Connected: true}, Replica{Entry: entry("b")}
+	connected.Latency = 30 * time.Millisecond
+	count := map[string]int{}
+	for range picks {
+		chosen, found := Pick([]Replica{connected, added}, nil, time.Now())
+		is.True(found)
+		count[chosen.ID]++
+	}
+	is.True(count["b"] > 0)
+	is.True(float64(count["b"]) < picks*exploreShare)
+	connected.InFlight = 2
+	chosen, _ := Pick([]Replica{connected, added}, nil, time.Now())
+	is.Equal(chosen.ID, "b")
+}
+
 // A list of hundreds that is read anew leaves one line, which names all that changed;
 // single changes leave a line each.
 func TestALongListIsLoggedInOneLine(t *testing.T) {
