--- a/bench/compare.py
+++ b/bench/compare.py
@@ -2,12 +2,14 @@
 """Compares checkouts on the same days and seeds, and says how sure a difference is.
 
     bench/compare.py BENCH SITE NAME=FOLDER... [--days trouble|all|DAY,...] [--seeds 1-6]
-                     [--jobs 4] [--results FILE] [--plot FILE]
+                     [--jobs 4] [--small] [--results FILE] [--plot FILE]
 
 Each play is `BENCH run SITE DAY --seed N --no-cpu` in the folder; the first checkout is
-the one that the others are compared with. Plays that FILE has already, under the same
-name, are not played again, so that a baseline is played once. DAY may be a file with a
-day of your own. Printed: the worth of each day (mean, lowest with its seed), the mean of
+the one that the others are compared with. Results are kept in FILE as they come; plays that
+it has already, under the same name, are not played again, so that a baseline is played once
+and a run that was cut goes on where it was. DAY may be a file with a
+day of your own. --small plays the small twins of large days; the checkouts are then copies
+made by bench/small-twin.sh. Printed: the worth of each day (mean, lowest with its seed), the mean of
 all with its standard error, credit by part, prices, broken rules; then the paired
 differences with their errors. A difference below two errors says nothing.
 """
@@ -43,10 +45,11 @@
     return [os.path.abspath(day) if os.path.exists(day) else day for day in wanted.split(",")]
 
 
-def play(bench, site, folder, day, seed):
+def play(bench, site, folder, day, seed, small):
     """Returns what the bench reports of one day, reduced to what is compared."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         command = [bench, "run", site, day, "--seed", str(seed), "--no-cpu", "--report", report.name]
+        command += ["--small"] if small else []
         done = subprocess.run(command, cwd=folder, capture_output=True, text=True)
         try:
             told = json.load(open(report.name))
@@ -107,6 +110,15 @@
     return found
 
 
+def save(path, known):
+    """Keeps the results so far, so that a run that is cut goes on where it was."""
+    if not path:
+        return
+    with open(path + ".new", "w") as file:
+        json.dump(known, file)
+    os.replace(path + ".new", path)
+
+
 def plot(path, names, days, seeds, got):
     import matplotlib
     matplotlib.use("Agg")
@@ -130,6 +142,7 @@
     parser.add_argument("--days", default="trouble")
     parser.add_argument("--seeds", default="1-6")
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--small", action="store_true")
     parser.add_argument("--results")
     parser.add_argument("--plot")
     asked = parser.parse_args()
@@ -146,7 +159,8 @@
         known = json.load(open(asked.results))
 
     def key(name, day, seed):
-        return f"{name}|{os.path.basename(site)}|{os.path.basename(day)}|{seed}"
+        size = "|small" if asked.small else ""
+        return f"{name}|{os.path.basename(site)}|{os.path.basename(day)}|{seed}{size}"
 
     due = [(name, day, seed) for day in days for seed in seeds for name in checkouts if key(name, day, seed) not in known]
     for name in sorted({name for name, _, _ in due}):
@@ -154,12 +168,10 @@
         if built.returncode != 0:
             sys.exit(f"{name} does not build:\n{built.stdout}{built.stderr}")
     with ThreadPoolExecutor(asked.jobs) as pool:
-        told = pool.map(lambda each: play(bench, site, checkouts[each[0]], each[1], each[2]), due)
+        told = pool.map(lambda each: play(bench, site, checkouts[each[0]], each[1], each[2], asked.small), due)
         for each, result in zip(due, told):
             known[key(*each)] = result
-    if asked.results:
-        with open(asked.results, "w") as file:
-            json.dump(known, file)
+            save(asked.results, known)
 
     def got(name, day, seed):
         return known[key(name, day, seed)]
