A read has room for two of the longest records; no read for a caller who left

Read, not seen: an answer bounded to 256 KiB might have no room for a record of that length and its head, and a read without progress would be repeated at once.

--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -18,8 +18,10 @@
 	readTimeout = 1500 * time.Millisecond
 	// readBytes bounds the answer to such a read: a link of 60 Mbit/s takes 35 ms for
 	// it. Each answer is folded, so that a read that fails costs no more than this.
-	readBytes  = 256 << 10
-	followWait = time.Second
+	readBytes = 256 << 10
+	// readRecords is how many of the longest records an answer has room for at least.
+	readRecords = 2
+	followWait  = time.Second
 	// followSlack is what a held read may take beyond its wait.
 	followSlack = 1500 * time.Millisecond
 	followPause = 200 * time.Millisecond
@@ -155,7 +157,7 @@
 	partition.mutex.Lock()
 	from := partition.next
 	partition.mutex.Unlock()
-	timeout, maxBytes := readTimeout, readBytes
+	timeout, maxBytes := readTimeout, max(readBytes, readRecords*partition.ledger.journal.MaxRecordBytes())
 	if wait > 0 {
 		timeout, maxBytes = wait+followSlack, 0
 	}
--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -162,6 +162,9 @@
 	if known && holder == r.self {
 		return here(ctx, wait)
 	}
+	if ctx.Err() != nil {
+		return answer, errors.Wrap(ErrBehind, ctx.Err().Error())
+	}
 	reason := "not known who watches the partition"
 	if known {
 		bounded, cancel := context.WithTimeout(ctx, wait+answerTimeout)
