--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -67,7 +67,7 @@
 	// partition after a start.
 	answerTimeout = 900 * time.Millisecond
 	// coldReads is how many questions at a time may make this daemon read partitions
-	// from their beginning.
+	// from their beginning; others wait for a place as long as for a read.
 	coldReads = 2
 )
 
@@ -157,39 +157,51 @@
 	if r.readsByItself() || time.Since(partition.LastRead()) < warmFor {
 		return here(ctx, wait)
 	}
-	var answer T
 	holder, known := r.holder(ctx, partition.Name())
 	if known && holder == r.self {
 		return here(ctx, wait)
 	}
-	if ctx.Err() != nil {
+	answer, err := askHolder[T](ctx, r, holder, method, asked, wait)
+	if err == nil || ctx.Err() != nil {
+		return answer, err
+	}
+	r.logger.Info("partition read for a question", zap.String("batch", batchID), zap.String("topic", partition.Name().Topic),
+		zap.Int("partition", partition.Name().Number), zap.String("holder", holder), zap.String("reason", err.Error()))
+	if err := r.admitCold(ctx); err != nil {
+		return answer, err
+	}
+	defer func() { <-r.cold }()
+	return here(ctx, max(wait-time.Since(began), 0))
+}
+
+// askHolder has the run that watches a partition answer a question, "" being none that
+// is known.
+func askHolder[T any](ctx context.Context, r *Reader, holder, method string, asked any, wait time.Duration) (answer T, err error) {
+	switch {
+	case ctx.Err() != nil:
 		return answer, errors.Wrap(ErrBehind, ctx.Err().Error())
+	case holder == "":
+		return answer, errors.Wrap(ErrBehind, "not known who watches the partition")
 	}
-	reason := "not known who watches the partition"
-	if known {
-		bounded, cancel := context.WithTimeout(ctx, wait+answerTimeout)
-		err := r.peers.Ask(bounded, identity.Machine(holder), method, asked, &answer)
-		cancel()
-		if err == nil {
-			return answer, nil
-		}
-		if ctx.Err() != nil {
-			return answer, errors.Wrap(ErrBehind, ctx.Err().Error())
-		}
-		reason = err.Error()
+	bounded, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	defer cancel()
+	if err := r.peers.Ask(bounded, identity.Machine(holder), method, asked, &answer); err != nil {
+		return answer, errors.Wrap(ErrBehind, err.Error())
 	}
-	r.logger.Info("partition read for a question", zap.String("batch", batchID), zap.String("topic", partition.Name().Topic),
-		zap.Int("partition", partition.Name().Number), zap.String("holder", holder), zap.String("reason", reason))
+	return answer, nil
+}
+
+// admitCold takes a place in cold, which the caller gives back, or ends with ErrBehind.
+func (r *Reader) admitCold(ctx context.Context) error {
 	timer := time.NewTimer(catchUpTimeout)
 	defer timer.Stop()
 	select {
 	case r.cold <- struct{}{}:
-		defer func() { <-r.cold }()
-		return here(ctx, max(wait-time.Since(began), 0))
+		return nil
 	case <-timer.C:
-		return answer, errors.Wrap(ErrBehind, "other partitions are being read")
+		return errors.Wrap(ErrBehind, "other partitions are being read")
 	case <-ctx.Done():
-		return answer, errors.Wrap(ErrBehind, ctx.Err().Error())
+		return errors.Wrap(ErrBehind, ctx.Err().Error())
 	}
 }
 
