--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -106,7 +106,8 @@
 	return pool.open[address]
 }
 
-// Rests reports whether a connection to a peer rests that may be used at once.
+// Rests reports whether a connection to a peer rests. It may turn out to be closed, or to
+// have rested too long: Sweep drops such ones.
 func (pool *Pool) Rests(address string) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
