Tenants: callers carry a key, replicas see the tenant's name

A tenant is a part of the configuration in force (package tenant), found by the digest of its key (package apikey, used by the policies' callers too, whose look-up went through all of them). Keys are neither logged nor told in errors. A batch belongs to its tenant for as long as it exists: other tenants' callers get 404 for it and cannot end it, and withdrawing a key ends nothing. A tenant's priority goes before that of the route. A daemon that is out of contact answers 503 for a key that it does not know; with timing.key_bound it does so for known keys, too.

--- /dev/null
+++ b/internal/apikey/apikey_test.go
@@ -0,0 +1,53 @@
+package apikey
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestARingKnowsItsKeysOnly(t *testing.T) {
+	is := is.New(t)
+	ring := Ring[string]{}
+	is.True(ring.Add(DigestOf("one"), "a"))
+	is.True(ring.Add(DigestOf("two"), "a"))
+	is.True(!ring.Add(DigestOf("one"), "b")) // the first holder keeps it
+	holder, known := ring.HolderOf("one")
+	is.True(known)
+	is.Equal(holder, "a")
+	_, known = ring.HolderOf("three")
+	is.True(!known)
+	_, known = ring.HolderOf("")
+	is.True(!known)
+}
+
+func TestTheKeyOfARequest(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]string{"Bearer k": "k", "bearer k": "k", "Bearer ": "", "Basic k": "", "": "", "k": ""} {
+		key, sent := FromHeader(http.Header{"Authorization": {text}})
+		is.Equal(key, want)
+		is.Equal(sent, want != "")
+	}
+	header := http.Header{"Authorization": {"Bearer k"}, "Other": {"x"}}
+	Strip(header)
+	is.Equal(header, http.Header{"Other": {"x"}})
+}
+
+// A look-up costs the same with 5 keys as with 50,000.
+func BenchmarkHolderOf(b *testing.B) {
+	ring := Ring[int]{}
+	for i := range 50_000 {
+		ring.Add(DigestOf(string(rune(i))+"key"), i)
+	}
+	for b.Loop() {
+		ring.HolderOf("key of nobody")
+	}
+}
+
+func TestShortDigestsTellKeysApart(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(DigestOf("a").Short()), shortDigest)
+	is.True(DigestOf("a").Short() != DigestOf("b").Short())
+	is.Equal(DigestOf("a").String()[:shortDigest], DigestOf("a").Short())
+}
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -54,6 +54,9 @@
 	MinVersion int64  `cbor:"7,keyasint"`
 	Desired    int    `cbor:"8,keyasint"`
 	Items      []Item `cbor:"9,keyasint"`
+	// Tenant is the name of the tenant that the batch belongs to for as long as it
+	// exists, whatever becomes of the key; "" where there are no tenants.
+	Tenant string `cbor:"10,keyasint,omitempty"`
 }
 
 // AcceptedAt is the accepting daemon's time of day at the acceptance.
@@ -123,6 +126,10 @@
 	lastSign int64
 }
 
+// BelongsTo reports whether a tenant's callers may read and end the batch. A batch
+// that was submitted without a tenant is anyone's.
+func (b *Batch) BelongsTo(tenant string) bool { return b.Tenant == "" || b.Tenant == tenant }
+
 // Open reports whether the batch still has work: it is not ended and an item
 // has no position yet.
 func (b *Batch) Open() bool { return !b.Ended && len(b.Results) < len(b.Listed) }
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -127,7 +127,9 @@
 			}
 		}
 	case kindEnded:
-		b.end()
+		if b.BelongsTo(entry.Tenant) {
+			b.end()
+		}
 	}
 }
 
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -60,7 +60,7 @@
 	case 5:
 		return Advanced(id, owner.Draw(t, "owner"), rapid.Int64Range(0, 9).Draw(t, "number"), []Progress{drawProgress(t)})
 	default:
-		return Ended(id)
+		return Ended(id, "")
 	}
 }
 
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -41,6 +41,8 @@
 	Progress []Progress `cbor:"12,keyasint,omitempty"`
 	// Number rises with each sign of life of one owner of a batch, from 1.
 	Number int64 `cbor:"13,keyasint,omitempty"`
+	// Tenant is whose caller ends the batch.
+	Tenant string `cbor:"14,keyasint,omitempty"`
 }
 
 // fragmentOverhead is room for the fields around a fragment's bytes.
@@ -82,8 +84,11 @@
 	return encode(record{Kind: kindReleased, BatchID: batchID, From: from, Handed: handed})
 }
 
-// Ended is the record after which nothing of the batch is run.
-func Ended(batchID string) []byte { return encode(record{Kind: kindEnded, BatchID: batchID}) }
+// Ended is the record after which nothing of the batch is run, if it belongs to the
+// tenant.
+func Ended(batchID, tenant string) []byte {
+	return encode(record{Kind: kindEnded, BatchID: batchID, Tenant: tenant})
+}
 
 // Beat is an owner's sign of life, the number-th of this owner. It changes nothing
 // else in the fold.
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -72,7 +72,7 @@
 // Runner makes batch jobs exist.
 type Runner interface {
 	Accept(ctx context.Context, job *batch.Submission) error
-	End(ctx context.Context, jobID string) error
+	End(ctx context.Context, jobID, tenant string) error
 }
 
 // Desk is safe for concurrent use.
@@ -137,7 +137,7 @@
 	}
 	for round := range seen.rounds {
 		bounded, cancel := context.WithTimeout(ctx, submitTimeout)
-		err := d.runner.End(bounded, rollout.JobID(trainer, name, round))
+		err := d.runner.End(bounded, rollout.JobID(trainer, name, round), "")
 		cancel()
 		if err != nil {
 			return errors.Wrap(ErrUnavailable, err.Error())
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"woodworks/internal/apikey"
 	"woodworks/internal/policy"
 )
 
@@ -100,8 +101,8 @@
 // authenticate finds the caller of a bearer key: in the policies, or, on the
 // internal listener, among the operators of the settings.
 func (g *Gateway) authenticate(r *http.Request, audience policy.Audience) (policy.Caller, bool) {
-	key, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !isBearer || key == "" {
+	key, sent := apikey.FromHeader(r.Header)
+	if !sent {
 		return policy.Caller{}, false
 	}
 	if configuration, there := g.parts.Configuration(); there {
@@ -112,7 +113,7 @@
 	if audience == policy.Public {
 		return policy.Caller{}, false
 	}
-	digest := []byte(policy.KeyDigest(key))
+	digest := []byte(apikey.DigestOf(key).String())
 	for _, operator := range g.limits.Operators {
 		if subtle.ConstantTimeCompare(digest, []byte(operator.KeySHA256)) == 1 {
 			return policy.Caller{Name: operator.Name, Audience: policy.Internal, Operator: true}, true
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"woodworks/internal/apikey"
 )
 
 // Names are the header names in force.
@@ -28,6 +30,9 @@
 	TokenUsage string
 	// LengthHint is the estimated length of the answer, in tokens.
 	LengthHint string
+	// Tenant is the name of the tenant whose key the request carried, "" where the
+	// platform has no tenants.
+	Tenant string
 	// WaitMs is how long a call may be held for news, in milliseconds.
 	WaitMs string
 	// Load, if not nil, decodes what an answer tells of its replica's load, and
@@ -35,6 +40,20 @@
 	Load func(header http.Header) (Load, bool)
 }
 
+// SetTenant tells a replica the tenant of a request, and nothing else about who sent
+// it: the key, and what the sender said of a tenant, are dropped. Without a name the
+// replica is told no tenant.
+func (names Names) SetTenant(header http.Header, tenant string) {
+	if names.Tenant == "" {
+		return
+	}
+	apikey.Strip(header)
+	delete(header, http.CanonicalHeaderKey(names.Tenant))
+	if tenant != "" {
+		header[http.CanonicalHeaderKey(names.Tenant)] = []string{tenant}
+	}
+}
+
 // Load is a replica's load, of the requests of all its callers.
 type Load struct{ Running, Waiting, Slots int }
 
--- a/internal/ingress/batches.go
+++ b/internal/ingress/batches.go
@@ -35,6 +35,7 @@
 		return
 	}
 	submission.ID, submission.Host, submission.Path = asked.id, asked.request.Host, asked.request.RequestURI
+	submission.Tenant = asked.tenantName()
 	submission.AcceptedAtMs = time.Now().UnixMilli()
 	ctx, cancel := context.WithTimeout(asked.request.Context(), min(asked.timeLeft(), submitTimeout))
 	defer cancel()
@@ -66,7 +67,7 @@
 // serveResults answers with results from a position on.
 func (asked *request) serveResults(call BatchCall) {
 	wait := max(call.Wait-time.Since(asked.arrived), 0)
-	page, err := asked.handler.Results.Results(asked.request.Context(), results.Query{BatchID: call.BatchID, After: call.After, Wait: wait})
+	page, err := asked.handler.Results.Results(asked.request.Context(), results.Query{BatchID: call.BatchID, Tenant: asked.tenantName(), After: call.After, Wait: wait})
 	if err != nil {
 		asked.refuse(err.Error(), storeRetryAfter)
 		return
@@ -86,7 +87,7 @@
 
 // serveItem answers with the body of an item.
 func (asked *request) serveItem(call BatchCall) {
-	body, err := asked.handler.Results.Item(asked.request.Context(), call.BatchID, call.ItemID)
+	body, err := asked.handler.Results.Item(asked.request.Context(), results.ItemQuery{BatchID: call.BatchID, Tenant: asked.tenantName(), ItemID: call.ItemID})
 	if err != nil {
 		asked.refuse(err.Error(), storeRetryAfter)
 		return
@@ -108,7 +109,7 @@
 func (asked *request) serveEnd(call BatchCall) {
 	ctx, cancel := context.WithTimeout(asked.request.Context(), min(asked.timeLeft(), submitTimeout))
 	defer cancel()
-	if err := asked.handler.Runner.End(ctx, call.BatchID); err != nil {
+	if err := asked.handler.Runner.End(ctx, call.BatchID, asked.tenantName()); err != nil {
 		asked.fail(http.StatusGatewayTimeout, "unknown", err.Error())
 		return
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"woodworks/internal/results"
 	"woodworks/internal/route"
 	"woodworks/internal/runner"
+	"woodworks/internal/tenant"
 )
 
 const (
@@ -59,6 +60,11 @@
 	Results       *results.Reader
 	Observer      Observer
 	Logger        *zap.Logger
+	// Keys says how long keys are trusted without news of the configuration.
+	Keys KeyPolicy
+	// ConfigurationAge is how long ago it was last confirmed that the configuration is
+	// the newest.
+	ConfigurationAge func() time.Duration
 	// Retries, if not nil, bounds offers to further replicas.
 	Retries Retries
 
@@ -70,12 +76,14 @@
 
 // request is one request of a client on its way.
 type request struct {
-	handler  *Handler
-	writer   http.ResponseWriter
-	request  *http.Request
-	id       string
-	arrived  time.Time
-	route    *route.Route
+	handler *Handler
+	writer  http.ResponseWriter
+	request *http.Request
+	id      string
+	arrived time.Time
+	route   *route.Route
+	// tenant is nil where there are no tenants, and on anonymous routes.
+	tenant   *tenant.Tenant
 	logger   *zap.Logger
 	replica  string
 	attempts int
@@ -103,6 +111,7 @@
 		switch {
 		case recognised && err != nil:
 			asked.fail(http.StatusBadRequest, "malformed", err.Error())
+		case recognised && !configuration.AnonymousBatches(asked.request.Host) && !asked.authenticate(configuration):
 		case recognised:
 			asked.serveCall(call)
 		default:
@@ -112,6 +121,9 @@
 		return
 	}
 	asked.route = found
+	if !found.Anonymous && !asked.authenticate(configuration) {
+		return
+	}
 	body, ok := asked.readBody(configuration.Limits.MaxBodyBytes)
 	if !ok {
 		return
@@ -120,9 +132,9 @@
 	case route.Batch:
 		asked.serveSubmission(body)
 	case route.Stream:
-		asked.serveStream(body)
+		asked.serveStream(configuration, body)
 	default:
-		asked.serveForwarded(body)
+		asked.serveForwarded(configuration, body)
 	}
 }
 
@@ -163,13 +175,13 @@
 }
 
 // serveForwarded sends a request to a replica and passes the answer on.
-func (asked *request) serveForwarded(body []byte) {
+func (asked *request) serveForwarded(configuration *route.Configuration, body []byte) {
 	ctx, cancel := asked.bounded()
 	defer cancel()
 	repeatable := asked.route.Kind == route.Safe
 	call := &forward.Call{
 		RequestID: asked.id, Method: asked.request.Method, Target: asked.request.RequestURI, Host: asked.request.Host,
-		Header: headers.CopyEndToEnd(asked.request.Header), Body: body, Services: asked.route.Order(asked.id),
+		Header: asked.headerOnward(configuration), Body: body, Services: asked.route.Order(asked.id),
 		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable, HedgeAfter: asked.route.HedgeAfter,
 	}
 	if retries := asked.handler.Retries; retries != nil {
@@ -263,6 +275,6 @@
 	}
 	took := time.Since(asked.arrived)
 	asked.handler.Observer.Request(name, strconv.Itoa(status), outcome, took)
-	asked.logger.Info("request", zap.String("route", name), zap.Int("status", status), zap.String("outcome", outcome),
+	asked.logger.Info("request", zap.String("route", name), zap.String("tenant", asked.tenantName()), zap.Int("status", status), zap.String("outcome", outcome),
 		zap.String("reason", reason), zap.String("replica", asked.replica), zap.Int("attempts", asked.attempts), zap.Duration("took", took))
 }
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -13,6 +13,7 @@
 	"woodworks/internal/forward"
 	"woodworks/internal/headers"
 	"woodworks/internal/replica"
+	"woodworks/internal/route"
 	"woodworks/internal/upstream"
 )
 
@@ -32,12 +33,12 @@
 
 // serveStream passes a stream on. Without the right to resume it, it is
 // offered again only as long as it has certainly not run.
-func (asked *request) serveStream(body []byte) {
+func (asked *request) serveStream(configuration *route.Configuration, body []byte) {
 	ctx, cancel := asked.bounded()
 	defer cancel()
 	relaying := &relay{request: asked, tried: map[string]bool{}, asking: &forward.StreamRequest{
 		RequestID: asked.id, Method: asked.request.Method, Target: asked.request.RequestURI, Host: asked.request.Host,
-		Header: headers.CopyEndToEnd(asked.request.Header), Body: body,
+		Header: asked.headerOnward(configuration), Body: body,
 	}}
 	if text := asked.request.Header.Get(asked.handler.Names.LastEventID); text != "" {
 		if after, err := strconv.ParseInt(text, 10, 64); err == nil {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -20,12 +20,12 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/apikey"
 	"woodworks/internal/journal/journaltest"
 	"woodworks/internal/lab/enginestand"
 	"woodworks/internal/lab/plainstand"
 	"woodworks/internal/logservice"
 	"woodworks/internal/operator"
-	"woodworks/internal/policy"
 	"woodworks/internal/settings"
 )
 
@@ -178,7 +178,7 @@
 	loaded.Name, loaded.Zone, loaded.Region = name, zone, "region"
 	loaded.Platform.Driver = settings.DriverLog
 	loaded.Platform.Store = settings.Store{Address: w.logAddr.String(), Partitions: partitions, RecordBytes: recordBytes, AppendBytes: appendBytes}
-	loaded.Operators = []settings.OperatorKey{{Name: "operator", KeySHA256: policy.KeyDigest(OperatorKey)}}
+	loaded.Operators = []settings.OperatorKey{{Name: "operator", KeySHA256: apikey.DigestOf(OperatorKey).String()}}
 	loaded.Timing.StopGrace = settings.Duration(8 * time.Second)
 	return loaded
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -272,7 +272,7 @@
 		log := paged{journaltest.New()}
 		writer := New(ctx, log, zap.NewNop()).Of("a")
 		is.NoErr(writer.Append(ctx, batch.Accepted(submission("a"), "one")))
-		is.NoErr(writer.Append(ctx, batch.Ended("a")))
+		is.NoErr(writer.Append(ctx, batch.Ended("a", "")))
 		reader := New(ctx, log, zap.NewNop()).Of("a")
 		_, err := reader.readOnce(ctx, 0)
 		is.NoErr(err)
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -34,7 +34,7 @@
 // request under way (bench: hunt-f73b-7, LOST).
 func TestShutdownEndsWithoutRequests(t *testing.T) {
 	front, _ := startFront(t, http.NotFoundHandler())
-	front.configured(&route.Configuration{Limits: route.Limits{MaxHeaderBytes: 8192}})
+	front.configured(&route.Configuration{Declared: route.Declared{Limits: route.Limits{MaxHeaderBytes: 8192}}})
 	done := make(chan struct{})
 	go func() {
 		front.shutdown(context.Background())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,6 +189,8 @@
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
+		ConfigurationAge: node.configurationAge,
+		Keys:             ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
 	node.front.handler = node.handler
 	node.internal = newFrontServer(logger)
@@ -214,11 +216,17 @@
 	return Parts{
 		Settings: node.settings, Identity: node.identity, Journal: drivers.Journal, Operator: node.operator, Replicas: node.table,
 		Ledger: node.ledger, Runner: node.runner, Ingress: node.handler, Metrics: node.metrics, Logger: node.logger, Ready: node.ready,
-		ConfigurationAge: func() time.Duration { return time.Since(node.operatorFollower.LastContact()) },
+		ConfigurationAge: node.configurationAge,
 		Stopping:         node.stopping,
 	}
 }
 
+// configurationAge is how long ago it was last confirmed that the configuration is the
+// newest.
+func (node *Node) configurationAge() time.Duration {
+	return time.Since(node.operatorFollower.LastContact())
+}
+
 func (node *Node) registerMetrics() {
 	node.metrics.Gauge("requests_in_flight", "Requests of clients being answered.", func() float64 { return float64(node.handler.InFlight()) })
 	node.metrics.Gauge("batches_owned", "Batches that this daemon runs.", func() float64 { batches, _ := node.runner.Load(); return float64(batches) })
--- a/internal/policy/cases.go
+++ b/internal/policy/cases.go
@@ -1,18 +1,12 @@
 package policy
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"sort"
 	"strings"
 
 	"go.starlark.net/starlark"
 )
 
-// digestBytes is the length of a key's digest.
-const digestBytes = sha256.Size
-
 // casePrefix starts the name of a test function in a document.
 const casePrefix = "test_"
 
@@ -44,23 +38,5 @@
 	return results, nil
 }
 
-// KeyDigest returns the digest under which a bearer key stands in a policy.
-func KeyDigest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
-// CallerOf returns the caller that holds a bearer key. Digests are compared in
-// constant time, so that timing tells nothing about another key.
-func (set *Set) CallerOf(key string) (Caller, bool) {
-	digest := []byte(KeyDigest(key))
-	var found Caller
-	matched := 0
-	for held, caller := range set.callers {
-		if subtle.ConstantTimeCompare(digest, []byte(held)) == 1 {
-			found = caller
-			matched = 1
-		}
-	}
-	return found, matched == 1
-}
+// CallerOf returns the caller that holds a bearer key.
+func (set *Set) CallerOf(key string) (Caller, bool) { return set.callers.HolderOf(key) }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"go.starlark.net/starlark"
+
+	"woodworks/internal/apikey"
 )
 
 // Audience says on which listener a service exists.
@@ -83,8 +85,8 @@
 // Caller is one holder of a key.
 type Caller struct {
 	Name string
-	// KeyDigest is the lower-case hexadecimal SHA-256 of the bearer key.
-	KeyDigest string
+	// KeyDigest stands for the bearer key.
+	KeyDigest apikey.Digest
 	Audience  Audience
 	// Trainer is the trainer this caller may act for, "" for none.
 	Trainer string
@@ -121,7 +123,7 @@
 	Services map[string]Service
 	Classes  map[string]Class
 	Retry    RetryBudget
-	callers  map[string]Caller
+	callers  apikey.Ring[Caller]
 	programs map[string]*program
 	// faults counts hook faults by hook name.
 	faults *faultCounter
@@ -143,7 +145,7 @@
 		Trainers: map[string]Trainer{},
 		Services: map[string]Service{},
 		Classes:  map[string]Class{},
-		callers:  map[string]Caller{},
+		callers:  apikey.Ring[Caller]{},
 		programs: map[string]*program{},
 		faults:   &faultCounter{counts: map[string]uint64{}},
 	}
@@ -206,11 +208,10 @@
 		set.Classes[class.value.Name] = class.value
 	}
 	for _, caller := range declared.callers {
-		if held, doubled := set.callers[caller.value.KeyDigest]; doubled {
-			return twice(document, caller.line, "caller key", caller.value.Name, held.document)
-		}
 		caller.value.document = document
-		set.callers[caller.value.KeyDigest] = caller.value
+		if !set.callers.Add(caller.value.KeyDigest, caller.value) {
+			return twice(document, caller.line, "caller key", caller.value.Name, set.callers[caller.value.KeyDigest].document)
+		}
 	}
 	for _, budget := range declared.retryBudgets {
 		if *retryDocument != "" {
--- a/internal/policy/program.go
+++ b/internal/policy/program.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"encoding/hex"
 	"fmt"
 	"regexp"
 	"sync"
@@ -11,6 +10,8 @@
 	"go.starlark.net/resolve"
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
+
+	"woodworks/internal/apikey"
 )
 
 const (
@@ -237,9 +238,10 @@
 
 func (loaded *program) declareCaller(arguments starlark.Tuple, keywords []starlark.Tuple, line int32) error {
 	caller := Caller{}
+	digest := ""
 	var audience string
 	err := starlark.UnpackArgs("caller", arguments, keywords,
-		"name", &caller.Name, "key_sha256", &caller.KeyDigest, "audience", &audience,
+		"name", &caller.Name, "key_sha256", &digest, "audience", &audience,
 		"trainer?", &caller.Trainer, "operator?", &caller.Operator, "max_in_flight?", &caller.MaxInFlight)
 	if err != nil {
 		return err
@@ -251,9 +253,9 @@
 	if err := checkAudience(caller.Audience); err != nil {
 		return errors.Wrapf(err, "caller %q", caller.Name)
 	}
-	digest, err := hex.DecodeString(caller.KeyDigest)
-	if err != nil || len(digest) != digestBytes || hex.EncodeToString(digest) != caller.KeyDigest {
-		return errors.Errorf("caller %q: key_sha256 is not 64 lower-case hexadecimal digits", caller.Name)
+	caller.KeyDigest, err = apikey.ParseDigest(digest)
+	if err != nil {
+		return errors.Wrapf(err, "caller %q: key_sha256", caller.Name)
 	}
 	if caller.MaxInFlight < 0 {
 		return errors.Errorf("caller %q: max_in_flight %d is negative", caller.Name, caller.MaxInFlight)
--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -74,6 +74,8 @@
 // Query asks for the results of a batch from a position on.
 type Query struct {
 	BatchID string
+	// Tenant is whose caller asks: batches of others do not exist for it.
+	Tenant string
 	// After is the first position wanted, counted from 0.
 	After int
 	// Wait is how long the question may be held until there is a result.
@@ -137,14 +139,14 @@
 // if one comes within the query's wait. The error wraps ErrBehind.
 func (r *Reader) Results(ctx context.Context, query Query) (Page, error) {
 	return read(ctx, r, query.BatchID, methodResults, query, query.Wait, func(ctx context.Context, wait time.Duration) (Page, error) {
-		return r.resultsHere(ctx, Query{BatchID: query.BatchID, After: query.After, Wait: wait})
+		return r.resultsHere(ctx, Query{BatchID: query.BatchID, Tenant: query.Tenant, After: query.After, Wait: wait})
 	})
 }
 
 // Item returns the body of an item. The error wraps ErrBehind.
-func (r *Reader) Item(ctx context.Context, batchID, itemID string) (Body, error) {
-	return read(ctx, r, batchID, methodItem, ItemQuery{batchID, itemID}, 0, func(ctx context.Context, _ time.Duration) (Body, error) {
-		return r.itemHere(ctx, batchID, itemID)
+func (r *Reader) Item(ctx context.Context, query ItemQuery) (Body, error) {
+	return read(ctx, r, query.BatchID, methodItem, query, 0, func(ctx context.Context, _ time.Duration) (Body, error) {
+		return r.itemHere(ctx, query)
 	})
 }
 
@@ -265,15 +267,15 @@
 }
 
 // itemHere answers from the fold of this daemon.
-func (r *Reader) itemHere(ctx context.Context, batchID, itemID string) (Body, error) {
-	partition := r.batches.Of(batchID)
-	if body := itemBody(partition, batchID, itemID); body.Found {
+func (r *Reader) itemHere(ctx context.Context, query ItemQuery) (Body, error) {
+	partition := r.batches.Of(query.BatchID)
+	if body := itemBody(partition, query); body.Found {
 		return body, nil
 	}
 	if err := catchUp(ctx, partition); err != nil {
 		return Body{}, err
 	}
-	return itemBody(partition, batchID, itemID), nil
+	return itemBody(partition, query), nil
 }
 
 // catchUp reads the journal up to now.
@@ -313,7 +315,7 @@
 	var seen Page
 	partition.View(func(state *batch.State) {
 		known, found := state.Get(query.BatchID)
-		if !found {
+		if !found || !known.BelongsTo(query.Tenant) {
 			return
 		}
 		seen.Found = true
@@ -334,14 +336,14 @@
 }
 
 // itemBody returns the body of an item of an open batch.
-func itemBody(partition *ledger.Partition, batchID, itemID string) (body Body) {
+func itemBody(partition *ledger.Partition, query ItemQuery) (body Body) {
 	partition.View(func(state *batch.State) {
-		known, exists := state.Get(batchID)
-		if !exists || known.Ended {
+		known, exists := state.Get(query.BatchID)
+		if !exists || !known.BelongsTo(query.Tenant) || known.Ended {
 			return
 		}
 		for _, each := range known.Items {
-			if each.ID == itemID {
+			if each.ID == query.ItemID {
 				body = Body{Found: true, Bytes: each.Body}
 				return
 			}
--- a/internal/results/results_test.go
+++ b/internal/results/results_test.go
@@ -131,7 +131,7 @@
 			is.Equal(page.Total, 3)
 			is.Equal(page.Next, 2)
 			is.Equal(page.Results[1].ItemID, "b-2")
-			body, err := reader.Item(ctx, "b", "b-1")
+			body, err := reader.Item(ctx, ItemQuery{BatchID: "b", ItemID: "b-1"})
 			is.NoErr(err)
 			is.Equal(string(body.Bytes), "b")
 		}
--- a/internal/results/service.go
+++ b/internal/results/service.go
@@ -12,8 +12,8 @@
 	methodItem    = ServiceName + ".Item"
 )
 
-// ItemQuery asks for the body of an item.
-type ItemQuery struct{ BatchID, ItemID string }
+// ItemQuery asks for the body of an item. Tenant is whose caller asks.
+type ItemQuery struct{ BatchID, Tenant, ItemID string }
 
 // Service answers the questions of peers from the folds held here. Its exported methods
 // are those of net/rpc. It never asks another daemon, so that a question is passed on
@@ -38,6 +38,6 @@
 func (s *Service) Item(query ItemQuery, body *Body) (err error) {
 	ctx, cancel := context.WithTimeout(s.ctx, catchUpTimeout)
 	defer cancel()
-	*body, err = s.reader.itemHere(ctx, query.BatchID, query.ItemID)
+	*body, err = s.reader.itemHere(ctx, query)
 	return err
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"woodworks/internal/tenant"
 )
 
 // Kind says how the requests of a route may be treated.
@@ -51,6 +53,8 @@
 	Priority  int
 	Resumable bool
 	Sticky    bool
+	// Anonymous requests need no key, and replicas are told no tenant.
+	Anonymous bool
 	// SingleVersion demands that one version makes all of a sample.
 	SingleVersion bool
 	// HedgeAfter is when a second replica is asked while the first is silent, 0
@@ -86,25 +90,32 @@
 	IdleTimeout    time.Duration
 }
 
-// Configuration is one accepted version of the operator's configuration. It is
-// never changed once made.
-type Configuration struct {
+// Declared is what an operator declares in one version of the configuration.
+type Declared struct {
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
-	byHost   map[string][]*Route
+	// Tenants is nil where requests carry no keys.
+	Tenants *tenant.Directory
+}
+
+// Configuration is one accepted version of the operator's configuration. It is
+// never changed once made.
+type Configuration struct {
+	Declared
+	byHost map[string][]*Route
 }
 
 // New checks a configuration and makes it ready for look-ups.
-func New(version int64, routes []Route, services map[string]Service, limits Limits) (*Configuration, error) {
-	configuration := &Configuration{Version: version, Routes: routes, Services: services, Limits: limits, byHost: map[string][]*Route{}}
-	for i := range routes {
-		if err := checkRoute(&routes[i]); err != nil {
+func New(declared Declared) (*Configuration, error) {
+	configuration := &Configuration{Declared: declared, byHost: map[string][]*Route{}}
+	for i := range declared.Routes {
+		if err := checkRoute(&declared.Routes[i]); err != nil {
 			return nil, err
 		}
-		host := strings.ToLower(routes[i].Host)
-		configuration.byHost[host] = append(configuration.byHost[host], &routes[i])
+		host := strings.ToLower(declared.Routes[i].Host)
+		configuration.byHost[host] = append(configuration.byHost[host], &declared.Routes[i])
 	}
 	for _, ofHost := range configuration.byHost {
 		sort.SliceStable(ofHost, func(i, j int) bool { return len(ofHost[i].PathPrefix) > len(ofHost[j].PathPrefix) })
@@ -135,6 +146,17 @@
 	return nil, false
 }
 
+// AnonymousBatches reports whether batches may be submitted to a host without a key, so
+// that calls about them need none either.
+func (configuration *Configuration) AnonymousBatches(host string) bool {
+	for _, route := range configuration.byHost[hostName(host)] {
+		if route.Kind == Batch && route.Anonymous {
+			return true
+		}
+	}
+	return false
+}
+
 // hostName is a Host header's name without its port, in lower case.
 func hostName(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -82,6 +82,7 @@
 	if job.released {
 		return
 	}
+	priority := job.priority(found)
 	for _, each := range job.items {
 		waits := each.state == itemWaiting && !now.Before(each.notBefore)
 		runs := each.state == itemRunning
@@ -94,15 +95,22 @@
 			seen = &view{}
 			views[service] = seen
 		}
-		seen.Items = append(seen.Items, job.describe(each, found, now))
+		seen.Items = append(seen.Items, job.describe(each, found, priority, now))
 		seen.pending = append(seen.pending, pending{job: job, item: each, route: found})
 	}
 }
 
+// priority returns the rank of the job's items: that of its tenant goes before that of
+// its route.
+func (job *job) priority(found *route.Route) int {
+	configuration := job.runner.operator.Configuration()
+	return configuration.Tenants.Named(job.submission.Tenant).Rank(found.Priority)
+}
+
 // describe tells the scheduler of an item. The mutex is held.
-func (job *job) describe(each *item, found *route.Route, now time.Time) scheduling.Item {
+func (job *job) describe(each *item, found *route.Route, priority int, now time.Time) scheduling.Item {
 	described := scheduling.Item{
-		Priority: found.Priority, BatchSince: job.adoptedAt,
+		Priority: priority, BatchSince: job.adoptedAt,
 		Model: job.submission.Model, MinVersion: job.submission.MinVersion,
 		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Remaining(each.cost, len(each.text)),
 		GroupEngine: job.groups[each.Group],
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -126,6 +126,7 @@
 	header := each.header.Clone()
 	names := job.runner.forwarder.Names
 	header[http.CanonicalHeaderKey(names.RequestID)] = []string{each.ID}
+	names.SetTenant(header, job.submission.Tenant)
 	return &forward.StreamRequest{
 		RequestID: each.ID, Method: http.MethodPost, Target: each.Path, Host: job.submission.Host,
 		Header: header, Body: each.Body, After: each.lastEvent, HasAfter: each.hasEvent, Deadline: itemDeadline,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -228,9 +228,10 @@
 }
 
 // End ends a batch: after nil no more of it is run than is under way. An
-// unknown batch is ended as well, as its acceptance may still be on its way.
-func (runner *Runner) End(ctx context.Context, batchID string) error {
-	return runner.appendUntil(ctx, runner.ledger.Of(batchID), batch.Ended(batchID))
+// unknown batch is ended as well, as its acceptance may still be on its way. A batch of
+// another tenant stays as it is, and the caller does not learn of it.
+func (runner *Runner) End(ctx context.Context, batchID, tenant string) error {
+	return runner.appendUntil(ctx, runner.ledger.Of(batchID), batch.Ended(batchID, tenant))
 }
 
 // signNumber numbers a sign of life. It rises over all batches of this run, so that
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,9 @@
 	// ContactBound is how long after an outage of the log the daemon may still
 	// act on what it knew before.
 	ContactBound Duration `yaml:"contact_bound"`
+	// KeyBound is how long after the configuration was last confirmed a key that it has
+	// is still taken; 0 takes it for as long as the daemon is out of contact.
+	KeyBound Duration `yaml:"key_bound"`
 	// DrainBound is how long after a replica has left the list, or said that it
 	// will, new work may still reach it.
 	DrainBound Duration `yaml:"drain_bound"`
@@ -292,6 +295,7 @@
 	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
 	checkPositive(loaded.Timing.ContactBound, "timing.contact_bound")
 	checkPositive(loaded.Timing.DrainBound, "timing.drain_bound")
+	require(loaded.Timing.KeyBound >= 0, "timing.key_bound", "must not be below 0s")
 	switch loaded.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
--- a/internal/standalone/decoder.go
+++ b/internal/standalone/decoder.go
@@ -133,7 +133,7 @@
 			routes = append(routes, operationRoute(set, service, operation))
 		}
 	}
-	return route.New(version, routes, services, route.Limits{})
+	return route.New(route.Declared{Version: version, Routes: routes, Services: services})
 }
 
 // trainerRoutes are the routes of a trainer's batches and of its single samples.
--- /dev/null
+++ b/internal/tenant/tenant.go
@@ -0,0 +1,98 @@
+// Package tenant knows the tenants of a configuration and their keys.
+//
+// A tenant is a caller that the operator bills and ranks. Requests carry one of its
+// keys; replicas are told its name. A directory is never changed once made: each
+// configuration brings its own.
+//
+// # Usage
+//
+//	directory, err := tenant.NewDirectory([]tenant.Declared{{Name: "a", Keys: []string{"k"}}})
+//	found, known := directory.Of(key)
+package tenant
+
+import (
+	"github.com/pkg/errors"
+
+	"woodworks/internal/apikey"
+)
+
+// Tenant is one tenant. It is never changed once made.
+type Tenant struct {
+	Name string
+	// Priority, if not nil, takes the place of the priority of a route, 0 being the
+	// highest.
+	Priority *int
+}
+
+// Rank returns the priority of the tenant's requests on a route of the given priority.
+// A nil tenant, that of requests without a key, has none of its own.
+func (t *Tenant) Rank(ofRoute int) int {
+	if t == nil || t.Priority == nil {
+		return ofRoute
+	}
+	return *t.Priority
+}
+
+// Declared is a tenant as a configuration declares it.
+type Declared struct {
+	Name     string
+	Keys     []string
+	Priority *int
+}
+
+// Directory finds tenants by key and by name.
+type Directory struct {
+	byKey  apikey.Ring[*Tenant]
+	byName map[string]*Tenant
+}
+
+// NewDirectory checks the declared tenants. The error names the wrong field, never a key.
+func NewDirectory(declared []Declared) (*Directory, error) {
+	made := &Directory{byKey: apikey.Ring[*Tenant]{}, byName: make(map[string]*Tenant, len(declared))}
+	for i, each := range declared {
+		if err := made.add(each); err != nil {
+			return nil, errors.Wrapf(err, "tenants[%d]", i)
+		}
+	}
+	return made, nil
+}
+
+func (d *Directory) add(declared Declared) error {
+	if declared.Name == "" {
+		return errors.New("name: is empty")
+	}
+	if d.byName[declared.Name] != nil {
+		return errors.Errorf("name: %q stands twice", declared.Name)
+	}
+	added := &Tenant{Name: declared.Name, Priority: declared.Priority}
+	d.byName[declared.Name] = added
+	for i, key := range declared.Keys {
+		if key == "" {
+			return errors.Errorf("keys[%d]: is empty", i)
+		}
+		digest := apikey.DigestOf(key)
+		if !d.byKey.Add(digest, added) {
+			return errors.Errorf("keys[%d]: the key with digest %s is held by %q already", i, digest.Short(), d.byKey[digest].Name)
+		}
+	}
+	return nil
+}
+
+// Of returns the tenant that holds a key.
+func (d *Directory) Of(key string) (*Tenant, bool) { return d.byKey.HolderOf(key) }
+
+// Named returns a tenant by its name, nil if there is none.
+func (d *Directory) Named(name string) *Tenant {
+	if d == nil {
+		return nil
+	}
+	return d.byName[name]
+}
+
+// Len returns the numbers of tenants and of their keys.
+func (d *Directory) Len() (tenants, keys int) {
+	if d == nil {
+		return 0, 0
+	}
+	return len(d.byName), len(d.byKey)
+}
--- /dev/null
+++ b/internal/tenant/tenant_test.go
@@ -0,0 +1,64 @@
+package tenant
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func rank(value int) *int { return &value }
+
+func TestTenantsAreFoundByKey(t *testing.T) {
+	is := is.New(t)
+	d, err := NewDirectory([]Declared{{Name: "a", Keys: []string{"k1", "k2"}, Priority: rank(0)}, {Name: "b", Keys: []string{"k3"}}, {Name: "c"}})
+	is.NoErr(err)
+	for key, want := range map[string]string{"k1": "a", "k2": "a", "k3": "b"} {
+		found, known := d.Of(key)
+		is.True(known)
+		is.Equal(found.Name, want)
+	}
+	_, known := d.Of("k4")
+	is.True(!known)
+	_, known = d.Of("")
+	is.True(!known)
+	is.Equal(d.Named("a").Rank(2), 0) // its own goes first
+	is.Equal(d.Named("b").Rank(2), 2)
+	is.Equal(d.Named("nobody").Rank(2), 2)
+	tenants, keys := d.Len()
+	is.Equal(tenants, 3)
+	is.Equal(keys, 3)
+}
+
+// A wrong declaration is refused with the field's name, and no error shows a key.
+func TestWrongDeclarations(t *testing.T) {
+	cases := map[string]struct {
+		declared []Declared
+		field    string
+	}{
+		"no name":            {[]Declared{{Keys: []string{"secret"}}}, "tenants[0]: name"},
+		"a name twice":       {[]Declared{{Name: "a"}, {Name: "a"}}, "tenants[1]: name"},
+		"an empty key":       {[]Declared{{Name: "a", Keys: []string{"secret", ""}}}, "tenants[0]: keys[1]"},
+		"a key of two":       {[]Declared{{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}}}, "tenants[1]: keys[0]"},
+		"a key of one twice": {[]Declared{{Name: "a", Keys: []string{"secret", "secret"}}}, "tenants[0]: keys[1]"},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := NewDirectory(one.declared)
+			is.True(err != nil)
+			is.True(strings.HasPrefix(err.Error(), one.field))
+			is.True(!strings.Contains(err.Error(), "secret"))
+		})
+	}
+}
+
+func TestADirectoryOfNoneKnowsNobody(t *testing.T) {
+	is := is.New(t)
+	d, err := NewDirectory(nil)
+	is.NoErr(err)
+	_, known := d.Of("k")
+	is.True(!known)
+	var none *Directory
+	is.True(none.Named("a") == nil)
+}
