--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,6 +74,9 @@
 	// MayRetry, if not nil, is asked before a further replica is offered the
 	// call, with the number of offers so far.
 	MayRetry func(offers int) bool
+	// Ran, if not nil, is told of each replica that ran the call or may have run it,
+	// with when the call was sent there.
+	Ran func(sentAt time.Time)
 }
 
 // Answer is a replica's whole answer, or its beginning with the rest to come.
@@ -307,7 +310,10 @@
 		forwarder.Table.Ended(chosen.ID)
 	}
 	started := time.Now()
-	answer, ran, err := forwarder.exchange(ctx, call, chosen)
+	answer, sentAt, ran, err := forwarder.exchange(ctx, call, chosen)
+	if ran && call.Ran != nil {
+		call.Ran(sentAt)
+	}
 	forwarder.Observe(chosen.Service, offerOutcome(ctx, err), time.Since(started))
 	if err != nil {
 		end()
@@ -355,7 +361,7 @@
 }
 
 // exchange sends the call and reads the answer, whole if it is short.
-func (forwarder *Forwarder) exchange(ctx context.Context, call *Call, chosen replica.Replica) (answer *Answer, ran bool, err error) {
+func (forwarder *Forwarder) exchange(ctx context.Context, call *Call, chosen replica.Replica) (answer *Answer, sentAt time.Time, ran bool, err error) {
 	header := call.Header.Clone()
 	header[http.CanonicalHeaderKey(forwarder.Names.ExpectReplica)] = []string{chosen.ID}
 	if deadline, bounded := ctx.Deadline(); bounded {
@@ -363,22 +369,23 @@
 	}
 	response, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
 		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body,
-		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID,
+		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID, Sending: func() { sentAt = time.Now() },
 	})
 	if err != nil {
-		return nil, !errors.Is(err, upstream.ErrNotSent), err
+		return nil, sentAt, !errors.Is(err, upstream.ErrNotSent), err
 	}
 	forwarder.noteLoad(chosen.ID, response.Header)
 	if response.Header.Get(forwarder.Names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, bufferedBytes))
 		response.Close()
-		return nil, false, errors.Wrapf(errDeclined, "status %d", response.Status)
+		return nil, sentAt, false, errors.Wrapf(errDeclined, "status %d", response.Status)
 	}
 	if response.Header.Get(forwarder.Names.Stamp) == "" {
 		response.Close()
-		return nil, true, errors.Wrapf(errUnsound, "status %d without a signature", response.Status)
+		return nil, sentAt, true, errors.Wrapf(errUnsound, "status %d without a signature", response.Status)
 	}
-	return forwarder.readAnswer(response)
+	answer, err = forwarder.readAnswer(response)
+	return answer, sentAt, true, err
 }
 
 // noteLoad notes what an answer tells of its replica's load. The request that it
@@ -392,19 +399,19 @@
 	}
 }
 
-func (forwarder *Forwarder) readAnswer(response *upstream.Answer) (*Answer, bool, error) {
+func (forwarder *Forwarder) readAnswer(response *upstream.Answer) (*Answer, error) {
 	answer := &Answer{Status: response.Status, Header: response.Header}
 	body, err := io.ReadAll(io.LimitReader(response, bufferedBytes))
 	if err != nil {
 		response.Close()
-		return nil, true, err
+		return nil, err
 	}
 	answer.Body = body
 	if len(body) < bufferedBytes {
 		// The limit was not reached, so the end of the body was.
 		response.Close()
-		return answer, true, nil
+		return answer, nil
 	}
 	answer.Rest = response
-	return answer, true, nil
+	return answer, nil
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -60,6 +60,9 @@
 	Results       *results.Reader
 	Observer      Observer
 	Logger        *zap.Logger
+	// Ran, if not nil, is told of each request of a tenant that a replica ran or may
+	// have run, with when it was sent there.
+	Ran func(tenant string, sentAt time.Time)
 	// Keys says how long keys are trusted without news of the configuration.
 	Keys KeyPolicy
 	// ConfigurationAge is how long ago it was last confirmed that the configuration is
@@ -184,6 +187,7 @@
 		Header: asked.headerOnward(configuration), Body: body, Services: asked.route.Order(asked.id),
 		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable, HedgeAfter: asked.route.HedgeAfter,
 	}
+	call.Ran = asked.ran
 	if retries := asked.handler.Retries; retries != nil {
 		retries.Began(asked.route)
 		call.MayRetry = func(offers int) bool { return retries.May(asked.route, offers) }
@@ -198,6 +202,13 @@
 	asked.passOn(answer)
 }
 
+// ran has a run of the request counted for its tenant.
+func (asked *request) ran(sentAt time.Time) {
+	if asked.tenant != nil && asked.handler.Ran != nil {
+		asked.handler.Ran(asked.tenant.Name, sentAt)
+	}
+}
+
 // explain gives the final answer to a request without a replica's answer.
 func (asked *request) explain(err error) {
 	if asked.request.Context().Err() != nil {
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -98,9 +98,13 @@
 	forwarder.Table.Started(chosen.ID)
 	defer forwarder.Table.Ended(chosen.ID)
 	relaying.asking.Deadline = relaying.timeLeft() + answerMargin
+	sentAt := time.Now()
 	stream, err := forwarder.OpenStream(ctx, relaying.asking, chosen)
+	ran = err == nil || !errors.Is(err, forward.ErrDeclined) && !errors.Is(err, upstream.ErrNotSent)
+	if ran {
+		relaying.request.ran(sentAt)
+	}
 	if err != nil {
-		ran = !errors.Is(err, forward.ErrDeclined) && !errors.Is(err, upstream.ErrNotSent)
 		if ctx.Err() == nil {
 			forwarder.Table.Failed(chosen.ID)
 		}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -170,6 +170,8 @@
 type Grants struct {
 	// ReadsPerSecond is how many reads they may make in a second.
 	ReadsPerSecond float64
+	// WritesPerSecond is how many writes they may make in a second.
+	WritesPerSecond float64
 	// ReadBytesPerSecond is how many bytes it reads out in a second.
 	ReadBytesPerSecond float64
 }
--- a/internal/journal/pace.go
+++ b/internal/journal/pace.go
@@ -26,7 +26,18 @@
 // SharedPace returns the pace at which the followers of one partition, one a daemon,
 // use a share of the reads that a journal grants. Daemons tells how many there are.
 func SharedPace(log Journal, share float64, daemons func() int) Pace {
-	granted := log.Grants().ReadsPerSecond * share
+	return paceOf(log.Grants().ReadsPerSecond*share, daemons)
+}
+
+// SharedWritePace returns the pace at which writers, one a daemon, use a share of the
+// writes that a journal grants.
+func SharedWritePace(log Journal, share float64, daemons func() int) Pace {
+	return paceOf(log.Grants().WritesPerSecond*share, daemons)
+}
+
+// paceOf returns the pace at which daemons make so many calls a second together; 0
+// names no bound.
+func paceOf(granted float64, daemons func() int) Pace {
 	if granted <= 0 {
 		return unpaced
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/demand"
+	"woodworks/internal/duty"
 	"woodworks/internal/engine"
 	"woodworks/internal/forward"
 	"woodworks/internal/group"
@@ -32,6 +33,8 @@
 	"woodworks/internal/runner"
 	"woodworks/internal/settings"
 	"woodworks/internal/upstream"
+	"woodworks/internal/usage"
+	"woodworks/internal/wallclock"
 )
 
 const (
@@ -52,6 +55,9 @@
 	operatorReadShare = 0.1
 	replicaReadShare  = 0.1
 	peerReadShare     = 0.02
+	// usageWriteShare is the part of the writes that the journal grants which all
+	// daemons together use to tell what tenants used.
+	usageWriteShare = 0.2
 	// connectTimeout bounds the making of a connection to a replica.
 	connectTimeout = 400 * time.Millisecond
 	unackedTimeout = 1200 * time.Millisecond
@@ -66,6 +72,8 @@
 	Headers         headers.Names
 	OperatorRecords journal.Partition
 	ReplicaRecords  journal.Partition
+	// Duties is nil where the platform expects no calls of the system as a whole.
+	Duties duty.Driver
 	// Interface, if not nil, makes the handlers for callers from the parts of
 	// the daemon. Without it clients speak to the ingress as it is.
 	Interface func(parts Parts) Interface
@@ -122,10 +130,13 @@
 	syncer         *modelsync.Syncer
 	demands        *demand.State
 	demandFollower *journal.KeyedFollower
-	handler        *ingress.Handler
-	front          *frontServer
-	internal       *frontServer
-	health         *healthServer
+	// usage and reporter are nil where the platform wants no reports of usage.
+	usage    *usage.Recorder
+	reporter *usage.Reporter
+	handler  *ingress.Handler
+	front    *frontServer
+	internal *frontServer
+	health   *healthServer
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -194,6 +205,7 @@
 	}
 	node.front.handler = node.handler
 	node.internal = newFrontServer(logger)
+	node.buildDuties(drivers)
 	if drivers.Interface != nil {
 		made := drivers.Interface(node.parts(drivers))
 		node.front.handler, node.internal.handler = made.Public, made.Internal
@@ -202,6 +214,19 @@
 	node.registerMetrics()
 }
 
+// buildDuties makes what the platform expects of one daemon at a time.
+func (node *Node) buildDuties(drivers Drivers) {
+	windows := duty.Windows{Length: node.settings.Timing.UsageWindow.Std(), Due: node.settings.Timing.UsageDue.Std()}
+	if drivers.Duties == nil || !drivers.Duties.Duties().Usage || windows.Length <= 0 {
+		return
+	}
+	clock := wallclock.New()
+	pace := journal.SharedWritePace(drivers.Journal, usageWriteShare, node.daemons)
+	node.usage = usage.NewRecorder(drivers.Journal, node.identity, windows, pace, clock, node.logger)
+	node.handler.Ran = node.usage.Ran
+	node.reporter = usage.NewReporter(drivers.Journal, node.lease, drivers.Duties, node.settings.Name, windows, clock, node.logger)
+}
+
 // newReader returns the reader of batches, which answers peers as well.
 func (node *Node) newReader(grants journal.Grants) *results.Reader {
 	if node.relay == nil {
@@ -249,6 +274,10 @@
 		})
 		node.metrics.Counter("journal_calls_relayed_total", "Calls to the journal answered through a peer.", func() float64 { done, _ := node.relay.Relayed(); return float64(done) })
 	}
+	if node.reporter != nil {
+		node.metrics.Counter("usage_reports_total", "Reports of usage that the platform took from this daemon.", func() float64 { return float64(node.reporter.Reported()) })
+		node.metrics.Counter("usage_reports_failed_total", "Calls to report usage that failed.", func() float64 { return float64(node.reporter.Failed()) })
+	}
 	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
 }
 
@@ -276,10 +305,19 @@
 	} {
 		go run(node.context)
 	}
+	node.startDuties()
 	node.logger.Info("started", zap.String("id", node.identity), zap.String("zone", node.settings.Zone), zap.String("public", node.settings.Listen.Public))
 	return nil
 }
 
+// startDuties runs what the platform expects of one daemon at a time.
+func (node *Node) startDuties() {
+	if node.usage != nil {
+		go node.usage.Run(node.context)
+		go node.reporter.Run(node.context)
+	}
+}
+
 // startRelay lets peers reach the journal through this daemon, and it through them.
 func (node *Node) startRelay() error {
 	if node.relay == nil {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -49,6 +49,9 @@
 	case <-released:
 	case <-ctx.Done():
 	}
+	if node.usage != nil {
+		node.usage.Flush(ctx)
+	}
 	node.resign()
 	node.cancel()
 	node.logger.Info("stopped", zap.Duration("took", time.Since(began)), zap.Int64("in_flight", node.handler.InFlight()))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,15 @@
 	// Driver is DriverStore or DriverLog.
 	Driver string `yaml:"driver"`
 	Store  Store  `yaml:"store"`
+	Duties Duties `yaml:"duties"`
+}
+
+// Duties says which calls the platform expects of one daemon at a time.
+type Duties struct {
+	// Address is IP:port; "" if the platform expects none.
+	Address string `yaml:"address"`
+	// Names are the platform's words for them.
+	Names []string `yaml:"names"`
 }
 
 // Drivers of platforms.
@@ -89,6 +98,9 @@
 	// ReadsPerSecond is how many reads the store grants all daemons together; 0 if it
 	// names no bound.
 	ReadsPerSecond float64 `yaml:"reads_per_second"`
+	// WritesPerSecond is how many writes the store grants all daemons together; 0 if it
+	// names no bound.
+	WritesPerSecond float64 `yaml:"writes_per_second"`
 	// ReadMBPerSecond is how many megabytes it reads out in a second; 0 if it names no
 	// bound.
 	ReadMBPerSecond float64 `yaml:"read_mb_per_second"`
@@ -99,7 +111,7 @@
 
 // Grants is what the store grants all daemons together.
 func (store Store) Grants() journal.Grants {
-	return journal.Grants{ReadsPerSecond: store.ReadsPerSecond, ReadBytesPerSecond: store.ReadMBPerSecond * megabyte}
+	return journal.Grants{ReadsPerSecond: store.ReadsPerSecond, WritesPerSecond: store.WritesPerSecond, ReadBytesPerSecond: store.ReadMBPerSecond * megabyte}
 }
 
 // Limits bounds what one daemon holds at a time.
@@ -129,6 +141,10 @@
 	// KeyBound is how long after the configuration was last confirmed a key that it has
 	// is still taken; 0 takes it for as long as the daemon is out of contact.
 	KeyBound Duration `yaml:"key_bound"`
+	// UsageWindow is the length of the windows of the time of day for which usage is
+	// reported, UsageDue how long after the end of one its report must be there.
+	UsageWindow Duration `yaml:"usage_window"`
+	UsageDue    Duration `yaml:"usage_due"`
 	// DrainBound is how long after a replica has left the list, or said that it
 	// will, new work may still reach it.
 	DrainBound Duration `yaml:"drain_bound"`
@@ -279,6 +295,10 @@
 	require(store.RecordBytes >= minRecordBytes, "platform.store.record_bytes", fmt.Sprintf("must be at least %d", minRecordBytes))
 	require(store.AppendBytes >= store.RecordBytes, "platform.store.append_bytes", "must not be less than record_bytes")
 	require(store.ReadsPerSecond >= 0, "platform.store.reads_per_second", "must not be below 0")
+	require(store.WritesPerSecond >= 0, "platform.store.writes_per_second", "must not be below 0")
+	if loaded.Platform.Duties.Address != "" {
+		checkAddress(loaded.Platform.Duties.Address, "platform.duties.address")
+	}
 	require(store.ReadMBPerSecond >= 0, "platform.store.read_mb_per_second", "must not be below 0")
 	for i, operator := range loaded.Operators {
 		require(operator.Name != "", fmt.Sprintf("operators[%d].name", i), "is required")
@@ -295,6 +315,8 @@
 	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
 	checkPositive(loaded.Timing.ContactBound, "timing.contact_bound")
 	checkPositive(loaded.Timing.DrainBound, "timing.drain_bound")
+	require(loaded.Timing.UsageWindow >= 0, "timing.usage_window", "must not be below 0s")
+	require(loaded.Timing.UsageWindow == 0 || loaded.Timing.UsageDue > 0, "timing.usage_due", "must be above 0s where usage_window is")
 	require(loaded.Timing.KeyBound >= 0, "timing.key_bound", "must not be below 0s")
 	switch loaded.Log.Level {
 	case "debug", "info", "warn", "error":
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -81,6 +81,9 @@
 		return nil, err
 	}
 	head := appendHead(nil, request)
+	if request.Sending != nil {
+		request.Sending()
+	}
 	if len(request.Body) <= inlineBodyBytes {
 		written, err := conn.raw.Write(append(head, request.Body...))
 		if err != nil && written == 0 {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,8 @@
 	// EchoName, if set, is the header in which the answer must repeat EchoValue
 	// if it has that header at all.
 	EchoName, EchoValue string
+	// Sending, if not nil, is called just before the first byte is sent.
+	Sending func()
 }
 
 // Options bound a pool's connections.
--- /dev/null
+++ b/internal/usage/record.go
@@ -0,0 +1,165 @@
+package usage
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+type recordKind int
+
+const (
+	// kindCounted adds a daemon's counts.
+	kindCounted recordKind = iota + 1
+	// kindDecided settles the figures of a window.
+	kindDecided
+	// kindReported says that the platform has taken the figures of a window.
+	kindReported
+)
+
+// record is one entry of the partition.
+type record struct {
+	Kind recordKind `cbor:"1,keyasint"`
+	// Run is the run of a daemon that counted; Number rises by one with each of its
+	// records.
+	Run    string `cbor:"2,keyasint,omitempty"`
+	Number int64  `cbor:"3,keyasint,omitempty"`
+	// Counts are by window and tenant.
+	Counts map[int64]map[string]int64 `cbor:"4,keyasint,omitempty"`
+	// Window and Requests are those of a decision, Window that of a report.
+	Window   int64            `cbor:"5,keyasint,omitempty"`
+	Requests map[string]int64 `cbor:"6,keyasint,omitempty"`
+}
+
+func encode(entry record) []byte {
+	encoded, err := cbor.Marshal(entry)
+	if err != nil {
+		// All fields are plain values, which always encode.
+		panic(errors.Wrap(err, "usage: encode"))
+	}
+	return encoded
+}
+
+// keptWindows is how many decided windows the fold remembers, and for how many it
+// remembers a run: far longer than a record may be under way. A late record of an older
+// one changes nothing, as the windows below the first remembered count as decided.
+const keptWindows = 64
+
+// state is the fold of the partition. The same records in the same order give the same
+// state to every reader.
+//
+// Invariant: a window is decided once; its figures never change after that.
+type state struct {
+	// counts are by window and tenant, of windows that are not decided.
+	counts map[int64]map[string]int64
+	// runs are the runs of daemons that have counted, so that a record of theirs that is
+	// there twice counts once.
+	runs map[string]counted
+	// decided are the figures of decided windows, reported those taken by the platform.
+	decided  map[int64]map[string]int64
+	reported map[int64]bool
+	// last is the newest decided window; any says that there is one.
+	last int64
+	any  bool
+	// late counts requests whose record came after their window was decided.
+	late int64
+}
+
+// counted is what is remembered of a run: the number of its last record, and the newest
+// window that it counted in.
+type counted struct{ number, window int64 }
+
+func newState() *state {
+	return &state{counts: map[int64]map[string]int64{}, runs: map[string]counted{}, decided: map[int64]map[string]int64{}, reported: map[int64]bool{}}
+}
+
+// apply folds the next record. One that cannot be read or contradicts an earlier one
+// changes nothing.
+func (s *state) apply(encoded []byte) {
+	var entry record
+	if err := cbor.Unmarshal(encoded, &entry); err != nil {
+		return
+	}
+	switch entry.Kind {
+	case kindCounted:
+		s.count(entry)
+	case kindDecided:
+		s.decide(entry)
+	case kindReported:
+		s.reported[entry.Window] = true
+	}
+}
+
+func (s *state) count(entry record) {
+	if entry.Number <= s.runs[entry.Run].number {
+		return
+	}
+	seen := counted{number: entry.Number}
+	for window := range entry.Counts {
+		seen.window = max(seen.window, window)
+	}
+	s.runs[entry.Run] = seen
+	for window, requests := range entry.Counts {
+		if s.isDecided(window) {
+			s.late += total(requests)
+			continue
+		}
+		addTo(s.counts, window, requests)
+	}
+}
+
+// isDecided reports whether a window's figures are settled. Windows are decided in
+// ascending order.
+func (s *state) isDecided(window int64) bool { return s.any && window <= s.last }
+
+func (s *state) decide(entry record) {
+	if s.isDecided(entry.Window) {
+		return
+	}
+	s.decided[entry.Window] = entry.Requests
+	s.last, s.any = entry.Window, true
+	for window := range s.counts {
+		if window <= s.last {
+			delete(s.counts, window)
+		}
+	}
+	for window := range s.decided {
+		if window <= s.last-keptWindows {
+			delete(s.decided, window)
+			delete(s.reported, window)
+		}
+	}
+	for run, seen := range s.runs {
+		if seen.window <= s.last-keptWindows {
+			delete(s.runs, run)
+		}
+	}
+}
+
+// unreported returns the decided windows that the platform has not taken, as far as is
+// known, in ascending order.
+func (s *state) unreported() []int64 {
+	var windows []int64
+	for window := s.last - keptWindows + 1; window <= s.last; window++ {
+		if _, decided := s.decided[window]; decided && !s.reported[window] {
+			windows = append(windows, window)
+		}
+	}
+	return windows
+}
+
+func addTo(counts map[int64]map[string]int64, window int64, requests map[string]int64) {
+	if counts[window] == nil {
+		counts[window] = map[string]int64{}
+	}
+	for tenant, count := range requests {
+		counts[window][tenant] += count
+	}
+}
+
+func total(requests map[string]int64) int64 {
+	sum := int64(0)
+	for _, count := range requests {
+		sum += count
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/usage/recorder.go
@@ -0,0 +1,105 @@
+package usage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/duty"
+	"woodworks/internal/journal"
+	"woodworks/internal/periodic"
+)
+
+const (
+	// leastFlush is the least time between two appends of a daemon's counts: what a
+	// killed daemon loses, against the journal's writes.
+	leastFlush = 200 * time.Millisecond
+	// appendTimeout bounds one append.
+	appendTimeout = 1200 * time.Millisecond
+)
+
+// Recorder counts the requests that one daemon sends to replicas. It is safe for
+// concurrent use.
+type Recorder struct {
+	journal journal.Journal
+	run     string
+	windows duty.Windows
+	pace    journal.Pace
+	clock   Clock
+	logger  *zap.Logger
+
+	mu     sync.Mutex
+	counts map[int64]map[string]int64
+	// number is that of the last record that was made. sending, if not nil, is that
+	// record while its outcome is not known: it is sent again as it is, so that it
+	// counts once.
+	number  int64
+	sending []byte
+	// flushing is held by the one who sends.
+	flushing sync.Mutex
+}
+
+// NewRecorder returns a recorder for a run of a daemon. Pace is the least time between
+// two appends that the journal's grants allow.
+func NewRecorder(log journal.Journal, run string, windows duty.Windows, pace journal.Pace, clock Clock, logger *zap.Logger) *Recorder {
+	return &Recorder{journal: log, run: run, windows: windows, pace: pace, clock: clock, logger: logger, counts: map[int64]map[string]int64{}}
+}
+
+// Ran counts a request of a tenant that was sent to a replica at a moment of the
+// steady clock.
+func (r *Recorder) Ran(tenant string, at time.Time) {
+	if tenant == "" {
+		return
+	}
+	window := windowOf(r.clock.Now().Add(-time.Since(at)), r.windows)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	addTo(r.counts, window, map[string]int64{tenant: 1})
+}
+
+// Run appends what was counted until the context ends.
+func (r *Recorder) Run(ctx context.Context) {
+	periodic.Repeat(ctx, func(ctx context.Context) time.Duration {
+		r.Flush(ctx)
+		return max(r.pace(), leastFlush)
+	})
+}
+
+// Flush appends what was counted so far.
+func (r *Recorder) Flush(ctx context.Context) {
+	r.flushing.Lock()
+	defer r.flushing.Unlock()
+	encoded := r.take()
+	if encoded == nil {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := r.journal.Append(bounded, journal.Append{Partition: Partition, Records: [][]byte{encoded}})
+	if err != nil {
+		r.logger.Info("usage not written", zap.Int64("number", r.number), zap.Bool("certain", errors.Is(err, journal.ErrNotDone)), zap.Error(err))
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sending = nil
+}
+
+// take returns the record to send, nil if there is nothing to tell.
+func (r *Recorder) take() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sending != nil {
+		return r.sending
+	}
+	if len(r.counts) == 0 {
+		return nil
+	}
+	r.number++
+	r.sending = encode(record{Kind: kindCounted, Run: r.run, Number: r.number, Counts: r.counts})
+	r.counts = map[int64]map[string]int64{}
+	return r.sending
+}
--- /dev/null
+++ b/internal/usage/reporter.go
@@ -0,0 +1,231 @@
+package usage
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/duty"
+	"woodworks/internal/journal"
+	"woodworks/internal/periodic"
+)
+
+const (
+	lookInterval = 200 * time.Millisecond
+	// settleShare is the part of the time until a report is due after which a window is
+	// decided: counts of requests that took long, or of daemons that had lost the
+	// journal, come by then, and a successor can still act in time.
+	settleShare = 0.4
+	// steadyFor is how long the journal must have answered for a window to be decided:
+	// just after an outage the daemons have still to write their counts.
+	steadyFor = 1500 * time.Millisecond
+	// forcedShare is the part of the time until a report is due after which a window is
+	// decided in any case.
+	forcedShare = 0.85
+	// readTimeout bounds one read of the partition, readBytes its answer.
+	readTimeout = 1200 * time.Millisecond
+	readBytes   = 256 << 10
+	// callTimeout bounds one call to the platform.
+	callTimeout = 800 * time.Millisecond
+	// actMargin is how much of the lease must be left for a call to be sent.
+	actMargin = 250 * time.Millisecond
+	// firstPause is the pause after a call that failed. It doubles with each one in a
+	// row, up to longestPause.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 2 * time.Second
+	// maxDoublings bounds the doublings of a pause.
+	maxDoublings = 6
+)
+
+// Lease says under which fence this daemon may act now, and until when.
+type Lease interface {
+	Fence() (fence int64, until time.Time, may bool)
+}
+
+// Reporter settles and reports the usage of windows while it may act.
+type Reporter struct {
+	journal journal.Journal
+	lease   Lease
+	driver  duty.Driver
+	holder  string
+	windows duty.Windows
+	clock   Clock
+	logger  *zap.Logger
+
+	state *state
+	next  int64
+	// failedAt is when the journal last did not answer.
+	failedAt time.Time
+	// failures counts the calls in a row that failed; no further one before notUntil.
+	failures int
+	notUntil time.Time
+	// reported and failed count calls, for the metrics.
+	reported, failed atomic.Uint64
+}
+
+// NewReporter returns a reporter that acts in the name of holder.
+func NewReporter(log journal.Journal, held Lease, driver duty.Driver, holder string, windows duty.Windows, clock Clock, logger *zap.Logger) *Reporter {
+	return &Reporter{journal: log, lease: held, driver: driver, holder: holder, windows: windows, clock: clock, logger: logger, state: newState()}
+}
+
+// Reported returns how many reports the platform took from this daemon.
+func (r *Reporter) Reported() uint64 { return r.reported.Load() }
+
+// Failed returns how many calls to report failed.
+func (r *Reporter) Failed() uint64 { return r.failed.Load() }
+
+// Run settles and reports until the context ends.
+func (r *Reporter) Run(ctx context.Context) { periodic.Every(ctx, lookInterval, r.step) }
+
+// step does what is due now, if the lease lets this daemon act.
+func (r *Reporter) step(ctx context.Context) {
+	if _, _, may := r.lease.Fence(); !may {
+		return
+	}
+	if r.mayDecide() && r.catchUp(ctx) {
+		r.decide(ctx, time.Now())
+	}
+	r.report(ctx)
+}
+
+// nextWindow returns the window to decide next. Before any was decided it is the oldest
+// that something was counted in, or the present one.
+func (r *Reporter) nextWindow() int64 {
+	if r.state.any {
+		return r.state.last + 1
+	}
+	first := windowOf(r.clock.Now(), r.windows)
+	for window := range r.state.counts {
+		first = min(first, window)
+	}
+	return first
+}
+
+// sinceEnd returns how long ago the next window ended.
+func (r *Reporter) sinceEnd() time.Duration {
+	return r.clock.Now().Sub(endOf(r.nextWindow(), r.windows))
+}
+
+func (r *Reporter) share(part float64) time.Duration {
+	return time.Duration(part * float64(r.windows.Due))
+}
+
+// mayDecide reports whether it is worth to look at the counts: nothing was read yet, or
+// a window has ended long enough ago.
+func (r *Reporter) mayDecide() bool {
+	return r.next == 0 || r.sinceEnd() >= r.share(settleShare)
+}
+
+// decide settles the next window if it is time. It does one at a time, so that reports
+// are not held up by many.
+func (r *Reporter) decide(ctx context.Context, now time.Time) {
+	since := r.sinceEnd()
+	steady := now.Sub(r.failedAt) >= steadyFor
+	if since < r.share(settleShare) || !steady && since < r.share(forcedShare) {
+		return
+	}
+	window := r.nextWindow()
+	requests := r.state.counts[window]
+	if requests == nil {
+		requests = map[string]int64{}
+	}
+	err := r.append(ctx, record{Kind: kindDecided, Window: window, Requests: requests})
+	r.logger.Info("usage decided", zap.Int64("window", window), zap.Int64("requests", total(requests)), zap.Int("tenants", len(requests)),
+		zap.Int("runs", len(r.state.runs)), zap.Int64("counted_late", r.state.late), zap.Duration("after", since), zap.Bool("steady", steady), zap.Error(err))
+	if err == nil {
+		// What the journal holds decides: another daemon may have been first.
+		r.catchUp(ctx)
+	}
+}
+
+func (r *Reporter) append(ctx context.Context, entry record) error {
+	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := r.journal.Append(bounded, journal.Append{Partition: Partition, Records: [][]byte{encode(entry)}})
+	if err != nil {
+		r.failedAt = time.Now()
+	}
+	return err
+}
+
+// catchUp folds all that the partition holds now, and reports whether it could.
+func (r *Reporter) catchUp(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		end, err := r.readOnce(ctx)
+		var trimmed *journal.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			r.logger.Info("usage trimmed before it was read", zap.Int64("offset", r.next), zap.Int64("first", trimmed.First))
+			r.next = trimmed.First
+		case err != nil:
+			r.failedAt = time.Now()
+			r.logger.Info("usage not read", zap.Int64("offset", r.next), zap.Error(err))
+			return false
+		case r.next >= end:
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Reporter) readOnce(ctx context.Context) (end int64, err error) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	read, err := r.journal.Read(bounded, journal.Read{Partition: Partition, From: r.next, MaxBytes: max(readBytes, r.journal.MaxRecordBytes())})
+	if err != nil {
+		return 0, err
+	}
+	for _, encoded := range read.Records {
+		r.state.apply(encoded)
+		r.next++
+	}
+	return read.End, nil
+}
+
+// report calls the platform for the windows that are decided, the oldest first.
+func (r *Reporter) report(ctx context.Context) {
+	for _, window := range r.state.unreported() {
+		if time.Now().Before(r.notUntil) || !r.reportOne(ctx, window) {
+			return
+		}
+	}
+}
+
+// reportOne makes one call and reports whether the platform took it.
+func (r *Reporter) reportOne(ctx context.Context, window int64) bool {
+	fence, until, may := r.lease.Fence()
+	if !may || time.Until(until) < actMargin {
+		return false
+	}
+	latest := until.Add(-actMargin / 2)
+	if soon := time.Now().Add(callTimeout); soon.Before(latest) {
+		latest = soon
+	}
+	bounded, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	requests := r.state.decided[window]
+	err := r.driver.ReportUsage(bounded, duty.Authority{Holder: r.holder, Fence: fence}, duty.Usage{Window: window, Requests: requests})
+	r.logger.Info("usage reported", zap.Int64("window", window), zap.Int64("fence", fence), zap.Int64("requests", total(requests)),
+		zap.Duration("after", r.clock.Now().Sub(endOf(window, r.windows))), zap.Int("failures_before", r.failures), zap.Error(err))
+	if err != nil && !errors.Is(err, duty.ErrRefused) {
+		r.failed.Add(1)
+		r.failures++
+		r.notUntil = time.Now().Add(min(firstPause<<min(r.failures-1, maxDoublings), longestPause))
+		return false
+	}
+	if err != nil {
+		// The same call again would be refused again.
+		r.failed.Add(1)
+	} else {
+		r.reported.Add(1)
+	}
+	r.failures = 0
+	r.state.reported[window] = true
+	if err := r.append(ctx, record{Kind: kindReported, Window: window}); err != nil {
+		r.logger.Info("report not noted, a successor may repeat it", zap.Int64("window", window), zap.Error(err))
+	}
+	return true
+}
