Fleet: as many engines as the batches need, ordered in the name of the lease

Where the platform starts replicas on order, a daemon that has ten engines for the steps of three trainers ends each step seconds late. The holder of the lease now orders replicas: the items of a batch of each model, times how long one takes a slot (measured by the owners, a second at first), in 0.3 of the batches' deadline. Growth goes to the cheapest zones, no zone above a half; replicas are given back after a minute of less need. One function (lease.Act) makes every call in the name of a lease.

Tests: plans under rapid, a closed loop that follows its work and rests, a zone that brings up nothing, successors, lists with gaps, failed orders, the whole path over sockets; the log encoder; empty reports.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,11 @@
 const (
 	topic        = "woodworks.demand"
 	writeTimeout = time.Second
+	// timeKeyPrefix starts the keys of what owners have measured of a model.
+	timeKeyPrefix = "time/"
+	// firstItemTime is how long an item is expected to take a slot before one was
+	// measured: a text of twenty events, 40 ms each, and its prompt.
+	firstItemTime = time.Second
 )
 
 // Demand is what the newest batch of a model allowed.
@@ -31,6 +37,11 @@
 	Items int `cbor:"4,keyasint"`
 }
 
+// measured is what an owner has measured of a batch of a model.
+type measured struct {
+	ItemTimeMs int64 `cbor:"1,keyasint"`
+}
+
 // Lag is how many versions behind the newest the batch allowed.
 func (demand Demand) Lag() int64 { return max(demand.Named-demand.MinVersion, 0) }
 
@@ -52,15 +63,25 @@
 
 // Publish writes a demand once. One that is lost is made good by the next.
 func (publisher *Publisher) Publish(ctx context.Context, model string, demand Demand) {
-	encoded, err := cbor.Marshal(demand)
+	publisher.write(ctx, model, demand)
+}
+
+// PublishTime writes how long an item of a model took a slot, in the mean of a batch.
+func (publisher *Publisher) PublishTime(ctx context.Context, model string, itemTime time.Duration) {
+	publisher.write(ctx, timeKeyPrefix+model, measured{ItemTimeMs: itemTime.Milliseconds()})
+}
+
+func (publisher *Publisher) write(ctx context.Context, key string, value any) {
+	encoded, err := cbor.Marshal(value)
 	if err != nil {
+		publisher.logger.Error("demand not encoded", zap.String("key", key), zap.Error(err))
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	record := publisher.journal.JoinKeyed(journal.KeyedRecord{Key: model, Value: encoded})
+	record := publisher.journal.JoinKeyed(journal.KeyedRecord{Key: key, Value: encoded})
 	if _, err := publisher.journal.Append(bounded, journal.Append{Partition: Partition(publisher.journal), Records: [][]byte{record}}); err != nil {
-		publisher.logger.Info("demand not written", zap.String("model", model), zap.Error(err))
+		publisher.logger.Info("demand not written", zap.String("key", key), zap.Error(err))
 	}
 }
 
@@ -68,14 +89,21 @@
 // once: batches of a model differ, its share of the engines should not.
 const workSmoothing = 4
 
+// timeSmoothing is the part of a new batch's difference in the time of its items that
+// counts at once.
+const timeSmoothing = 2
+
 // State is the newest demand of each model, its work a running mean. It implements journal.KeyedHandler.
 type State struct {
-	mutex   sync.Mutex
-	demands map[string]Demand
+	mutex     sync.Mutex
+	demands   map[string]Demand
+	itemTimes map[string]time.Duration
 }
 
 // NewState returns the state before any record.
-func NewState() *State { return &State{demands: map[string]Demand{}} }
+func NewState() *State {
+	return &State{demands: map[string]Demand{}, itemTimes: map[string]time.Duration{}}
+}
 
 // Reset implements journal.KeyedHandler.
 func (state *State) Reset(records []journal.KeyedRecord) {
@@ -86,6 +114,10 @@
 
 // Apply implements journal.KeyedHandler.
 func (state *State) Apply(record journal.KeyedRecord) {
+	if model, isTime := strings.CutPrefix(record.Key, timeKeyPrefix); isTime {
+		state.applyTime(model, record.Value)
+		return
+	}
 	var demand Demand
 	if len(record.Value) == 0 || cbor.Unmarshal(record.Value, &demand) != nil {
 		return
@@ -98,6 +130,31 @@
 	state.demands[record.Key] = demand
 }
 
+// applyTime takes what an owner has measured of a model.
+func (state *State) applyTime(model string, value []byte) {
+	var told measured
+	if len(value) == 0 || cbor.Unmarshal(value, &told) != nil || told.ItemTimeMs <= 0 {
+		return
+	}
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	itemTime := time.Duration(told.ItemTimeMs) * time.Millisecond
+	if before, known := state.itemTimes[model]; known {
+		itemTime = before + (itemTime-before)/timeSmoothing
+	}
+	state.itemTimes[model] = itemTime
+}
+
+// ItemTime is how long an item of a model takes a slot, a running mean over batches.
+func (state *State) ItemTime(model string) time.Duration {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	if itemTime, known := state.itemTimes[model]; known {
+		return itemTime
+	}
+	return firstItemTime
+}
+
 // Of returns the newest demand of a model.
 func (state *State) Of(model string) (Demand, bool) {
 	state.mutex.Lock()
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,308 @@
+// Package fleet orders as many model replicas as the trainers' batches need, where the
+// platform starts and ends them on order.
+//
+// Plan is the pure decision; Manager carries it out on the daemon that holds the lease
+// for duties. What was ordered stands in a keyed partition of the journal, so that a
+// successor goes on from there and does not take replicas for surplus.
+//
+// # Usage
+//
+//	manager := fleet.NewManager(fleet.Parts{Journal: log, Lease: held, Driver: duties, ...}, logger)
+//	go manager.Run(ctx) // acts only while the lease is held
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/demand"
+	"woodworks/internal/duty"
+	"woodworks/internal/journal"
+	"woodworks/internal/lease"
+	"woodworks/internal/periodic"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+)
+
+const (
+	topic        = "woodworks.fleet"
+	lookInterval = 250 * time.Millisecond
+	// callTimeout bounds one call to the platform, journalTimeout one to the journal.
+	callTimeout    = 800 * time.Millisecond
+	journalTimeout = 1200 * time.Millisecond
+	// firstPause is the pause after an order that failed. It doubles with each one in a
+	// row, up to longestPause.
+	firstPause   = 300 * time.Millisecond
+	longestPause = 5 * time.Second
+	// maxDoublings bounds the doublings of a pause.
+	maxDoublings = 6
+	// freshList is how old the list of replicas may be for an order: an outage of the
+	// journal lets entries lapse although their replicas live.
+	freshList = 1500 * time.Millisecond
+	// settledList is how long the list must have been followed without a gap: entries
+	// that lapsed in an outage are back within two seconds of its end.
+	settledList = 3 * time.Second
+	// seenFor is how long a larger number of replicas is remembered: those that are
+	// missing from the list for less may live.
+	seenFor = 15 * time.Second
+)
+
+// List tells how far the list of replicas can be relied upon.
+type List interface{ LastContact() time.Time }
+
+// Parts are what a manager works with.
+type Parts struct {
+	Journal journal.Journal
+	Lease   lease.Held
+	Driver  duty.Driver
+	// Holder is the name in which orders are made.
+	Holder        string
+	Table         *replica.Table
+	List          List
+	Configuration func() *route.Configuration
+	Demands       *demand.State
+}
+
+// subject is a service in a zone.
+type subject struct{ service, zone string }
+
+// ordered is what was ordered last for a subject. It is a record of the journal.
+type ordered struct {
+	Service string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+	Desired int    `cbor:"3,keyasint"`
+	// AtMs is the ordering daemon's time of day, in milliseconds.
+	AtMs int64 `cbor:"4,keyasint"`
+}
+
+// Manager orders replicas while it may act.
+type Manager struct {
+	Parts
+	logger *zap.Logger
+
+	// known is what was ordered; it is read when this daemon begins to act.
+	known map[subject]ordered
+	// lowSince is since when each service has needed fewer replicas.
+	lowSince map[string]time.Time
+	// unsettledAt is when the list was last seen to be old.
+	unsettledAt time.Time
+	// seen are the replicas listed of late, by subject.
+	seen     map[subject]sighting
+	failures int
+	notUntil time.Time
+
+	orders, failed atomic.Uint64
+}
+
+// sighting is the largest number of replicas that was listed within seenFor.
+type sighting struct {
+	count int
+	at    time.Time
+}
+
+// NewManager returns a manager.
+func NewManager(parts Parts, logger *zap.Logger) *Manager {
+	return &Manager{Parts: parts, logger: logger, lowSince: map[string]time.Time{}, seen: map[subject]sighting{}}
+}
+
+// Orders returns how many orders the platform took from this daemon.
+func (m *Manager) Orders() uint64 { return m.orders.Load() }
+
+// Failed returns how many orders failed.
+func (m *Manager) Failed() uint64 { return m.failed.Load() }
+
+// Run orders replicas until the context ends.
+func (m *Manager) Run(ctx context.Context) { periodic.Every(ctx, lookInterval, m.look) }
+
+// look makes the orders that are due, if the lease lets this daemon act.
+func (m *Manager) look(ctx context.Context) {
+	configuration := m.Configuration()
+	if configuration == nil {
+		return
+	}
+	// The list is watched without the lease too, as it tells little of the past.
+	now := time.Now()
+	settled := m.settled(now)
+	present := m.presentOf(configuration, now)
+	if _, _, may := m.Lease.Fence(); !may {
+		m.known = nil
+		return
+	}
+	if !settled || now.Before(m.notUntil) || !m.read(ctx) {
+		return
+	}
+	for _, service := range configuration.Services {
+		if service.Scaling == nil {
+			continue
+		}
+		in := m.input(configuration, service, present, now)
+		for _, order := range Plan(in) {
+			if !m.order(ctx, service.Name, order, in) {
+				return
+			}
+		}
+	}
+}
+
+// settled reports whether the list of replicas has been followed for a while.
+func (m *Manager) settled(now time.Time) bool {
+	if now.Sub(m.List.LastContact()) > freshList {
+		m.unsettledAt = now
+	}
+	return now.Sub(m.unsettledAt) >= settledList
+}
+
+// presentOf counts the replicas listed of the services whose replicas may be ordered, and
+// notes the largest numbers of late.
+func (m *Manager) presentOf(configuration *route.Configuration, now time.Time) map[subject]int {
+	present := map[subject]int{}
+	for _, service := range configuration.Services {
+		if service.Scaling == nil {
+			continue
+		}
+		for zone := range service.Scaling.ZonePrices {
+			present[subject{service.Name, zone}] = 0
+		}
+		for _, each := range m.Table.Replicas(service.Name) {
+			if !each.Spot {
+				present[subject{service.Name, each.Zone}]++
+			}
+		}
+	}
+	for key, count := range present {
+		if last := m.seen[key]; count >= last.count || now.Sub(last.at) > seenFor {
+			m.seen[key] = sighting{count, now}
+		}
+	}
+	return present
+}
+
+// input gathers what a plan for a service depends on.
+func (m *Manager) input(configuration *route.Configuration, service route.Service, present map[subject]int, now time.Time) Input {
+	in := Input{Scaling: *service.Scaling, Slots: service.Slots, Now: now, Loads: m.loads(configuration, service)}
+	for key, count := range present {
+		if key.service != service.Name {
+			continue
+		}
+		last := m.known[key]
+		in.Zones = append(in.Zones, Zone{Name: key.zone, Present: count, Seen: m.seen[key].count, Ordered: last.Desired, OrderedAt: time.UnixMilli(last.AtMs)})
+	}
+	sortZones(in.Zones)
+	switch {
+	case !Low(in):
+		delete(m.lowSince, service.Name)
+	case m.lowSince[service.Name].IsZero():
+		m.lowSince[service.Name] = now
+	}
+	in.LowSince = m.lowSince[service.Name]
+	return in
+}
+
+// loads returns what the batches of a service's models ask of it.
+func (m *Manager) loads(configuration *route.Configuration, service route.Service) []Load {
+	deadline := batchDeadline(configuration, service.Name)
+	var loads []Load
+	for _, model := range service.Models {
+		known, found := m.Demands.Of(model.Name)
+		if found && known.Items > 0 {
+			loads = append(loads, Load{Items: known.Items, ItemTime: m.Demands.ItemTime(model.Name), Deadline: deadline})
+		}
+	}
+	return loads
+}
+
+// batchDeadline returns the shortest deadline of the batches that a service runs, 0 if
+// there are none.
+func batchDeadline(configuration *route.Configuration, service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range configuration.Routes {
+		each := &configuration.Routes[i]
+		if each.Kind != route.Batch || each.BatchDeadline <= 0 || !each.Uses(service) {
+			continue
+		}
+		if shortest == 0 || each.BatchDeadline < shortest {
+			shortest = each.BatchDeadline
+		}
+	}
+	return shortest
+}
+
+// order asks the platform for replicas. What is asked for is noted first, so that a
+// successor takes what may have been ordered for ordered.
+func (m *Manager) order(ctx context.Context, service string, order Order, in Input) bool {
+	key := subject{service, order.Zone}
+	noted := ordered{Service: service, Zone: order.Zone, Desired: order.Desired, AtMs: in.Now.UnixMilli()}
+	err := m.note(ctx, noted)
+	fence := int64(0)
+	if err == nil {
+		m.known[key] = noted
+		err = lease.Act(ctx, m.Lease, callTimeout, func(ctx context.Context, held int64) error {
+			fence = held
+			return m.Driver.OrderFleet(ctx, duty.Authority{Holder: m.Holder, Fence: held}, duty.Fleet{Service: service, Zone: order.Zone, Desired: order.Desired})
+		})
+	}
+	m.logger.Info("replicas ordered", zap.String("service", service), zap.String("zone", order.Zone), zap.Int("desired", order.Desired),
+		zap.Int("need", Need(in)), zap.Stringers("zones", in.Zones), zap.Stringers("loads", in.Loads), zap.Int64("fence", fence), zap.Error(err))
+	if err != nil {
+		m.failed.Add(1)
+		m.failures++
+		m.notUntil = time.Now().Add(min(firstPause<<min(m.failures-1, maxDoublings), longestPause))
+		// It has to be ordered again.
+		delete(m.known, key)
+		return false
+	}
+	m.orders.Add(1)
+	m.failures = 0
+	return true
+}
+
+func (m *Manager) partition() journal.Partition {
+	return journal.Partition{Topic: m.Journal.KeyedTopic(topic)}
+}
+
+// note keeps an order in the journal.
+func (m *Manager) note(ctx context.Context, noted ordered) error {
+	encoded, err := cbor.Marshal(noted)
+	if err != nil {
+		return errors.Wrap(err, "fleet: encode")
+	}
+	bounded, cancel := context.WithTimeout(ctx, journalTimeout)
+	defer cancel()
+	record := m.Journal.JoinKeyed(journal.KeyedRecord{Key: noted.Service + "/" + noted.Zone, Value: encoded})
+	_, err = m.Journal.Append(bounded, journal.Append{Partition: m.partition(), Records: [][]byte{record}})
+	return errors.Wrap(err, "fleet: order not noted")
+}
+
+// read learns what was ordered, when this daemon begins to act.
+func (m *Manager) read(ctx context.Context) bool {
+	if m.known != nil {
+		return true
+	}
+	known := map[subject]ordered{}
+	for afterKey, more := "", true; more; {
+		bounded, cancel := context.WithTimeout(ctx, journalTimeout)
+		page, err := m.Journal.Newest(bounded, m.partition(), afterKey)
+		cancel()
+		if err != nil {
+			m.logger.Info("orders for replicas not read", zap.Error(err))
+			return false
+		}
+		for _, each := range page.Records {
+			var noted ordered
+			if err := cbor.Unmarshal(each.Value, &noted); err != nil {
+				m.logger.Error("order for replicas refused", zap.String("key", each.Key), zap.Error(err))
+				continue
+			}
+			known[subject{noted.Service, noted.Zone}] = noted
+			afterKey = each.Key
+		}
+		more = page.More && len(page.Records) > 0
+	}
+	m.known = known
+	return true
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,214 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"woodworks/internal/demand"
+	"woodworks/internal/duty"
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+)
+
+// stage is a manager with all that it looks at.
+type stage struct {
+	log     *journaltest.Journal
+	table   *replica.Table
+	demands *demand.State
+	mu      sync.Mutex
+	orders  []duty.Fleet
+	answer  error
+	contact time.Time
+	held    bool
+	fence   int64
+}
+
+func (s *stage) Duties() duty.Duties { return duty.Duties{Fleet: true} }
+func (s *stage) ReportUsage(context.Context, duty.Authority, duty.Usage) error {
+	return duty.ErrRefused
+}
+
+func (s *stage) OrderFleet(_ context.Context, _ duty.Authority, fleet duty.Fleet) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders = append(s.orders, fleet)
+	return s.answer
+}
+
+func (s *stage) LastContact() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.contact.IsZero() {
+		return time.Now()
+	}
+	return s.contact
+}
+
+func (s *stage) Fence() (int64, time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fence, time.Now().Add(time.Second), s.held
+}
+
+func (s *stage) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *stage) taken() []duty.Fleet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]duty.Fleet(nil), s.orders...)
+}
+
+// newStage has nine replicas in three zones, and batches that need more.
+func newStage(items int) *stage {
+	s := &stage{log: journaltest.New(), table: replica.NewTable(time.Second, zap.NewNop()), demands: demand.NewState(), held: true, fence: 1}
+	for i := range 9 {
+		s.list(i)
+	}
+	encoded, err := cbor.Marshal(demand.Demand{Items: items})
+	if err != nil {
+		panic(err)
+	}
+	s.demands.Apply(journal.KeyedRecord{Key: "m", Value: encoded})
+	return s
+}
+
+func (s *stage) list(i int) {
+	s.table.Set(replica.Entry{ID: fmt.Sprint("r", i), Service: "s", Zone: []string{"a", "b", "c"}[i%3], Slots: 6})
+}
+
+func (s *stage) configuration() *route.Configuration {
+	bounds := scaling(24)
+	made, err := route.New(route.Declared{Version: 1,
+		Routes:   []route.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: route.Batch, BatchDeadline: 7500 * time.Millisecond, Shares: []route.Share{{Service: "s", Weight: 1}}}},
+		Services: map[string]route.Service{"s": {Name: "s", Engine: true, Slots: 6, Models: []route.Model{{Name: "m"}}, Scaling: &bounds}}})
+	if err != nil {
+		panic(err)
+	}
+	return made
+}
+
+func (s *stage) start(ctx context.Context, logger *zap.Logger) *Manager {
+	made := NewManager(Parts{Journal: s.log, Lease: s, Driver: s, Holder: "d", Table: s.table, List: s, Configuration: s.configuration, Demands: s.demands}, logger)
+	go made.Run(ctx)
+	return made
+}
+
+// on plays a stage until the test is over.
+func on(t *testing.T, play func(is *is.I, ctx context.Context)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		play(is.New(t), ctx)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// sum is how many replicas there should be after some orders.
+func sum(orders []duty.Fleet) int {
+	newest := map[string]int{"a": 3, "b": 3, "c": 3}
+	for _, each := range orders {
+		newest[each.Zone] = each.Desired
+	}
+	all := 0
+	for _, desired := range newest {
+		all += desired
+	}
+	return all
+}
+
+func TestReplicasAreOrderedAsBatchesNeedThem(t *testing.T) {
+	on(t, func(is *is.I, ctx context.Context) {
+		s := newStage(240)
+		core, logs := observer.New(zap.InfoLevel)
+		s.start(ctx, zap.New(core))
+		time.Sleep(5 * time.Second)
+		is.Equal(sum(s.taken()), Need(Input{Slots: 6, Loads: loadsOf(240)}))
+		for _, each := range s.taken() {
+			is.True(!each.Spot)
+		}
+		is.Equal(logs.FilterMessage("replicas ordered").Len(), len(s.taken())) // one line an order
+	})
+}
+
+// A successor goes on from what was ordered, whether or not it was carried out yet.
+func TestASuccessorDoesNotOrderAgain(t *testing.T) {
+	on(t, func(is *is.I, ctx context.Context) {
+		s := newStage(240)
+		first, stop := context.WithCancel(ctx)
+		s.start(first, zap.NewNop())
+		time.Sleep(time.Second)
+		stop()
+		before := len(s.taken())
+		is.True(before > 0)
+		s.start(ctx, zap.NewNop())
+		time.Sleep(settledList)
+		is.Equal(len(s.taken()), before)
+	})
+}
+
+// Entries that lapse in an outage of the journal are not replicas that are gone: nothing
+// is ordered until the list has been followed again, and never for fewer than may live.
+func TestAnOutageOfTheListOrdersNothing(t *testing.T) {
+	on(t, func(is *is.I, ctx context.Context) {
+		s := newStage(100) // needs no more than the nine
+		s.start(ctx, zap.NewNop())
+		time.Sleep(10 * time.Second)
+		is.Equal(len(s.taken()), 0)
+		s.set(func() { s.contact, s.held = time.Now(), false })
+		time.Sleep(4 * time.Second)
+		for i := range 9 {
+			if i%3 == 2 || i < 3 {
+				s.table.Remove(fmt.Sprint("r", i))
+			}
+		}
+		s.set(func() { s.contact, s.held = time.Time{}, true })
+		time.Sleep(settledList - 2*lookInterval)
+		is.Equal(len(s.taken()), 0)
+		time.Sleep(time.Second)
+		for _, each := range s.taken() {
+			is.True(each.Desired >= 3) // those that are missing may live
+		}
+	})
+}
+
+func TestAnOrderThatFailsIsMadeAgainAfterAWhile(t *testing.T) {
+	on(t, func(is *is.I, ctx context.Context) {
+		s := newStage(240)
+		s.answer = duty.ErrThrottled
+		m := s.start(ctx, zap.NewNop())
+		time.Sleep(30 * time.Second)
+		failed := len(s.taken())
+		is.True(failed >= 4)
+		is.True(failed <= 24) // backed off
+		is.Equal(m.Orders(), uint64(0))
+		s.set(func() { s.answer = nil })
+		time.Sleep(2 * longestPause)
+		is.Equal(sum(s.taken()), Need(Input{Slots: 6, Loads: loadsOf(240)}))
+	})
+}
+
+func TestNothingIsOrderedWithoutTheLease(t *testing.T) {
+	on(t, func(is *is.I, ctx context.Context) {
+		s := newStage(240)
+		s.held = false
+		s.start(ctx, zap.NewNop())
+		time.Sleep(20 * time.Second)
+		is.Equal(len(s.taken()), 0)
+	})
+}
--- /dev/null
+++ b/internal/lease/act.go
@@ -0,0 +1,37 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNotHeld: the lease does not let this daemon act now, or not for long enough.
+var ErrNotHeld = errors.New("lease: not held")
+
+// actMargin is how much of the lease must be left for an act to be begun. The act ends
+// half of it before the lease does, as it must have arrived by then.
+const actMargin = 250 * time.Millisecond
+
+// Held lets its holder act.
+type Held interface {
+	// Fence returns the fence under which this daemon may act now, and until when.
+	Fence() (fence int64, until time.Time, may bool)
+}
+
+// Act makes one call in the name of a lease: it ends within the timeout, and well before
+// the lease does. It returns ErrNotHeld without a call if the lease does not allow one.
+func Act(ctx context.Context, held Held, timeout time.Duration, call func(ctx context.Context, fence int64) error) error {
+	fence, until, may := held.Fence()
+	if !may || time.Until(until) < actMargin {
+		return ErrNotHeld
+	}
+	latest := until.Add(-actMargin / 2)
+	if soon := time.Now().Add(timeout); soon.Before(latest) {
+		latest = soon
+	}
+	bounded, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	return call(bounded, fence)
+}
--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -48,7 +49,7 @@
 
 // With implements zapcore.Core.
 func (core *boundedCore) With(fields []zapcore.Field) zapcore.Core {
-	return &boundedCore{Core: core.Core.With(plainErrors(fields)), limiter: core.limiter, now: core.now}
+	return &boundedCore{Core: core.Core.With(plainFields(fields)), limiter: core.limiter, now: core.now}
 }
 
 // Check implements zapcore.Core.
@@ -61,7 +62,7 @@
 
 // Write implements zapcore.Core.
 func (core *boundedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
-	fields = plainErrors(fields)
+	fields = plainFields(fields)
 	write, leftOut := core.limiter.admit(kindOf(entry.Message, fields), core.now())
 	for _, each := range leftOut {
 		told := entry
@@ -125,17 +126,21 @@
 	return kind{event, reason}
 }
 
-// plainErrors turns errors into their one-line texts: the encoder would add a
-// stack trace of many lines. Fields without an error are dropped.
-func plainErrors(fields []zapcore.Field) []zapcore.Field {
+// plainFields turns fields that the encoder cannot write on one line into texts. It
+// would add a stack trace of many lines to an error, and it panics on values of other
+// kinds, such as slices of structs. Fields without an error are dropped.
+func plainFields(fields []zapcore.Field) []zapcore.Field {
 	plain := make([]zapcore.Field, 0, len(fields))
 	for _, field := range fields {
-		if field.Type != zapcore.ErrorType {
+		switch field.Type {
+		case zapcore.ErrorType:
+			if err, ok := field.Interface.(error); ok && err != nil {
+				plain = append(plain, zap.String(field.Key, err.Error()))
+			}
+		case zapcore.ReflectType:
+			plain = append(plain, zap.String(field.Key, fmt.Sprint(field.Interface)))
+		default:
 			plain = append(plain, field)
-			continue
-		}
-		if err, ok := field.Interface.(error); ok && err != nil {
-			plain = append(plain, zap.String(field.Key, err.Error()))
 		}
 	}
 	return plain
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -114,3 +114,14 @@
 	}
 	return whole, told
 }
+
+// A value that the encoder knows no way to write must not end the process.
+func TestAnyValueIsOneLine(t *testing.T) {
+	is := is.New(t)
+	written := &lines{}
+	logger := newTestLogger(written, time.Now)
+	type part struct{ Name string }
+	logger.With(zap.Any("held", []part{{"x"}})).Info("happened", zap.Any("parts", []part{{"a"}, {"b"}}), zap.Any("nothing", nil))
+	is.Equal(strings.Count(written.String(), "\n"), 1)
+	is.True(strings.Contains(written.String(), `parts="[{a} {b}]"`))
+}
--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -32,13 +31,8 @@
 	loadTimeout  = 8 * time.Second
 	failedPause  = 100 * time.Millisecond
 	longestPause = 2 * time.Second
-	// actMargin is how much of the lease must be left for an order to be sent.
-	actMargin = 250 * time.Millisecond
 )
 
-// errNoLease: the lease does not let this daemon act now.
-var errNoLease = errors.New("modelsync: lease not held")
-
 // Named gives the newest version that was named of each model.
 type Named func() map[string]int64
 
@@ -195,9 +189,7 @@
 // service wants texts of one version.
 func mannerFor(configuration *route.Configuration, service string) engine.Manner {
 	for i := range configuration.Routes {
-		each := &configuration.Routes[i]
-		uses := func(share route.Share) bool { return share.Service == service }
-		if each.SingleVersion && slices.ContainsFunc(each.Shares, uses) {
+		if each := &configuration.Routes[i]; each.SingleVersion && each.Uses(service) {
 			return engine.Finish
 		}
 	}
@@ -353,22 +345,14 @@
 
 // give sends the order if the lease lets this daemon act until it has arrived.
 func (syncer *Syncer) give(ctx context.Context, each change, report engine.Report) error {
-	fence, until, may := syncer.lease.Fence()
-	if !may || time.Until(until) < actMargin {
-		return errNoLease
-	}
-	latest := until.Add(-actMargin / 2)
-	if soon := time.Now().Add(callTimeout); soon.Before(latest) {
-		latest = soon
-	}
-	bounded, cancel := context.WithDeadline(ctx, latest)
-	defer cancel()
-	syncer.mutex.Lock()
-	syncer.orders++
-	syncer.mutex.Unlock()
-	syncer.logger.Info("order", zap.String("replica", each.replica.ID), zap.String("model", each.model), zap.Int64("version", each.version),
-		zap.Int64("from", report.Versions[each.model]), zap.Int64("fence", fence), zap.Int64("after_orders", report.Orders))
-	return syncer.driver.Give(bounded, each.replica, engine.Order{
-		Model: each.model, Version: each.version, Manner: each.manner, Holder: syncer.holder, Fence: fence, AfterOrders: report.Orders,
+	return lease.Act(ctx, syncer.lease, callTimeout, func(ctx context.Context, fence int64) error {
+		syncer.mutex.Lock()
+		syncer.orders++
+		syncer.mutex.Unlock()
+		syncer.logger.Info("order", zap.String("replica", each.replica.ID), zap.String("model", each.model), zap.Int64("version", each.version),
+			zap.Int64("from", report.Versions[each.model]), zap.Int64("fence", fence), zap.Int64("after_orders", report.Orders))
+		return syncer.driver.Give(ctx, each.replica, engine.Order{
+			Model: each.model, Version: each.version, Manner: each.manner, Holder: syncer.holder, Fence: fence, AfterOrders: report.Orders,
+		})
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"woodworks/internal/demand"
 	"woodworks/internal/duty"
 	"woodworks/internal/engine"
+	"woodworks/internal/fleet"
 	"woodworks/internal/forward"
 	"woodworks/internal/group"
 	"woodworks/internal/headers"
@@ -133,6 +134,8 @@
 	// usage and reporter are nil where the platform wants no reports of usage.
 	usage    *usage.Recorder
 	reporter *usage.Reporter
+	// fleet is nil where the platform starts no replicas on order.
+	fleet    *fleet.Manager
 	handler  *ingress.Handler
 	front    *frontServer
 	internal *frontServer
@@ -216,8 +219,17 @@
 
 // buildDuties makes what the platform expects of one daemon at a time.
 func (node *Node) buildDuties(drivers Drivers) {
+	if drivers.Duties == nil {
+		return
+	}
+	if drivers.Duties.Duties().Fleet {
+		node.fleet = fleet.NewManager(fleet.Parts{
+			Journal: drivers.Journal, Lease: node.lease, Driver: drivers.Duties, Holder: node.settings.Name, Table: node.table, List: node.replicaFollower,
+			Configuration: node.operator.Configuration, Demands: node.demands,
+		}, node.logger)
+	}
 	windows := duty.Windows{Length: node.settings.Timing.UsageWindow.Std(), Due: node.settings.Timing.UsageDue.Std()}
-	if drivers.Duties == nil || !drivers.Duties.Duties().Usage || windows.Length <= 0 {
+	if !drivers.Duties.Duties().Usage || windows.Length <= 0 {
 		return
 	}
 	clock := wallclock.New()
@@ -278,6 +290,10 @@
 		node.metrics.Counter("usage_reports_total", "Reports of usage that the platform took from this daemon.", func() float64 { return float64(node.reporter.Reported()) })
 		node.metrics.Counter("usage_reports_failed_total", "Calls to report usage that failed.", func() float64 { return float64(node.reporter.Failed()) })
 	}
+	if node.fleet != nil {
+		node.metrics.Counter("fleet_orders_total", "Orders for replicas that the platform took from this daemon.", func() float64 { return float64(node.fleet.Orders()) })
+		node.metrics.Counter("fleet_orders_failed_total", "Orders for replicas that failed.", func() float64 { return float64(node.fleet.Failed()) })
+	}
 	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
 }
 
@@ -316,6 +332,9 @@
 		go node.usage.Run(node.context)
 		go node.reporter.Run(node.context)
 	}
+	if node.fleet != nil {
+		go node.fleet.Run(node.context)
+	}
 }
 
 // startRelay lets peers reach the journal through this daemon, and it through them.
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -19,6 +19,8 @@
 	Slots   int
 	// Draining replicas get no new work.
 	Draining bool
+	// Spot replicas may be taken away at any moment.
+	Spot bool
 	// Versions are the versions of the weights it holds, by model.
 	Versions map[string]int64
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -80,6 +81,27 @@
 	Models []Model
 	// Slots is how many requests an engine runs at once.
 	Slots int
+	// Scaling is nil where the number of replicas is not ours to order.
+	Scaling *Scaling
+}
+
+// Scaling says how many replicas of a service may be ordered.
+type Scaling struct {
+	// Min and Max bound the replicas of each zone.
+	Min, Max int
+	// Boot is how long a replica takes from its order until it serves.
+	Boot time.Duration
+	// ZonePrices is what a second of a replica costs, by zone.
+	ZonePrices map[string]float64
+}
+
+// Price is what a second of a replica costs in a zone; 1 where the configuration names
+// no price.
+func (s Scaling) Price(zone string) float64 {
+	if price, known := s.ZonePrices[zone]; known {
+		return price
+	}
+	return 1
 }
 
 // Limits bound what clients may send.
@@ -165,6 +187,11 @@
 	return strings.ToLower(host)
 }
 
+// Uses reports whether requests of the route may go to a service.
+func (route *Route) Uses(service string) bool {
+	return slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service })
+}
+
 // Order returns the route's services in the order in which a request should
 // try them: the first is drawn by weight from the request's id, so that each
 // part gets its share without any state.
--- a/internal/runner/account.go
+++ b/internal/runner/account.go
@@ -52,6 +52,24 @@
 // Run.
 func (runner *Runner) SetObserver(observe Observer) { runner.observe = observe }
 
+// publishItemTime tells how long the batch's items took a slot, in the mean. The mutex is
+// held.
+func (job *job) publishItemTime() {
+	if job.submission.Model == "" {
+		return
+	}
+	sum, count := time.Duration(0), time.Duration(0)
+	for _, each := range job.items {
+		if each.state == itemListed && each.account.phase == phaseDone {
+			sum += each.account.spent[phasePrompt] + each.account.spent[phaseMaking]
+			count++
+		}
+	}
+	if count > 0 {
+		go job.runner.demands.PublishTime(job.runner.context, job.submission.Model, sum/count)
+	}
+}
+
 // giveAccount tells where the time of a batch went: that of the item listed last, as
 // it decided when the batch had all that it came to. The mutex is held.
 func (job *job) giveAccount(reason string, now time.Time) {
@@ -83,6 +101,7 @@
 		fields = append(fields, zap.Duration(part.String(), spent[part]))
 		job.runner.observe(part.String(), spent[part])
 	}
+	job.publishItemTime()
 	afterLast := now.Sub(last.account.since)
 	job.runner.observe("until left", afterLast)
 	job.logger.Info("batch account", append(fields, zap.Duration("until_left", afterLast))...)
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -10,6 +10,7 @@
 
 	"woodworks/internal/duty"
 	"woodworks/internal/journal"
+	"woodworks/internal/lease"
 	"woodworks/internal/periodic"
 )
 
@@ -30,8 +31,6 @@
 	readBytes   = 256 << 10
 	// callTimeout bounds one call to the platform.
 	callTimeout = 800 * time.Millisecond
-	// actMargin is how much of the lease must be left for a call to be sent.
-	actMargin = 250 * time.Millisecond
 	// firstPause is the pause after a call that failed. It doubles with each one in a
 	// row, up to longestPause.
 	firstPause   = 200 * time.Millisecond
@@ -40,15 +39,10 @@
 	maxDoublings = 6
 )
 
-// Lease says under which fence this daemon may act now, and until when.
-type Lease interface {
-	Fence() (fence int64, until time.Time, may bool)
-}
-
 // Reporter settles and reports the usage of windows while it may act.
 type Reporter struct {
 	journal journal.Journal
-	lease   Lease
+	lease   lease.Held
 	driver  duty.Driver
 	holder  string
 	windows duty.Windows
@@ -67,7 +61,7 @@
 }
 
 // NewReporter returns a reporter that acts in the name of holder.
-func NewReporter(log journal.Journal, held Lease, driver duty.Driver, holder string, windows duty.Windows, clock Clock, logger *zap.Logger) *Reporter {
+func NewReporter(log journal.Journal, held lease.Held, driver duty.Driver, holder string, windows duty.Windows, clock Clock, logger *zap.Logger) *Reporter {
 	return &Reporter{journal: log, lease: held, driver: driver, holder: holder, windows: windows, clock: clock, logger: logger, state: newState()}
 }
 
@@ -196,18 +190,15 @@
 
 // reportOne makes one call and reports whether the platform took it.
 func (r *Reporter) reportOne(ctx context.Context, window int64) bool {
-	fence, until, may := r.lease.Fence()
-	if !may || time.Until(until) < actMargin {
+	requests := r.state.decided[window]
+	fence := int64(0)
+	err := lease.Act(ctx, r.lease, callTimeout, func(ctx context.Context, held int64) error {
+		fence = held
+		return r.driver.ReportUsage(ctx, duty.Authority{Holder: r.holder, Fence: held}, duty.Usage{Window: window, Requests: requests})
+	})
+	if errors.Is(err, lease.ErrNotHeld) {
 		return false
 	}
-	latest := until.Add(-actMargin / 2)
-	if soon := time.Now().Add(callTimeout); soon.Before(latest) {
-		latest = soon
-	}
-	bounded, cancel := context.WithDeadline(ctx, latest)
-	defer cancel()
-	requests := r.state.decided[window]
-	err := r.driver.ReportUsage(bounded, duty.Authority{Holder: r.holder, Fence: fence}, duty.Usage{Window: window, Requests: requests})
 	r.logger.Info("usage reported", zap.Int64("window", window), zap.Int64("fence", fence), zap.Int64("requests", total(requests)),
 		zap.Duration("after", r.clock.Now().Sub(endOf(window, r.windows))), zap.Int("failures_before", r.failures), zap.Error(err))
 	if err != nil && !errors.Is(err, duty.ErrRefused) {
