--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -29,6 +29,7 @@
 	"woodworks/internal/identity"
 	"woodworks/internal/journal"
 	"woodworks/internal/ledger"
+	"woodworks/internal/periodic"
 )
 
 // ErrBehind: the journal could not be read up to now, so that nothing can be said for
@@ -38,6 +39,8 @@
 const (
 	// catchUpTimeout bounds a read of the journal for a reader.
 	catchUpTimeout = 1500 * time.Millisecond
+	// catchUpPause is the time between two reads of the journal for a caller that waits.
+	catchUpPause = 100 * time.Millisecond
 	// refreshTimeout bounds the look for more where some results are known already.
 	refreshTimeout = 100 * time.Millisecond
 	// staleAfter is how old a fold may be to tell a part of the results without a look
@@ -241,7 +244,7 @@
 	seen := lookUp(partition, query)
 	switch {
 	case len(seen.Results) == 0:
-		if err := catchUp(ctx, partition); err != nil {
+		if err := catchUpWithin(ctx, partition, query.Wait); err != nil {
 			return Page{}, err
 		}
 		seen = lookUp(partition, query)
@@ -288,6 +291,20 @@
 	return nil
 }
 
+// catchUpWithin reads the journal up to now, again and again for as long as the caller
+// waits anyway: one that is sent away in an outage comes back after its end, one that is
+// held has its answer at the end.
+func catchUpWithin(ctx context.Context, partition *ledger.Partition, wait time.Duration) error {
+	until := time.Now().Add(wait)
+	for {
+		err := catchUp(ctx, partition)
+		if err == nil || ctx.Err() != nil || time.Now().Add(catchUpPause).After(until) {
+			return err
+		}
+		periodic.Pause(ctx, catchUpPause)
+	}
+}
+
 // awaitResults follows the partition until there is a result or the time is up.
 func awaitResults(ctx context.Context, partition *ledger.Partition, query Query, left time.Duration) Page {
 	release := partition.Follow()
--- a/internal/usage/recorder.go
+++ b/internal/usage/recorder.go
@@ -17,6 +17,9 @@
 	// leastFlush is the least time between two appends of a daemon's counts: what a
 	// killed daemon loses, against the journal's writes.
 	leastFlush = 200 * time.Millisecond
+	// mostFlush bounds the time between two appends that fail, which doubles with each
+	// one in a row: the journal that comes back gets the counts within it.
+	mostFlush = time.Second
 	// appendTimeout bounds one append.
 	appendTimeout = 1200 * time.Millisecond
 )
@@ -62,30 +65,36 @@
 
 // Run appends what was counted until the context ends.
 func (r *Recorder) Run(ctx context.Context) {
+	pause := leastFlush
 	periodic.Repeat(ctx, func(ctx context.Context) time.Duration {
-		r.Flush(ctx)
-		return max(r.pace(), leastFlush)
+		if r.Flush(ctx) == nil {
+			pause = leastFlush
+		} else {
+			pause = min(2*pause, mostFlush)
+		}
+		return max(r.pace(), pause)
 	})
 }
 
 // Flush appends what was counted so far.
-func (r *Recorder) Flush(ctx context.Context) {
+func (r *Recorder) Flush(ctx context.Context) error {
 	r.flushing.Lock()
 	defer r.flushing.Unlock()
 	encoded := r.take()
 	if encoded == nil {
-		return
+		return nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, err := r.journal.Append(bounded, journal.Append{Partition: Partition, Records: [][]byte{encoded}})
 	if err != nil {
 		r.logger.Info("usage not written", zap.Int64("number", r.number), zap.Bool("certain", errors.Is(err, journal.ErrNotDone)), zap.Error(err))
-		return
+		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sending = nil
+	return nil
 }
 
 // take returns the record to send, nil if there is nothing to tell.
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -51,7 +51,7 @@
 
 	state *state
 	next  int64
-	// failedAt is when the journal last did not answer.
+	// failedAt is when the journal last did not answer, or this daemon could not act.
 	failedAt time.Time
 	// failures counts the calls in a row that failed; no further one before notUntil.
 	failures int
@@ -77,6 +77,9 @@
 // step does what is due now, if the lease lets this daemon act.
 func (r *Reporter) step(ctx context.Context) {
 	if _, _, may := r.lease.Fence(); !may {
+		// The lease lapses in an outage of the journal, in which nothing may be asked
+		// of it here.
+		r.failedAt = time.Now()
 		return
 	}
 	if r.mayDecide() && r.catchUp(ctx) {
