Weights: a holder that stood still under some changes is quick again at once

Ruled out: the lease (held throughout) and the orders (none refused).

Cause: the seven changes under way at the freeze each counted as slowed, so that the width fell to two; and the time of a change was guessed as what they took. What a change took is known only by looking, so that too long a guess finds itself confirmed.

Changes slowed at the same time are one sign now, and a change is looked at no later than one that is not slowed may take.

--- a/bench/variants.py
+++ b/bench/variants.py
@@ -61,6 +61,13 @@
     "one-machine-a-zone": swap(r'(class = "front".*?count = )\d+', r"\g<1>1"),
     "small-replicas": lambda text: re.sub(r"kv_tokens = \d+", "kv_tokens = 24000", text),
     "wide": swap("cross_zone_ms = [\\d.]+", "cross_zone_ms = 8.0"),
+    "fenced": swap("fenced = false", "fenced = true"),
+    "strict-keys": swap("closed = false", "closed = true"),
+    "one-tenant": swap(r"(\[tenants\]\ncount = )\d+", r"\g<1>1"),
+    "many-tenants": swap(r"(\[tenants\]\ncount = )\d+", r"\g<1>2000"),
+    "few-engines": swap(r'servers = \[\{ zone = "bern-a", count = 12 \}, \{ zone = "bern-b", count = 12 \}, \{ zone = "solothurn", count = 11 \}\]',
+                        'servers = [{ zone = "bern-a", count = 4 }, { zone = "bern-b", count = 4 }, { zone = "solothurn", count = 3 }]'),
+    "slow-boot": swap("boot_s = 4.0", "boot_s = 12.0"),
     "tight-bounds": lambda text: text.replace("drain_ms = 2000", "drain_ms = 1200").replace("config_ms = 2000", "config_ms = 1200"),
 }
 
--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -302,17 +302,14 @@
 		return err
 	}
 	ordered := time.Now()
-	syncer.mutex.Lock()
-	expected := syncer.loadTime
-	syncer.mutex.Unlock()
-	periodic.Pause(bounded, expected)
+	periodic.Pause(bounded, syncer.expectedTime())
 	for bounded.Err() == nil {
 		report, err = syncer.report(bounded, each)
 		if err == nil && report.Versions[each.model] >= each.version {
-			syncer.learn(time.Since(ordered))
+			syncer.learn(ordered, time.Now())
 			return nil
 		}
-		if err == nil && !report.Busy && time.Since(ordered) > 2*expected {
+		if err == nil && !report.Busy && time.Since(ordered) > 2*syncer.expectedTime() {
 			return errors.New("modelsync: engine is idle without the version")
 		}
 		periodic.Pause(bounded, pollPause)
@@ -320,12 +317,26 @@
 	return errors.New("modelsync: change took too long")
 }
 
+// expectedTime is how long a change is left alone before the first look at it. It is no
+// longer than a change that is not slowed may take: what a change took is only known by
+// looking, so that a guess that is far too long would never be found wrong. A holder that
+// stood still for four seconds under seven changes once made all later ones take four.
+func (syncer *Syncer) expectedTime() time.Duration {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	if most := syncer.width.unslowed(); most > 0 {
+		return min(syncer.loadTime, most)
+	}
+	return syncer.loadTime
+}
+
 // learn notes how long a change took. The guess stays a bit below, as looking
 // late costs time and looking early costs a call.
-func (syncer *Syncer) learn(took time.Duration) {
+func (syncer *Syncer) learn(ordered, now time.Time) {
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
-	syncer.width.done(took)
+	took := now.Sub(ordered)
+	syncer.width.done(ordered, now)
 	syncer.loadTime += (took - syncer.loadTime) / 4
 	syncer.loadTime -= pollPause / 8
 }
--- a/internal/modelsync/width.go
+++ b/internal/modelsync/width.go
@@ -21,22 +21,34 @@
 type width struct {
 	current  float64
 	shortest time.Duration
+	// narrowedAt is when it last shrank.
+	narrowedAt time.Time
 	// waiting is how many engines are due.
 	waiting int
 }
 
+// unslowed is the longest that a change may take without counting as slowed, 0 before one
+// was measured.
+func (w *width) unslowed() time.Duration {
+	return time.Duration(slowedBy * float64(w.shortest))
+}
+
 // places returns the width in whole engines.
 func (w *width) places() int { return max(int(w.current), leastWidth) }
 
-// done takes a finished change into account.
-func (w *width) done(took time.Duration) {
+// done takes a finished change into account. Changes that are slowed at the same time are
+// one sign: the width shrinks once for those that were under way when it did.
+func (w *width) done(began, now time.Time) {
+	took := now.Sub(began)
 	if w.shortest == 0 || took < w.shortest {
 		w.shortest = took
 	}
 	w.current = max(w.current, leastWidth)
 	switch {
-	case float64(took) > slowedBy*float64(w.shortest):
-		w.current = max(narrowing*w.current, leastWidth)
+	case took > w.unslowed():
+		if !began.Before(w.narrowedAt) {
+			w.current, w.narrowedAt = max(narrowing*w.current, leastWidth), now
+		}
 	case float64(w.waiting) > longBacklog*w.current:
 		w.current++
 	}
