--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -66,12 +66,17 @@
 	if err != nil {
 		return errors.Wrap(err, "front")
 	}
+	front.serve(listener)
+	return nil
+}
+
+// serve takes the connections of a listener over.
+func (front *frontServer) serve(listener net.Listener) {
 	front.mutex.Lock()
 	front.bound = listener
 	front.startServer()
 	front.mutex.Unlock()
 	go front.accept(listener)
-	return nil
 }
 
 // accept gives each new connection to the server in force.
@@ -133,6 +138,14 @@
 	return otherwise
 }
 
+// stop takes requests for a while longer, each answer being the last of its connection,
+// and then shuts down.
+func (front *frontServer) stop(ctx context.Context) {
+	front.drain()
+	periodic.Pause(ctx, drainTime)
+	front.shutdown(ctx)
+}
+
 // drain makes each further answer the last one of its connection. Idle
 // connections stay open, as a request may be on its way.
 func (front *frontServer) drain() { front.draining.Store(true) }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
-
-	"woodworks/internal/periodic"
 )
 
 const (
@@ -40,11 +39,10 @@
 		go node.member.Leave(ctx)
 		node.runner.Release(ctx)
 	}()
-	node.front.drain()
-	node.internal.drain()
-	periodic.Pause(ctx, drainTime)
-	node.front.shutdown(ctx)
-	node.internal.shutdown(ctx)
+	var listeners sync.WaitGroup
+	listeners.Go(func() { node.front.stop(ctx) })
+	listeners.Go(func() { node.internal.stop(ctx) })
+	listeners.Wait()
 	select {
 	case <-released:
 	case <-ctx.Done():
