A planned stop closes no connection that its client may still take up

Cause: three ways on which a stop ended requests without an answer. Connections that were quiet for 1 s were closed at 3.0 s of 8 s of grace, though clients keep them for up to four fifths of the idle limit. What was under way 0.6 s before the end of the grace was cut. The listener was closed over connections that the kernel had accepted and the process had not. Beside them: a connection's idle limit was that of its beginning, and a deadline that passed while the process stood still hid bytes that had arrived.

Change: each answer tells how long its connection is kept (Keep-Alive, at most 5 s and four fifths of the idle limit); a stop closes a connection only after that time and a second, and never over bytes in its buffer; answers whose head is written after the stop began end their connection. What outlasts the grace is interrupted and answered with what is certain (503 if it has not run, else 502); late requests that might not end in time are turned away at once. Waiting connections are accepted before the listener closes. Idle limits are kept by clientConns: the longer of the one in force and the one that was in force as the connection became idle.

Ruled out: closing the sending side first (a request that crosses it is read and can't be answered); refusing handshakes by a filter (the client believes it is connected and is reset later).

A stop with connections that rest takes up to 6 s in place of 3.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"woodworks/internal/results"
 	"woodworks/internal/route"
 	"woodworks/internal/runner"
+	"woodworks/internal/shutdown"
 	"woodworks/internal/tenant"
 )
 
@@ -70,6 +71,8 @@
 	ConfigurationAge func() time.Duration
 	// Retries, if not nil, bounds offers to further replicas.
 	Retries Retries
+	// Stop, if not nil, is the planned stop of the daemon.
+	Stop *shutdown.Stop
 
 	inFlight atomic.Int64
 }
@@ -127,6 +130,9 @@
 	if !found.Anonymous && !asked.authenticate(configuration) {
 		return
 	}
+	if !asked.endsInTime() {
+		return
+	}
 	body, ok := asked.readBody(configuration.Limits.MaxBodyBytes)
 	if !ok {
 		return
@@ -211,7 +217,7 @@
 
 // explain gives the final answer to a request without a replica's answer.
 func (asked *request) explain(err error) {
-	if asked.request.Context().Err() != nil {
+	if asked.clientLeft() {
 		asked.observe(0, "client left", err.Error())
 		panic(http.ErrAbortHandler)
 	}
@@ -223,7 +229,9 @@
 	asked.attempts, asked.replica = failure.Attempts, strings.Join(failure.Tried, ",")
 	switch {
 	case failure.Certainty == forward.NotRun:
-		asked.refuse(failure.Reason, retryAfter)
+		asked.refuse(failure.Reason, asked.comeBack())
+	case asked.interrupted():
+		asked.fail(http.StatusBadGateway, "interrupted", shutdown.ErrInterrupted.Error())
 	case asked.timeLeft() <= 0:
 		asked.fail(http.StatusGatewayTimeout, "timed out", failure.Reason)
 	default:
--- /dev/null
+++ b/internal/ingress/stop_test.go
@@ -0,0 +1,92 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/forward"
+	"woodworks/internal/route"
+	"woodworks/internal/shutdown"
+)
+
+// askedOf returns a request for a route of a daemon that may be stopping, with where its
+// answer goes.
+func askedOf(ctx context.Context, stop *shutdown.Stop, kind route.Kind, timeout time.Duration) (*request, *httptest.ResponseRecorder) {
+	recorder := httptest.NewRecorder()
+	handler := &Handler{Codec: plainCodec{}, Observer: noObserver{}, Stop: stop}
+	return &request{
+		handler: handler, writer: recorder, request: httptest.NewRequest(http.MethodPost, "/x", nil).WithContext(ctx),
+		arrived: time.Now(), logger: zap.NewNop(), route: &route.Route{Kind: kind, Timeout: timeout},
+	}, recorder
+}
+
+// A request that came late in a stop was taken whatever its time, and cut at the end of
+// the grace. It is turned away at once if it might not end, and served if it does.
+func TestALateRequestIsServedOnlyIfItEndsInTime(t *testing.T) {
+	const grace = 8 * time.Second
+	cases := map[string]struct {
+		after   time.Duration
+		kind    route.Kind
+		timeout time.Duration
+		served  bool
+	}{
+		"before the stop":           {-1, route.Stream, time.Minute, true},
+		"early":                     {time.Second, route.Stream, time.Minute, true},
+		"late and short":            {4 * time.Second, route.Safe, time.Second, true},
+		"late and long":             {4 * time.Second, route.Safe, 10 * time.Second, false},
+		"at the end":                {7 * time.Second, route.Safe, time.Second, false},
+		"a submission in time":      {4 * time.Second, route.Batch, time.Minute, true},
+		"a submission at the end":   {7 * time.Second, route.Batch, time.Minute, false},
+		"without time of its own":   {4 * time.Second, route.Unsafe, 0, false},
+		"after the grace was spent": {grace, route.Safe, time.Millisecond, false},
+	}
+	for name, each := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				stop := shutdown.New()
+				if each.after >= 0 {
+					stop.Begin(grace)
+					time.Sleep(each.after)
+				}
+				asked, recorder := askedOf(t.Context(), stop, each.kind, each.timeout)
+				is.Equal(asked.endsInTime(), each.served)
+				if each.served {
+					return
+				}
+				is.Equal(recorder.Code, http.StatusServiceUnavailable)
+				is.True(recorder.Header().Get("Retry-After") != "")
+			})
+		})
+	}
+}
+
+// A request that the end of a stop interrupts is answered with what is certain; one whose
+// client has left is not.
+func TestAnInterruptedRequestIsAnsweredWithWhatIsCertain(t *testing.T) {
+	answered := func(failure *forward.Failure) int {
+		stop := shutdown.New()
+		ctx, release := stop.Bound(t.Context())
+		defer release()
+		stop.Interrupt()
+		<-ctx.Done()
+		asked, recorder := askedOf(ctx, stop, route.Unsafe, time.Minute)
+		asked.explain(failure)
+		return recorder.Code
+	}
+	is := is.New(t)
+	is.Equal(answered(&forward.Failure{Certainty: forward.NotRun}), http.StatusServiceUnavailable)
+	is.Equal(answered(&forward.Failure{Certainty: forward.MayHaveRun}), http.StatusBadGateway)
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	asked, _ := askedOf(left, shutdown.New(), route.Unsafe, time.Minute)
+	defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+	asked.explain(&forward.Failure{Certainty: forward.NotRun})
+}
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -14,6 +14,7 @@
 	"woodworks/internal/headers"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/shutdown"
 	"woodworks/internal/upstream"
 )
 
@@ -154,11 +155,13 @@
 		reason = relaying.reasons.Error()
 	}
 	switch {
-	case relaying.began || relaying.request.request.Context().Err() != nil:
+	case relaying.began || relaying.clientLeft():
 		relaying.observe(0, "broken off", reason)
 		panic(http.ErrAbortHandler)
 	case relaying.ran == 0:
-		relaying.refuse(reason, retryAfter)
+		relaying.refuse(reason, relaying.comeBack())
+	case relaying.interrupted():
+		relaying.fail(http.StatusBadGateway, "interrupted", shutdown.ErrInterrupted.Error())
 	case relaying.timeLeft() <= 0:
 		relaying.fail(http.StatusGatewayTimeout, "timed out", reason)
 	default:
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -3,8 +3,14 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"woodworks/internal/recvbuf"
 )
 
 // clientConn is a client's connection that can be closed between two requests
@@ -22,13 +28,21 @@
 	// busy: a part of a request has been read that is not answered yet.
 	busy   bool
 	closed bool
-	// quietSince is when it was accepted or last became idle.
+	// quietSince is when it was accepted or last became idle, idleLimit the limit that
+	// was in force then.
 	quietSince time.Time
+	idleLimit  time.Duration
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A deadline that passed while the process stood still hides
+// no bytes that have arrived meanwhile: the client has sent them in time.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if n = recvbuf.Take(c.Conn, p); n > 0 {
+			err = nil
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -53,13 +67,15 @@
 func (c *clientConn) answered(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.quietSince = false, now
+	c.busy, c.quietSince, c.idleLimit = false, now, c.set.limit()
 }
 
-// closeIfQuiet closes the connection if it has been idle since the given time.
+// closeIfQuiet closes the connection if it has been idle since the given time and no
+// request lies in its buffer: on a busy machine one may lie there for a while before it
+// is read.
 func (c *clientConn) closeIfQuiet(since time.Time) {
 	c.mu.Lock()
-	quiet := !c.busy && !c.quietSince.After(since)
+	quiet := !c.busy && !c.quietSince.After(since) && recvbuf.Look(c.Conn) != recvbuf.Waiting
 	c.closed = c.closed || quiet
 	c.mu.Unlock()
 	if quiet {
@@ -67,18 +83,39 @@
 	}
 }
 
+// closeIfExpired closes the connection if it has been idle for longer than the limit in
+// force and than the one that was in force as it became idle: its client may know either.
+func (c *clientConn) closeIfExpired(now time.Time, limit time.Duration) {
+	c.mu.Lock()
+	limit = max(limit, c.idleLimit)
+	c.mu.Unlock()
+	c.closeIfQuiet(now.Add(-limit))
+}
+
 // clientConns are the open connections of a listener. It is safe for concurrent
 // use; its lock is taken after that of no connection.
 type clientConns struct {
+	// idleLimit is how long a connection may be idle, a time.Duration.
+	idleLimit atomic.Int64
+
 	mu   sync.Mutex
 	open map[*clientConn]struct{}
 }
 
-func newClientConns() *clientConns { return &clientConns{open: map[*clientConn]struct{}{}} }
+func newClientConns() *clientConns {
+	s := &clientConns{open: map[*clientConn]struct{}{}}
+	s.setIdleLimit(defaultIdleTimeout)
+	return s
+}
+
+// setIdleLimit sets how long connections may be idle.
+func (s *clientConns) setIdleLimit(limit time.Duration) { s.idleLimit.Store(int64(limit)) }
+
+func (s *clientConns) limit() time.Duration { return time.Duration(s.idleLimit.Load()) }
 
 // add takes an accepted connection over.
 func (s *clientConns) add(conn net.Conn, now time.Time) *clientConn {
-	c := &clientConn{Conn: conn, set: s, quietSince: now}
+	c := &clientConn{Conn: conn, set: s, quietSince: now, idleLimit: s.limit()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = struct{}{}
@@ -107,6 +144,14 @@
 	return len(s.all())
 }
 
+// closeExpired closes the connections that have been idle for longer than they may.
+func (s *clientConns) closeExpired(now time.Time) {
+	limit := s.limit()
+	for _, c := range s.all() {
+		c.closeIfExpired(now, limit)
+	}
+}
+
 func (s *clientConns) all() []*clientConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -11,8 +10,8 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"woodworks/internal/periodic"
 	"woodworks/internal/route"
+	"woodworks/internal/shutdown"
 )
 
 const (
@@ -20,44 +19,50 @@
 	defaultIdleTimeout   = 30 * time.Second
 	defaultHeaderBytes   = 32 << 10
 	acceptPause          = 20 * time.Millisecond
-	// quietTime is how long a connection has been idle when a stop closes it: by
-	// then a client that was given it has sent its request.
-	quietTime = time.Second
-	// closePause is the time between two looks for such connections.
-	closePause = 20 * time.Millisecond
+	// defaultGrace is the grace of a stop for which none is set.
+	defaultGrace = 2 * time.Minute
 )
 
 // frontServer is the listener for clients. It stands on net/http's server and
 // not on go-zero's rest, whose router cleans paths and answers odd ones itself:
 // requests must reach replicas unaltered.
 //
-// The limits of a connection are those in force when it was accepted: a change
-// of the limits makes a new http.Server, and the old one keeps its connections.
+// The limits of a request's head are those in force when its connection was accepted: a
+// change of them makes a new http.Server, and the old one keeps its connections. How long
+// a connection may be idle is up to clientConns, for all connections alike.
 type frontServer struct {
-	handler  http.Handler
-	logger   *zap.Logger
-	conns    *clientConns
+	handler http.Handler
+	logger  *zap.Logger
+	conns   *clientConns
+	// plan divides the grace of a planned stop.
+	plan     shutdown.Plan
 	draining atomic.Bool
+	// interrupted ends the requests under way at the end of a planned stop.
+	interrupted *shutdown.Stop
 
-	mutex    sync.Mutex
+	mutex sync.Mutex
+	// keep is the longest that an answer tells a client to keep its connection.
+	keep     time.Duration
 	limits   route.Limits
 	current  *http.Server
 	bound    net.Listener
 	listener *handOver
 	servers  []*http.Server
+	// accepting ends with the loop that takes connections.
+	accepting sync.WaitGroup
 }
 
 func newFrontServer(logger *zap.Logger) *frontServer {
-	return &frontServer{logger: logger, conns: newClientConns()}
+	return &frontServer{logger: logger, conns: newClientConns(), plan: shutdown.PlanOf(defaultGrace), keep: longestKeep, interrupted: shutdown.New()}
 }
 
-// ServeHTTP implements http.Handler. While the daemon stops, each answer is the
-// last of its connection.
+// ServeHTTP implements http.Handler.
 func (front *frontServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if front.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	front.handler.ServeHTTP(w, r)
+	ctx, release := front.interrupted.Bound(r.Context())
+	defer release()
+	told := &answer{ResponseWriter: w, front: front}
+	front.handler.ServeHTTP(told, r.WithContext(ctx))
+	told.begin()
 }
 
 // listen binds the address and serves it.
@@ -76,7 +81,7 @@
 	front.bound = listener
 	front.startServer()
 	front.mutex.Unlock()
-	go front.accept(listener)
+	front.accepting.Go(func() { front.accept(listener) })
 }
 
 // accept gives each new connection to the server in force.
@@ -90,13 +95,18 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		front.mutex.Lock()
-		target := front.listener
-		front.mutex.Unlock()
-		target.give(front.conns.add(conn, time.Now()))
+		front.take(conn)
 	}
 }
 
+// take gives a connection to the server in force.
+func (front *frontServer) take(conn net.Conn) {
+	front.mutex.Lock()
+	target := front.listener
+	front.mutex.Unlock()
+	target.give(front.conns.add(conn, time.Now()))
+}
+
 // configured takes the limits of a new configuration over.
 func (front *frontServer) configured(configuration *route.Configuration) {
 	front.mutex.Lock()
@@ -105,6 +115,7 @@
 		return
 	}
 	front.limits = configuration.Limits
+	front.conns.setIdleLimit(orDefault(front.limits.IdleTimeout, defaultIdleTimeout))
 	front.logger.Info("limits in force", zap.Int("header_bytes", front.limits.MaxHeaderBytes), zap.Int64("body_bytes", front.limits.MaxBodyBytes),
 		zap.Duration("header_timeout", front.limits.HeaderTimeout), zap.Duration("idle_timeout", front.limits.IdleTimeout))
 	if front.current != nil {
@@ -112,13 +123,14 @@
 	}
 }
 
-// startServer makes a server with the limits in force. The mutex is held.
+// startServer makes a server with the limits in force. It closes no idle connections:
+// its limit would be that of the time when a connection became idle, while the client
+// goes by the one in force. The mutex is held.
 func (front *frontServer) startServer() {
 	server := &http.Server{
 		Handler:           front,
 		ConnState:         front.conns.stateChanged,
 		ReadHeaderTimeout: orDefault(front.limits.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       orDefault(front.limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ErrorLog:          zap.NewStdLog(front.logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
@@ -138,38 +150,6 @@
 	return otherwise
 }
 
-// stop takes requests for a while longer, each answer being the last of its connection,
-// and then shuts down.
-func (front *frontServer) stop(ctx context.Context) {
-	front.drain()
-	periodic.Pause(ctx, drainTime)
-	front.shutdown(ctx)
-}
-
-// drain makes each further answer the last one of its connection. Idle
-// connections stay open, as a request may be on its way.
-func (front *frontServer) drain() { front.draining.Store(true) }
-
-// shutdown takes no more connections and waits until none is open or the
-// context ends. It closes those that have been quiet for quietTime.
-func (front *frontServer) shutdown(ctx context.Context) {
-	front.mutex.Lock()
-	servers := front.servers
-	if front.bound != nil {
-		_ = front.bound.Close()
-	}
-	front.mutex.Unlock()
-	for front.conns.closeQuiet(time.Now().Add(-quietTime)) > 0 && ctx.Err() == nil {
-		periodic.Pause(ctx, closePause)
-	}
-	if left := len(front.conns.all()); left > 0 {
-		front.logger.Warn("connections cut off by the stop", zap.Int("connections", left))
-	}
-	for _, server := range servers {
-		_ = server.Close()
-	}
-}
-
 // handOver is a listener whose connections come from another one.
 type handOver struct {
 	connections chan net.Conn
--- /dev/null
+++ b/internal/node/keepalive.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// longestKeep is the longest that an answer tells a client to keep its connection
+	// for another request. A planned stop waits for that long, so that it costs a stop
+	// time; a client that comes more seldom makes a connection for each request, a round
+	// trip. Five seconds are also what Node.js keeps connections for.
+	longestKeep = 5 * time.Second
+	// leastKeep is the least that an answer can tell, in whole seconds.
+	leastKeep = time.Second
+	// keepShare is the part of the idle limit after which clients take up no connection:
+	// the rest is for a request on its way.
+	keepShare = 0.8
+	// lateTime is how much later than it was told to a client's request may arrive:
+	// its way, and a client or a daemon that is slow to run.
+	lateTime = time.Second
+)
+
+// keepFor is what answers tell clients where a stop has a grace: all that they keep can
+// be closed within it, after the last one may have come.
+func keepFor(interrupt time.Duration) time.Duration {
+	return max(min(longestKeep, (interrupt-lateTime).Truncate(time.Second)), leastKeep)
+}
+
+// answer is the answer to a request. What it tells of its connection is decided when its
+// head is written: a request that was under way when a stop began ends its connection,
+// which would otherwise rest and have to be closed under its client.
+type answer struct {
+	http.ResponseWriter
+	front *frontServer
+	begun bool
+}
+
+// begin completes the head if it is not written yet.
+func (a *answer) begin() {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	a.front.tellConnection(a.Header())
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		a.begin()
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(p []byte) (int, error) {
+	a.begin()
+	return a.ResponseWriter.Write(p)
+}
+
+// FlushError lets http.ResponseController flush.
+func (a *answer) FlushError() error {
+	a.begin()
+	return http.NewResponseController(a.ResponseWriter).Flush()
+}
+
+// Unwrap lets http.ResponseController reach the real writer.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// setKeep sets the longest that answers tell clients to keep their connections.
+func (front *frontServer) setKeep(keep time.Duration) {
+	front.mutex.Lock()
+	defer front.mutex.Unlock()
+	front.keep = keep
+}
+
+func (front *frontServer) longestKept() time.Duration {
+	front.mutex.Lock()
+	defer front.mutex.Unlock()
+	return front.keep
+}
+
+// tellConnection says in an answer's head what becomes of its connection.
+func (front *frontServer) tellConnection(header http.Header) {
+	if front.draining.Load() {
+		header.Set("Connection", "close")
+		return
+	}
+	front.mutex.Lock()
+	idle := orDefault(front.limits.IdleTimeout, defaultIdleTimeout)
+	kept := min(front.keep, time.Duration(keepShare*float64(idle)))
+	front.mutex.Unlock()
+	if seconds := int(kept / time.Second); seconds > 0 {
+		header.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+	}
+}
--- /dev/null
+++ b/internal/node/keepalive_test.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/shutdown"
+)
+
+// Clients are told less than the idle limit and than what a stop can wait for.
+func TestAnswersTellHowLongTheirConnectionIsKept(t *testing.T) {
+	for idle, told := range map[time.Duration]string{
+		0: "timeout=5", time.Minute: "timeout=5", 4 * time.Second: "timeout=3", 1500 * time.Millisecond: "timeout=1", time.Second: "",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := newDialled(http.HandlerFunc(answerWhole))
+			defer d.end()
+			d.configured(idleLimit(1, idle))
+			answer, err := d.dial().ask("/")
+			is.NoErr(err)
+			is.Equal(answer.Header.Get("Keep-Alive"), told)
+		})
+	}
+	is := is.New(t)
+	for grace, keep := range map[time.Duration]time.Duration{
+		2 * time.Minute: 5 * time.Second, 8 * time.Second: 5 * time.Second, 5 * time.Second: 3 * time.Second, time.Second: time.Second,
+	} {
+		is.Equal(keepFor(shutdown.PlanOf(grace).Interrupt), keep)
+	}
+}
+
+// A handler that writes nothing has an answer all the same, and it ends its connection
+// during a stop.
+func TestAnEmptyAnswerDuringAStopIsTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDialled(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		defer d.end()
+		d.drain()
+		answer, err := d.dial().ask("/")
+		is.NoErr(err)
+		is.True(answer.Close)
+	})
+}
+
+// Idle connections end once they have rested for as long as they may, and not before.
+func TestIdleConnectionsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDialled(http.HandlerFunc(answerWhole))
+		defer d.end()
+		d.configured(idleLimit(1, 10*time.Second))
+		_, err := d.dial().ask("/")
+		is.NoErr(err)
+		synctest.Wait()
+		d.configured(idleLimit(2, 2*time.Second))
+		time.Sleep(9 * time.Second)
+		d.conns.closeExpired(time.Now())
+		is.Equal(len(d.conns.all()), 1) // Its client may know the limit that it began with.
+		time.Sleep(time.Second)
+		d.conns.closeExpired(time.Now())
+		is.Equal(len(d.conns.all()), 0)
+	})
+}
+
+// The kernel accepts connections before the process does. A listener that was closed
+// reset them with the requests in their buffers.
+func TestConnectionsThatWaitToBeAcceptedAreServed(t *testing.T) {
+	is := is.New(t)
+	bound, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	front := newFrontServer(zap.NewNop())
+	front.handler = http.HandlerFunc(answerWhole)
+	front.mutex.Lock()
+	front.bound = bound
+	front.startServer()
+	front.mutex.Unlock()
+	client := keepOne(t, bound.Addr().String())
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	front.drain()
+	front.closeListener()
+	answer, err := http.ReadResponse(client.r, nil)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.True(answer.Close)
+	_, err = net.DialTimeout("tcp4", bound.Addr().String(), time.Second)
+	is.True(err != nil)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,7 @@
 	"woodworks/internal/results"
 	"woodworks/internal/runner"
 	"woodworks/internal/settings"
+	"woodworks/internal/shutdown"
 	"woodworks/internal/upstream"
 	"woodworks/internal/usage"
 )
@@ -141,8 +143,10 @@
 	cancel  context.CancelFunc
 	// partitions is how many the journal has of each topic.
 	partitions int
-	stopping   chan struct{}
-	stopOnce   sync.Once
+	shutdown   *shutdown.Stop
+	// grace is how long a planned stop may take, a time.Duration.
+	grace    atomic.Int64
+	stopOnce sync.Once
 }
 
 // New builds a daemon. Its identity is its name with the time of this start,
@@ -157,7 +161,7 @@
 	node := &Node{
 		settings: loaded, logger: logger, metrics: metrics.New(), pool: pool,
 		identity: identity.New(loaded.Name, time.Now()),
-		context:  ctx, cancel: cancel, stopping: make(chan struct{}),
+		context:  ctx, cancel: cancel, shutdown: shutdown.New(),
 	}
 	node.build(drivers)
 	return node, nil
@@ -179,6 +183,7 @@
 	contact := node.settings.Timing.ContactBound.Std()
 	node.table = replica.NewTable(node.settings.Timing.DrainBound.Std(), logger)
 	node.front = newFrontServer(logger)
+	node.front.interrupted = node.shutdown
 	node.operator = operation.NewState(drivers.Decoder, node.front.configured, logger)
 	node.operatorFollower = journal.NewKeyedFollower(drivers.Journal, drivers.OperatorRecords, node.operator, contact, logger)
 	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), contact, logger)
@@ -199,11 +204,13 @@
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
-		ConfigurationAge: node.configurationAge,
-		Keys:             ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
+		ConfigurationAge: node.configurationAge, Stop: node.shutdown,
+		Keys: ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
 	node.front.handler = node.handler
 	node.internal = newFrontServer(logger)
+	node.internal.interrupted = node.shutdown
+	node.SetStopGrace(node.settings.Timing.StopGrace.Std())
 	node.buildDuties(drivers)
 	if drivers.Interface != nil {
 		made := drivers.Interface(node.parts(drivers))
@@ -228,7 +235,7 @@
 		Settings: node.settings, Identity: node.identity, Journal: drivers.Journal, Operator: node.operator, Replicas: node.table,
 		Ledger: node.ledger, Runner: node.runner, Ingress: node.handler, Metrics: node.metrics, Logger: node.logger, Ready: node.ready,
 		ConfigurationAge: node.configurationAge,
-		Stopping:         node.stopping,
+		Stopping:         node.shutdown.Begun(),
 	}
 }
 
@@ -313,6 +320,8 @@
 		node.pool.Sweep(now)
 		node.ledger.Sweep(now)
 		node.table.Sweep(now)
+		node.front.conns.closeExpired(now)
+		node.internal.conns.closeExpired(now)
 		node.lease.SetCandidate(isCandidate(node.member.Partitions(), node.partitions))
 	})
 }
@@ -350,7 +359,7 @@
 // ready reports whether clients should come here, and why not.
 func (node *Node) ready() (bool, string) {
 	select {
-	case <-node.stopping:
+	case <-node.shutdown.Begun():
 		return false, "stopping"
 	default:
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -6,31 +6,31 @@
 	"time"
 
 	"go.uber.org/zap"
-)
 
-const (
-	// drainTime is how long requests are still taken after a stop began: by
-	// then the platform sends no new ones.
-	drainTime = 3 * time.Second
-	// stopMargin is left of the grace when what is under way is cut.
-	stopMargin = 600 * time.Millisecond
-	// resignTime is how long the resignation of the lease may take, in that margin.
-	resignTime = 300 * time.Millisecond
+	"woodworks/internal/shutdown"
 )
 
+// SetStopGrace sets how long a planned stop may take, for one that has not begun.
+func (node *Node) SetStopGrace(grace time.Duration) {
+	node.grace.Store(int64(grace))
+	keep := keepFor(shutdown.PlanOf(grace).Interrupt)
+	node.front.setKeep(keep)
+	node.internal.setKeep(keep)
+}
+
 // Stop takes no more work, hands batches over, finishes what is under way and
-// ends the daemon within the grace of the settings. A second call waits for the
-// first.
+// ends the daemon within the grace. A second call waits for the first.
 func (node *Node) Stop() {
 	node.stopOnce.Do(node.stop)
 }
 
 func (node *Node) stop() {
 	began := time.Now()
-	close(node.stopping)
-	node.logger.Info("stopping", zap.Int64("in_flight", node.handler.InFlight()))
-	grace := node.settings.Timing.StopGrace.Std() - stopMargin
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
+	grace := time.Duration(node.grace.Load())
+	plan := node.shutdown.Begin(grace)
+	node.logger.Info("stopping", zap.Int64("in_flight", node.handler.InFlight()), zap.Duration("grace", grace),
+		zap.Duration("drain", plan.Drain), zap.Duration("interrupt", plan.Interrupt), zap.Int("connections", len(node.front.conns.all())))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(plan.Interrupt))
 	defer cancel()
 	released := make(chan struct{})
 	go func() {
@@ -40,22 +40,24 @@
 		node.runner.Release(ctx)
 	}()
 	var listeners sync.WaitGroup
-	listeners.Go(func() { node.front.stop(ctx) })
-	listeners.Go(func() { node.internal.stop(ctx) })
+	for _, each := range []*frontServer{node.front, node.internal} {
+		each.plan = plan
+		listeners.Go(func() { each.stop(ctx) })
+	}
 	listeners.Wait()
 	select {
 	case <-released:
 	case <-ctx.Done():
 	}
 	node.flushUsage(ctx)
-	node.resign()
+	node.resign(plan.Resign)
 	node.cancel()
 	node.logger.Info("stopped", zap.Duration("took", time.Since(began)), zap.Int64("in_flight", node.handler.InFlight()))
 }
 
 // resign gives the lease up last: orders go on while the daemon stops.
-func (node *Node) resign() {
-	ctx, cancel := context.WithTimeout(context.Background(), resignTime)
+func (node *Node) resign(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	node.lease.Resign(ctx)
 }
--- /dev/null
+++ b/internal/shutdown/shutdown_test.go
@@ -0,0 +1,68 @@
+package shutdown
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Whatever the grace, there is time to take requests, time to finish them and time to
+// answer the rest, in this order and within the grace.
+func TestAPlanFitsItsGrace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(int64(10*time.Millisecond), int64(time.Hour)).Draw(t, "grace"))
+		plan := PlanOf(grace)
+		if plan.Drain <= 0 || plan.Interrupt <= plan.Drain || plan.Interrupt >= grace {
+			t.Fatalf("plan %+v for %v", plan, grace)
+		}
+		if grace-plan.Interrupt > grace/6 {
+			t.Fatalf("interrupts %v before the end of %v", grace-plan.Interrupt, grace)
+		}
+		if plan.Answer <= 0 || plan.Resign <= 0 || plan.Interrupt+plan.Answer+plan.Resign >= grace {
+			t.Fatalf("no time to end: %+v for %v", plan, grace)
+		}
+	})
+}
+
+func TestOnlyLateRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stop := New()
+		_, bounded := stop.Left(time.Now())
+		is.True(!bounded)
+		plan := stop.Begin(8 * time.Second)
+		time.Sleep(plan.Drain - time.Millisecond)
+		_, bounded = stop.Left(time.Now())
+		is.True(!bounded)
+		time.Sleep(time.Millisecond)
+		left, bounded := stop.Left(time.Now())
+		is.True(bounded)
+		is.Equal(left, plan.Interrupt-plan.Drain)
+		is.Equal(stop.Begin(time.Second), plan)
+	})
+}
+
+// A caller that leaves is told apart from a stop that ends, whichever comes first.
+func TestAnInterruptionIsToldFromACallerThatLeft(t *testing.T) {
+	is := is.New(t)
+	stop := New()
+	caller, leave := context.WithCancel(context.Background())
+	left, release := stop.Bound(caller)
+	defer release()
+	waiting, release := stop.Bound(context.Background())
+	defer release()
+	leave()
+	<-left.Done()
+	stop.Interrupt()
+	<-waiting.Done()
+	is.True(!Interrupted(left))
+	is.True(Interrupted(waiting))
+	derived, cancel := context.WithTimeout(waiting, time.Hour)
+	defer cancel()
+	is.True(Interrupted(derived))
+	is.True(!Interrupted(context.Background()))
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"woodworks/internal/recvbuf"
 )
 
 const (
@@ -56,21 +58,10 @@
 	if conn.reader.Buffered() > 0 {
 		return false
 	}
-	withDescriptor, ok := conn.raw.(syscall.Conn)
-	if !ok {
+	if _, ok := conn.raw.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := withDescriptor.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var probe [1]byte
-	err = raw.Control(func(descriptor uintptr) {
-		_, _, err := syscall.Recvfrom(int(descriptor), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
+	return recvbuf.Look(conn.raw) == recvbuf.Empty
 }
 
 func (conn *connection) exchange(ctx context.Context, request *Request) (*Answer, error) {
