Items are given up by the owner's steady clock, not by the difference of two clocks

Cause: a batch's age was the owner's time of day less the accepting daemon's, with 3 s for their difference. An owner that was ahead by MaxQueue + 3 s listed every waiting item as dead at its first beat (a wrong 'dead', which is final); one that was behind gave none up. The age is now counted from the owner's adoption by its steady clock, which is never more than the true age.

Price: after a change of owner the span begins anew, so that an item may be given up later, never sooner. No other decision of the runner reads the record's time; it stays for the log line of the account.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -45,7 +45,8 @@
 	// Host and Path are those of the submitting request: they name the route.
 	Host string `cbor:"2,keyasint"`
 	Path string `cbor:"3,keyasint"`
-	// AcceptedAtMs is the accepting daemon's time of day, in milliseconds.
+	// AcceptedAtMs is the accepting daemon's time of day, in milliseconds. It is for logs:
+	// clocks of daemons may differ by any amount, and nothing is decided by it.
 	AcceptedAtMs int64 `cbor:"4,keyasint"`
 	// Trainer's part: the step, the model, the oldest version that may make a
 	// token, and how many whole groups the trainer waits for.
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// clockMargin is taken for the difference between two daemons' clocks
-	// where a span since the acceptance must be over for certain.
-	clockMargin = 3 * time.Second
 	// handedPatience is how long an item is left to the owner that released it.
 	handedPatience = 5 * time.Second
 	// gatherTime is how long a result waits for others to be listed with.
@@ -273,10 +270,11 @@
 }
 
 // giveUpOld lists as dead the waiting items that are older than their route
-// lets them grow.
+// lets them grow. A batch's age is counted from when this owner began, by its steady
+// clock: that is never more than the true age, whatever time of day daemons believe.
 func (job *job) giveUpOld() {
 	_, found, ok := job.route()
-	if !ok || found.MaxQueue <= 0 || time.Since(job.submission.AcceptedAt()) < found.MaxQueue+clockMargin {
+	if !ok || found.MaxQueue <= 0 || time.Since(job.adoptedAt) < found.MaxQueue {
 		return
 	}
 	job.mutex.Lock()
