--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -109,3 +109,21 @@
 		is.Equal(len(second.Partitions()), 1)
 	})
 }
+
+// The last contact was kept as a time of day: a clock set ahead by 2 s made a daemon that
+// stayed in the group all along call itself not ready. A time that keeps its reading of
+// the steady clock differs from itself without it.
+func TestTheLastContactIsOfTheSteadyClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		member := New(journaltest.New(), "a/1", topics, zap.NewNop())
+		is.True(time.Since(member.LastContact()) > 24*time.Hour) // there was none
+		go member.Run(ctx)
+		time.Sleep(joinInterval)
+		last := member.LastContact()
+		is.True(time.Since(last) < time.Second)
+		is.True(last != last.Round(0)) // without a steady clock's reading
+	})
+}
