--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -42,7 +42,7 @@
 	topics  []string
 	logger  *zap.Logger
 
-	lastContact atomic.Int64
+	lastContact journal.Contact
 	leaving     atomic.Bool
 
 	mutex      sync.Mutex
@@ -75,7 +75,7 @@
 }
 
 // LastContact is when the journal last answered.
-func (member *Member) LastContact() time.Time { return time.Unix(0, member.lastContact.Load()) }
+func (member *Member) LastContact() time.Time { return member.lastContact.Last() }
 
 // Run stays in the group until the context ends or Leave is called. It takes
 // the last run of this machine out of the group first, as that one is over.
@@ -137,7 +137,7 @@
 		}
 		return
 	}
-	member.lastContact.Store(time.Now().UnixNano())
+	member.lastContact.Note()
 	if member.lost {
 		member.lost = false
 		member.logger.Info("dependency regained", zap.String("dependency", "group"))
--- a/internal/journal/follow.go
+++ b/internal/journal/follow.go
@@ -48,7 +48,7 @@
 	mostPace time.Duration
 
 	synced      atomic.Bool
-	lastContact atomic.Int64
+	lastContact Contact
 	outage      outage
 }
 
@@ -79,7 +79,7 @@
 
 // LastContact is when the last read was answered.
 func (follower *KeyedFollower) LastContact() time.Time {
-	return time.Unix(0, follower.lastContact.Load())
+	return follower.lastContact.Last()
 }
 
 // Run follows the partition until the context ends.
@@ -167,7 +167,7 @@
 }
 
 func (follower *KeyedFollower) noteContact() {
-	follower.lastContact.Store(time.Now().UnixNano())
+	follower.lastContact.Note()
 	if follower.outage.told {
 		follower.logger.Info("dependency regained", zap.Duration("after", time.Since(follower.outage.since)), zap.Int("failures", follower.outage.failures))
 	}
