Tests: items that were handed over and broke wait for 5 s (known red)

A planned stop of an owner while a replica resets a run: the item is at no replica from the reset until 5 s after the next owner began.

--- /dev/null
+++ b/internal/runner/handed_test.go
@@ -0,0 +1,137 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/forward"
+	"woodworks/internal/headers"
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/ledger"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+)
+
+// newOwner is a daemon that owns what it accepts, with one replica of the service "s".
+func newOwner(ctx context.Context, t *testing.T, log journal.Journal, self string) *Runner {
+	t.Helper()
+	configuration, err := route.New(route.Declared{Routes: []route.Route{{
+		Name: "r", Host: "h", PathPrefix: "/p/", Kind: route.Batch, MaxQueue: time.Minute, Shares: []route.Share{{Service: "s", Weight: 1}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger := zap.NewNop()
+	table := replica.NewTable(time.Second, logger)
+	table.Replace([]replica.Entry{{ID: "engine", Service: "s", Slots: 4}})
+	forwarder := &forward.Forwarder{Names: headers.Names{}, Table: table, Logger: logger}
+	return New(ctx, self, ledger.New(ctx, log, logger), forwarder, configured{configuration: configuration}, nil, NewAssigner(log, dealtTo(self), self, logger), logger)
+}
+
+// twoItems is a batch for the route of newOwner.
+var twoItems = batch.Submission{ID: "x", Host: "h", Path: "/p/x", Items: []batch.Item{{ID: "i"}, {ID: "j"}}}
+
+// running makes the first items of a batch run, as far as its owner believes.
+func running(owner *Runner, count int) *job {
+	made := owner.jobList()[0]
+	made.mutex.Lock()
+	defer made.mutex.Unlock()
+	for _, each := range made.items[:count] {
+		each.state, each.run, each.lastReplica = itemRunning, 1, "engine"
+	}
+	return made
+}
+
+// startable returns how many items a daemon would start if there were room.
+func startable(owner *Runner) int {
+	seen := owner.views(time.Now())["s"]
+	if seen == nil {
+		return 0
+	}
+	return len(seen.pending)
+}
+
+// An owner that stops names the items that it still finishes, and the next owner leaves
+// them alone for 5 s. One of them whose run broke after the stop had begun was started by
+// neither for that long and the handing over, which is 5.2 s at no replica while replicas
+// had room. The owner that stops gives such an item back at once.
+func TestAnItemThatBreaksAtAStoppingOwnerIsStartedByTheNext(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			log := journaltest.New()
+			first, second := newOwner(ctx, t, log, "a/1"), newOwner(ctx, t, log, "b/1")
+			is.NoErr(first.Accept(ctx, &twoItems))
+			synctest.Wait()
+			begun := running(first, 2)
+			if early {
+				// The run breaks while the record of the release is on its way.
+				log.SetBefall(func(journaltest.Call) journaltest.Fault { return journaltest.Refuse })
+			}
+			go first.Release(ctx)
+			synctest.Wait()
+			begun.endRun(begun.items[0], 1, replica.Replica{Entry: replica.Entry{ID: "engine"}}, &route.Route{}, errors.New("reset"))
+			time.Sleep(200 * time.Millisecond)
+			log.SetBefall(nil)
+			time.Sleep(200 * time.Millisecond)
+			is.NoErr(second.TakeOver(ctx, "x", ""))
+			time.Sleep(200 * time.Millisecond)
+			is.Equal(startable(second), 1) // the other one still runs at the first owner
+			time.Sleep(handedPatience)
+			is.Equal(startable(second), 2)
+		})
+	}
+}
+
+// The next owner hears also of an item that breaks after it has begun itself.
+func TestAnItemThatBreaksAfterTheHandingOverIsStartedByTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := journaltest.New()
+		first, second := newOwner(ctx, t, log, "a/1"), newOwner(ctx, t, log, "b/1")
+		is.NoErr(first.Accept(ctx, &twoItems))
+		synctest.Wait()
+		begun := running(first, 2)
+		go first.Release(ctx)
+		synctest.Wait()
+		is.NoErr(second.TakeOver(ctx, "x", ""))
+		time.Sleep(time.Second)
+		is.Equal(startable(second), 0)
+		begun.endRun(begun.items[1], 1, replica.Replica{Entry: replica.Entry{ID: "engine"}}, &route.Route{}, errors.New("reset"))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(startable(second), 1)
+	})
+}
+
+// An owner that took a batch over and then fell silent had not finished what an owner
+// before it had been left: its successor left the same items alone for 5 s once more.
+func TestItemsAreLeftToTheOwnerBeforeOnlyOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := journaltest.New()
+		first, third := newOwner(ctx, t, log, "a/1"), newOwner(ctx, t, log, "c/1")
+		is.NoErr(first.Accept(ctx, &twoItems))
+		synctest.Wait()
+		running(first, 2)
+		go first.Release(ctx)
+		synctest.Wait()
+		is.NoErr(third.ledger.Of("x").Append(ctx, batch.TakenOver("x", "", "b/1")))
+		time.Sleep(silenceAllowed)
+		is.NoErr(third.TakeOver(ctx, "x", "b/1"))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(startable(third), 2)
+	})
+}
