An owner that stops gives back the items that it will not finish after all

Cause: the record of a release names the items under way, and the next owner leaves these alone for 5 s (handedPatience).

Mend: the old owner appends which items it gives back, once its release is told; the fold takes them off, and the next owner starts them at once. A takeover from an owner that did not release the batch forgets what was handed over before it. Readers of earlier versions pass over the new kind of record and wait as they did.

Ruled out: a shorter handedPatience, as it runs items twice that the old owner does finish.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -111,9 +111,12 @@
 	Submission
 	// Owner is the daemon that runs the batch, "" after a release.
 	Owner string
-	// Handed are the items that the last owner said it would still finish
-	// when it released the batch.
+	// Handed are the items that the owner before said it would still finish when it
+	// released the batch, less those that it has given back since. It is replaced, never
+	// changed.
 	Handed map[int]bool
+	// handedBy is the owner that released the batch last, while Handed counts.
+	handedBy string
 	// Results in the order of their positions.
 	Results []Result
 	// Listed says of each item whether it has a position.
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -1,5 +1,7 @@
 package batch
 
+import "maps"
+
 // State is the fold of one partition up to an offset.
 type State struct {
 	batches   map[string]*Batch
@@ -115,17 +117,20 @@
 		// A takeover counts only against the owner it names, so that of two
 		// at the same time one wins for every reader.
 		if entry.From == b.Owner && !b.Ended {
-			b.Owner, b.lastSign = entry.Owner, 0
-			b.Signs++
+			b.takeOver(entry)
 		}
 	case kindReleased:
 		if entry.From == b.Owner && !b.Ended {
-			b.Owner, b.lastSign = "", 0
+			b.Owner, b.lastSign, b.handedBy = "", 0, entry.From
 			b.Handed = make(map[int]bool, len(entry.Handed))
 			for _, item := range entry.Handed {
 				b.Handed[item] = true
 			}
 		}
+	case kindReturned:
+		if entry.From == b.handedBy {
+			b.takeBack(entry.Handed)
+		}
 	case kindEnded:
 		if b.BelongsTo(entry.Tenant) {
 			b.end()
@@ -133,6 +138,25 @@
 	}
 }
 
+// takeOver replaces the owner. What an owner before had handed over was left to it once:
+// one that replaces an owner that did not release the batch does not wait again.
+func (b *Batch) takeOver(entry record) {
+	if b.Owner != "" {
+		b.Handed, b.handedBy = nil, ""
+	}
+	b.Owner, b.lastSign = entry.Owner, 0
+	b.Signs++
+}
+
+// takeBack takes items off those that the owner before still finishes.
+func (b *Batch) takeBack(items []int) {
+	left := maps.Clone(b.Handed)
+	for _, item := range items {
+		delete(left, item)
+	}
+	b.Handed = left
+}
+
 // sign counts a sign of life of the owner. One that reached the journal late, after
 // a newer one, says nothing: its owner may have ended since. Records without a
 // number are those of earlier versions of this program.
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -46,7 +46,7 @@
 func drawRecord(t *rapid.T) []byte {
 	id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "batch")
 	owner := rapid.SampledFrom([]string{"", "one", "two", "three"})
-	switch rapid.IntRange(0, 6).Draw(t, "kind") {
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
 	case 0:
 		return Accepted(submission(id, 5, 2), owner.Draw(t, "owner"))
 	case 1:
@@ -59,11 +59,40 @@
 		return Beat(id, owner.Draw(t, "owner"), rapid.Int64Range(0, 9).Draw(t, "number"))
 	case 5:
 		return Advanced(id, owner.Draw(t, "owner"), rapid.Int64Range(0, 9).Draw(t, "number"), []Progress{drawProgress(t)})
+	case 6:
+		return Returned(id, owner.Draw(t, "from"), []int{1})
 	default:
 		return Ended(id, "")
 	}
 }
 
+// An owner that released a batch gives items back one by one, also after another has taken
+// it over. Only its own word counts, and only until an owner is replaced that had not
+// released the batch.
+func TestItemsHandedOverAreGivenBack(t *testing.T) {
+	is := is.New(t)
+	state := NewState()
+	handed := func() map[int]bool {
+		known, _ := state.Get("a")
+		return known.Handed
+	}
+	state.Apply(Accepted(submission("a", 5, 0), "one"))
+	state.Apply(Released("a", "one", []int{0, 1, 2}))
+	before := handed()
+	state.Apply(Returned("a", "two", []int{1}))
+	is.Equal(handed(), map[int]bool{0: true, 1: true, 2: true})
+	state.Apply(Returned("a", "one", []int{1, 4}))
+	is.Equal(handed(), map[int]bool{0: true, 2: true})
+	is.Equal(len(before), 3) // readers may hold it
+	state.Apply(TakenOver("a", "", "two"))
+	state.Apply(Returned("a", "one", []int{0}))
+	is.Equal(handed(), map[int]bool{2: true})
+	state.Apply(TakenOver("a", "two", "three"))
+	is.Equal(len(handed()), 0)
+	state.Apply(Returned("a", "one", []int{2}))
+	is.Equal(len(handed()), 0)
+}
+
 // Whatever daemons append, in whatever order: an accepted batch stays, a
 // position keeps its result, an item has one position, results fit the batch,
 // nothing is listed after the end, and the items keep their bodies until then.
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -17,6 +17,7 @@
 	kindFragment
 	kindBeat
 	kindProgress
+	kindReturned
 )
 
 // record is one entry of a journal partition.
@@ -29,7 +30,8 @@
 	Results    []Result    `cbor:"5,keyasint,omitempty"`
 	// From is the owner that a takeover or a release believes to replace.
 	From string `cbor:"6,keyasint,omitempty"`
-	// Handed are the items that the releasing owner still finishes.
+	// Handed are the items that the releasing owner still finishes, or those of them
+	// that it gives back.
 	Handed []int `cbor:"7,keyasint,omitempty"`
 	// A fragment is a part of a record too long for the journal. Key is drawn
 	// anew for each append, so that parts of two appends are never joined.
@@ -84,6 +86,12 @@
 	return encode(record{Kind: kindReleased, BatchID: batchID, From: from, Handed: handed})
 }
 
+// Returned is the record by which an owner that has released a batch gives back items
+// that it said it would still finish.
+func Returned(batchID, from string, items []int) []byte {
+	return encode(record{Kind: kindReturned, BatchID: batchID, From: from, Handed: items})
+}
+
 // Ended is the record after which nothing of the batch is run, if it belongs to the
 // tenant.
 func Ended(batchID, tenant string) []byte {
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -68,6 +68,7 @@
 		job.scoreItem(each)
 	} else {
 		job.retryItem(each, chosen, found, err)
+		job.giveBack(job.runner.context)
 	}
 	job.runner.Kick()
 }
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -45,6 +45,9 @@
 	cost int64
 	// notBefore delays an item, for example after a failure.
 	notBefore time.Time
+	// handed says that the item is left to the owner that released it. At that owner it
+	// says that the record which does so names it.
+	handed bool
 	// text are the data of the events so far; lastEvent is the last one's id.
 	text      [][]byte
 	lastEvent int64
@@ -88,6 +91,8 @@
 	mutex    sync.Mutex
 	items    []*item
 	released bool
+	// releaseTold says that the record of the release is in the journal.
+	releaseTold bool
 	// groups names the replica that last started an item of a group.
 	groups map[string]string
 	// required are the groups that came again: the trainer waits for them.
@@ -119,7 +124,7 @@
 		}
 		each.account.since = made.adoptedAt
 		if known.Handed[i] {
-			each.notBefore = made.adoptedAt.Add(handedPatience)
+			each.handed, each.notBefore = true, made.adoptedAt.Add(handedPatience)
 		}
 	}
 	return made
@@ -200,6 +205,7 @@
 			over, reason = true, "owned by "+known.Owner
 		default:
 			job.markListed(known)
+			job.markReturned(known)
 		}
 	})
 	if job.released && !over && job.noneUnderWay() {
@@ -223,6 +229,20 @@
 	}
 }
 
+// markReturned lets the items start that the owner before has given back. The mutex is
+// held.
+func (job *job) markReturned(known *batch.Batch) {
+	if job.released {
+		return
+	}
+	for i, each := range job.items {
+		if each.handed && !known.Handed[i] {
+			each.handed, each.notBefore = false, time.Time{}
+			job.runner.Kick()
+		}
+	}
+}
+
 func (job *job) noneUnderWay() bool {
 	for _, each := range job.items {
 		if each.state == itemRunning || each.state == itemScoring {
@@ -238,13 +258,41 @@
 	job.released = true
 	var handed []int
 	for _, each := range job.items {
-		if each.state == itemRunning || each.state == itemScoring {
+		each.handed = each.state == itemRunning || each.state == itemScoring
+		if each.handed {
 			handed = append(handed, each.index)
 		}
 	}
 	job.mutex.Unlock()
 	job.logger.Info("batch released", zap.Int("under_way", len(handed)))
-	_ = job.runner.appendUntil(ctx, job.partition, batch.Released(job.submission.ID, job.runner.self, handed))
+	if job.runner.appendUntil(ctx, job.partition, batch.Released(job.submission.ID, job.runner.self, handed)) != nil {
+		// The watchers find a batch whose owner has ended without a word.
+		return
+	}
+	job.mutex.Lock()
+	job.releaseTold = true
+	job.mutex.Unlock()
+	job.giveBack(ctx)
+}
+
+// giveBack tells the next owner of the items that this one will not finish after all,
+// which would otherwise be at no replica until handedPatience is over. Nothing is given
+// back before the release is told: the fold would not take it.
+func (job *job) giveBack(ctx context.Context) {
+	job.mutex.Lock()
+	var items []int
+	for _, each := range job.items {
+		if job.releaseTold && each.handed && each.state == itemWaiting {
+			each.handed = false
+			items = append(items, each.index)
+		}
+	}
+	job.mutex.Unlock()
+	if len(items) == 0 {
+		return
+	}
+	err := job.runner.appendUntil(ctx, job.partition, batch.Returned(job.submission.ID, job.runner.self, items))
+	job.logger.Info("items given back", zap.Ints("items", items), zap.Error(err))
 }
 
 func (job *job) waiting() int {
