Tests: a stop that leaves batches owned by the daemon that ends (known red)

Three of four ways by which a batch comes while a stop begins leave it with the stopping daemon as its owner, as does a release whose record is refused for 4 s. The fourth way (accepted here, slow append) holds.

--- /dev/null
+++ b/internal/runner/stop_test.go
@@ -0,0 +1,129 @@
+package runner
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/ledger"
+)
+
+// ownerInJournal reads who owns a batch now.
+func ownerInJournal(ctx context.Context, t *testing.T, log *journaltest.Journal, batchID string) string {
+	t.Helper()
+	partition := ledger.New(ctx, log, zap.NewNop()).Of(batchID)
+	is.New(t).NoErr(partition.CatchUp(ctx))
+	return ownerOf(partition, batchID)
+}
+
+// refuseAppends makes the journal refuse appends for a while.
+func refuseAppends(log *journaltest.Journal, span time.Duration) {
+	log.SetBefall(func(call journaltest.Call) journaltest.Fault {
+		if call == journaltest.Append {
+			return journaltest.Refuse
+		}
+		return journaltest.None
+	})
+	time.AfterFunc(span, func() { log.SetBefall(nil) })
+}
+
+// A batch with nothing under way is left as soon as the stop begins, while its record of
+// the release waited for a journal that refused appends: the daemon believed that all was
+// handed over, ended, and the batch stood still until its owner's silence was noticed,
+// after 1.5 s more.
+func TestAReleaseEndsWithItsRecordsInTheJournal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := journaltest.New()
+		owner := newOwner(ctx, t, log, "a/1")
+		is.NoErr(owner.Accept(ctx, &twoItems))
+		synctest.Wait()
+		refuseAppends(log, 4*time.Second)
+		bounded, cancel := context.WithTimeout(ctx, 8*time.Second)
+		defer cancel()
+		owner.Release(bounded)
+		is.Equal(ownerInJournal(ctx, t, log, "x"), "")
+	})
+}
+
+// slow is a journal that takes its time for appends and for reads that are not held.
+type slow struct {
+	*journaltest.Journal
+	appends, reads atomic.Int64
+}
+
+func (s *slow) Append(ctx context.Context, request journal.Append) (journal.Appended, error) {
+	time.Sleep(time.Duration(s.appends.Load()))
+	return s.Journal.Append(ctx, request)
+}
+
+func (s *slow) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
+	if request.Wait == 0 {
+		time.Sleep(time.Duration(s.reads.Load()))
+	}
+	return s.Journal.Read(ctx, request)
+}
+
+// A stop that begins while this daemon takes a batch over, or hears that it owns one, came
+// between the record and the start of the items: the batch was owned by a daemon that did
+// not run it and did not let it go, until its silence was noticed 1.5 s later. Where
+// daemons are stopped one after the other, the next one may meet the same chance.
+func TestABatchThatCameDuringAStopIsLetGo(t *testing.T) {
+	const lag = 300 * time.Millisecond
+	free := func(ctx context.Context, partition *ledger.Partition, owner string) error {
+		if err := partition.Append(ctx, batch.Accepted(&twoItems, owner)); err != nil || owner == "b/1" {
+			return err
+		}
+		return partition.Append(ctx, batch.Released("x", owner, nil))
+	}
+	for name, get := range map[string]func(ctx context.Context, log *slow, stopping *Runner) error{
+		"taken over, slow append": func(ctx context.Context, log *slow, stopping *Runner) error {
+			err := free(ctx, stopping.ledger.Of("x"), "a/1")
+			log.appends.Store(int64(lag))
+			go func() { _ = stopping.TakeOver(ctx, "x", "") }() // what came of it is read below
+			return err
+		},
+		"taken over, slow read": func(ctx context.Context, log *slow, stopping *Runner) error {
+			err := free(ctx, stopping.ledger.Of("x"), "a/1")
+			log.reads.Store(int64(lag))
+			go func() { _ = stopping.TakeOver(ctx, "x", "") }() // what came of it is read below
+			return err
+		},
+		"assigned, slow read": func(ctx context.Context, log *slow, stopping *Runner) error {
+			err := free(ctx, stopping.ledger.Of("x"), "b/1")
+			log.reads.Store(int64(lag))
+			go stopping.AdoptWhenSeen("x")
+			return err
+		},
+		"accepted, slow append": func(ctx context.Context, log *slow, stopping *Runner) error {
+			log.appends.Store(int64(lag))
+			go func() { _ = stopping.Accept(ctx, &twoItems) }() // what came of it is read below
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				log := &slow{Journal: journaltest.New()}
+				stopping := newOwner(ctx, t, log, "b/1")
+				is.NoErr(get(ctx, log, stopping))
+				time.Sleep(lag / 2)
+				stopping.Release(ctx)
+				time.Sleep(2 * lag)
+				is.Equal(ownerInJournal(ctx, t, log.Journal, "x"), "")
+			})
+		})
+	}
+}
