A stop lets go of batches that come while it begins, and waits for its records

Cause: a takeover, or an assignment that this daemon reads, is checked against the stop before its record or its read and not after: the stop came between, the batch was owned here and neither run nor released, until its silence was noticed (1.5 s of silence; with daemons stopped in turn, again at the next).

Mend: whoever makes this daemon an owner during a stop releases the batch again if it is not run; the stop waits for that and for its own records, as for other work (bounded by the grace). Doubles of the record change nothing in the fold.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -147,10 +147,11 @@
 	partition := runner.ledger.Of(batchID)
 	if !runner.begin() {
 		// The one who named this daemon did not know that it stops.
-		_ = partition.Append(runner.context, batch.Released(batchID, runner.self, nil))
+		runner.letGoUnbegun(partition, batchID)
 		return
 	}
 	defer runner.running.Done()
+	defer runner.letGoUnbegun(partition, batchID)
 	release := partition.Follow()
 	defer release()
 	for runner.context.Err() == nil {
@@ -163,6 +164,21 @@
 	}
 }
 
+// letGoUnbegun releases a batch that came to this daemon while its stop began, and that
+// it therefore does not run: the stop itself lets go what is run. The record changes
+// nothing where the batch is not this daemon's.
+func (runner *Runner) letGoUnbegun(partition *ledger.Partition, batchID string) {
+	runner.mutex.Lock()
+	_, run := runner.jobs[batchID]
+	unbegun := runner.stopping.Load() && !run
+	runner.mutex.Unlock()
+	if !unbegun {
+		return
+	}
+	err := runner.appendUntil(runner.context, partition, batch.Released(batchID, runner.self, nil))
+	runner.logger.Info("batch let go unbegun", zap.String("batch", batchID), zap.Error(err))
+}
+
 // begin counts work that a stop must wait for, or refuses it if the stop has
 // begun.
 func (runner *Runner) begin() bool {
@@ -213,10 +229,12 @@
 // TakeOver makes this daemon the owner in place of another and starts the
 // batch.
 func (runner *Runner) TakeOver(ctx context.Context, batchID, from string) error {
-	if runner.stopping.Load() {
+	if !runner.begin() {
 		return ErrStopping
 	}
+	defer runner.running.Done()
 	partition := runner.ledger.Of(batchID)
+	defer runner.letGoUnbegun(partition, batchID)
 	if err := partition.Append(ctx, batch.TakenOver(batchID, from, runner.self)); err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
@@ -280,7 +298,13 @@
 	runner.stopping.Store(true)
 	runner.mutex.Unlock()
 	for _, each := range runner.jobList() {
-		go each.letGo(ctx)
+		// Counted: a batch with nothing under way is left at once, and its record must
+		// be in the journal all the same before the daemon ends.
+		runner.running.Add(1)
+		go func() {
+			defer runner.running.Done()
+			each.letGo(ctx)
+		}()
 	}
 	done := make(chan struct{})
 	go func() {
