Test: a watcher whose reads take 0.4 s takes no batch over (known red)

Virtual time, reads of 0, 0.2, 0.4 and 0.7 s, an owner that released its batch or fell silent: with the first two the batch changes hands, with the last two it has no owner 3.5 s later, and none at any time.

--- a/internal/runner/stop_test.go
+++ b/internal/runner/stop_test.go
@@ -14,6 +14,7 @@
 	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
 	"woodworks/internal/ledger"
+	"woodworks/internal/periodic"
 )
 
 // ownerInJournal reads who owns a batch now.
@@ -63,13 +64,13 @@
 }
 
 func (s *slow) Append(ctx context.Context, request journal.Append) (journal.Appended, error) {
-	time.Sleep(time.Duration(s.appends.Load()))
+	periodic.Pause(ctx, time.Duration(s.appends.Load()))
 	return s.Journal.Append(ctx, request)
 }
 
 func (s *slow) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
 	if request.Wait == 0 {
-		time.Sleep(time.Duration(s.reads.Load()))
+		periodic.Pause(ctx, time.Duration(s.reads.Load()))
 	}
 	return s.Journal.Read(ctx, request)
 }
--- a/internal/runner/watch_test.go
+++ b/internal/runner/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,3 +175,32 @@
 	is.Equal(len(watcher.inspect(partition.Name(), each, 8, time.Now())), 1)
 	is.Equal(ownerOf(partition, "x"), "c/1")
 }
+
+// A watcher reads a partition before it takes a batch over, and gave that read 0.3 s. A
+// daemon on a fraction of a core, or before a store that is slow for it alone, needs
+// longer for each of its reads: it took none of the batches over that it watched, for as
+// long as that lasted, and nobody else watches them.
+func TestASlowWatcherTakesBatchesOver(t *testing.T) {
+	for _, lag := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond} {
+		for _, released := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%v released=%v", lag, released), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					log := &slow{Journal: journaltest.New()}
+					owner := newOwner(ctx, t, log, "b/1")
+					partition := owner.ledger.Of("x")
+					is.NoErr(partition.Append(ctx, batch.Accepted(&twoItems, "a/1")))
+					if released {
+						is.NoErr(partition.Append(ctx, batch.Released("x", "a/1", nil)))
+					}
+					log.reads.Store(int64(lag))
+					go NewWatcher(owner, &dealing{partitions: map[journal.Partition]bool{partition.Name(): true}}).Run(ctx)
+					time.Sleep(silenceAllowed + 2*time.Second)
+					is.Equal(ownerInJournal(ctx, t, log.Journal, "x"), "b/1")
+				})
+			})
+		}
+	}
+}
