A watcher's read before a takeover counts also if it takes longer than a look

Cause: a suspect is confirmed by a read that began after the suspicion, and each look gave that read 0.3 s and the next one began another. Where a read takes longer (a daemon on a fraction of a core, goroutines run late, a store slow for one machine) a released or silent batch never changed hands, although each read ended well; nobody else watches its partition.

Mend: the read goes on past the look and counts at a later one; the silence is judged as of the read's beginning. A look still waits 0.3 s at most, so that a read that hangs in one partition does not hold up the others. The daemon that accepted a batch gives its one read the time of a takeover.

Ruled out: a longer confirmTimeout, which lets one lost answer stop all takeovers of a daemon for that long.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -66,10 +66,11 @@
 	jobs  map[string]*job
 	wake  chan struct{}
 	// movedAt is when items were last moved off slow replicas.
-	movedAt  time.Time
-	stopping atomic.Bool
-	started  atomic.Uint64
-	running  sync.WaitGroup
+	movedAt    time.Time
+	confirming confirmations
+	stopping   atomic.Bool
+	started    atomic.Uint64
+	running    sync.WaitGroup
 }
 
 // New returns a runner whose owner name is self. All its work ends with the
--- a/internal/runner/standby.go
+++ b/internal/runner/standby.go
@@ -33,9 +33,9 @@
 	if hasBegun(patience, partition, expected) || runner.context.Err() != nil {
 		return
 	}
-	bounded, cancel := context.WithTimeout(runner.context, confirmTimeout)
+	bounded, cancel := context.WithTimeout(runner.context, takeOverTimeout)
 	defer cancel()
-	if len(runner.confirm(bounded, []sighting{expected})) == 0 {
+	if partition.CatchUp(bounded) != nil || !runner.stillSuspect(expected) {
 		return
 	}
 	runner.replaceOwner(runner.context, expected, "owner has not begun")
--- a/internal/runner/takeover.go
+++ b/internal/runner/takeover.go
@@ -9,11 +9,13 @@
 
 	"woodworks/internal/batch"
 	"woodworks/internal/journal"
+	"woodworks/internal/ledger"
 )
 
 const (
 	takeOverTimeout = 1500 * time.Millisecond
-	// confirmTimeout bounds the read that shows that a suspect still is one.
+	// confirmTimeout is how long a watcher waits at a time for the reads that show that
+	// suspects still are suspects.
 	confirmTimeout = 300 * time.Millisecond
 )
 
@@ -27,60 +29,114 @@
 	// judgedIn is the generation of the group in which the owner was last
 	// looked for among those alive.
 	judgedIn int64
+	// readAt is when the read began that confirmed the silence, or zero.
+	readAt time.Time
 }
 
+// silent is for how long the owner is known to have given no sign.
+func (s sighting) silent() time.Duration { return s.readAt.Sub(s.at) }
+
 // still reports whether nothing has been heard of the owner since.
 func (s sighting) still(known *batch.Batch) bool {
 	return known.Open() && known.Owner == s.owner && known.Signs == s.signs
 }
 
-// confirm returns the suspects of which a read that begins now brings nothing
-// either. The reads of followers are held while there is nothing to tell, so
-// that they alone show silence up to a second late, or not at all.
+// confirmations are the reads that show whether suspects still are suspects, one a
+// partition. The zero value is ready for use.
+type confirmations struct {
+	mu    sync.Mutex
+	reads map[journal.Partition]*confirmation
+}
+
+// confirmation is one read up to a partition's end.
+type confirmation struct {
+	began time.Time
+	// ended is closed once err is set.
+	ended chan struct{}
+	err   error
+}
+
+// begin returns the read of a partition that is under way, or begins one.
+func (c *confirmations) begin(ctx context.Context, partition *ledger.Partition) *confirmation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if under := c.reads[partition.Name()]; under != nil {
+		return under
+	}
+	if c.reads == nil {
+		c.reads = map[journal.Partition]*confirmation{}
+	}
+	made := &confirmation{began: time.Now(), ended: make(chan struct{})}
+	c.reads[partition.Name()] = made
+	go func() {
+		bounded, cancel := context.WithTimeout(ctx, takeOverTimeout)
+		defer cancel()
+		made.err = partition.CatchUp(bounded)
+		close(made.ended)
+	}()
+	return made
+}
+
+// take returns when the read of a partition began, if it has ended well. A read that has
+// ended is taken off: the next look begins another one.
+func (c *confirmations) take(name journal.Partition, read *confirmation) (began time.Time, ok bool) {
+	select {
+	case <-read.ended:
+	default:
+		return time.Time{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reads[name] == read {
+		delete(c.reads, name)
+	}
+	return read.began, read.err == nil
+}
+
+// confirm returns the suspects of which a read of their partition brings nothing either.
+// The reads of followers are held while there is nothing to tell, so that they alone show
+// silence up to a second late, or not at all.
+//
+// It waits for confirmTimeout at most, so that one partition does not hold up the others.
+// A read that takes longer goes on, and counts at a later call: a slow machine would
+// otherwise begin one after the other, and never take a batch over.
 func (runner *Runner) confirm(ctx context.Context, suspects []sighting) []sighting {
-	if len(suspects) == 0 {
-		return nil
+	reads := map[journal.Partition]*confirmation{}
+	for _, suspect := range suspects {
+		if reads[suspect.partition] == nil {
+			reads[suspect.partition] = runner.confirming.begin(ctx, runner.ledger.Partition(suspect.partition))
+		}
 	}
 	bounded, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	read := runner.catchUp(bounded, suspects)
+	began := map[journal.Partition]time.Time{}
+	for name, read := range reads {
+		select {
+		case <-read.ended:
+		case <-bounded.Done():
+		}
+		if at, ok := runner.confirming.take(name, read); ok {
+			began[name] = at
+		}
+	}
 	var confirmed []sighting
 	for _, suspect := range suspects {
-		if !read[suspect.partition] {
-			continue
+		at, read := began[suspect.partition]
+		if read && runner.stillSuspect(suspect) {
+			suspect.readAt = at
+			confirmed = append(confirmed, suspect)
 		}
-		runner.ledger.Partition(suspect.partition).View(func(state *batch.State) {
-			if known, ok := state.Get(suspect.batch); ok && suspect.still(known) {
-				confirmed = append(confirmed, suspect)
-			}
-		})
 	}
 	return confirmed
 }
 
-// catchUp reads the suspects' partitions, and returns those that could be read.
-func (runner *Runner) catchUp(ctx context.Context, suspects []sighting) map[journal.Partition]bool {
-	var mu sync.Mutex
-	var reads sync.WaitGroup
-	read := map[journal.Partition]bool{}
-	asked := map[journal.Partition]bool{}
-	for _, suspect := range suspects {
-		name := suspect.partition
-		if asked[name] {
-			continue
-		}
-		asked[name] = true
-		reads.Go(func() {
-			if runner.ledger.Partition(name).CatchUp(ctx) != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			read[name] = true
-		})
-	}
-	reads.Wait()
-	return read
+// stillSuspect reports whether the fold shows nothing new of a suspect.
+func (runner *Runner) stillSuspect(suspect sighting) (still bool) {
+	runner.ledger.Partition(suspect.partition).View(func(state *batch.State) {
+		known, ok := state.Get(suspect.batch)
+		still = ok && suspect.still(known)
+	})
+	return still
 }
 
 // replaceOwner takes the batch of a suspect over. The record names the owner it
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -178,9 +178,9 @@
 			reason = "released"
 		case identity.Replaced(suspect.owner, alive):
 			reason = "owner replaced"
-		case suspect.signs == 0 && time.Since(suspect.at) > firstSign:
+		case suspect.signs == 0 && suspect.silent() > firstSign:
 			reason = "owner has not begun"
-		case time.Since(suspect.at) > silenceAllowed:
+		case suspect.silent() > silenceAllowed:
 			reason = "owner silent"
 		default:
 			continue
