A peer that was restarted is asked on a new connection at once

In a planned restart of all daemons each pair of them meets this once. Nothing of the call was sent, so it is made on a new connection.

Also: a call that failed gave up whatever connection there was by then. With two calls under way on one that broke, the second one to notice cut those on the next. It now gives up its own; the test of this came with the mend, as it needs the new function.

Before: the first Ask after a restart fails with ErrNotReached; after: it is answered, two dials.

--- a/internal/relay/direct_test.go
+++ b/internal/relay/direct_test.go
@@ -116,3 +116,26 @@
 		is.Equal(peer.dials, 2)
 	})
 }
+
+// Two calls were under way when their connection broke. The first one to notice gave it
+// up and made another; the second one then gave up that one, with the calls on it. A call
+// gives up the connection that it was made on.
+func TestABrokenCallLeavesALaterConnectionAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := rpc.NewServer()
+		is.NoErr(server.RegisterName("Echo", Echo{}))
+		remote := &restartable{server: server}
+		asked := &peer{Address: "b"}
+		before, err := asked.connect(t.Context(), remote.dial)
+		is.NoErr(err)
+		asked.giveUp(before)
+		later, err := asked.connect(t.Context(), remote.dial)
+		is.NoErr(err)
+		asked.giveUp(before)
+		again, err := asked.connect(t.Context(), remote.dial)
+		is.NoErr(err)
+		is.True(again == later)
+		asked.giveUp(later)
+	})
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -271,6 +271,21 @@
 // ask calls a method of the peer and waits for the answer. An error that wraps errNoPeer
 // says that the call was not sent.
 func (each *peer) ask(ctx context.Context, dial dial, method string, asked, answer any) error {
+	err := each.askOnce(ctx, dial, method, asked, answer)
+	if errors.Is(err, rpc.ErrShutdown) {
+		// The connection had ended before the call, as at a peer's restart: the peer may
+		// be there all the same.
+		err = each.askOnce(ctx, dial, method, asked, answer)
+	}
+	if errors.Is(err, rpc.ErrShutdown) {
+		return errors.Wrap(errNoPeer, err.Error())
+	}
+	return err
+}
+
+// askOnce calls a method on the connection that there is, or on a new one. ErrShutdown
+// says that the call was not sent.
+func (each *peer) askOnce(ctx context.Context, dial dial, method string, asked, answer any) error {
 	client, err := each.connect(ctx, dial)
 	if err != nil {
 		return errors.Wrap(errNoPeer, err.Error())
@@ -282,14 +297,9 @@
 	case <-call.Done:
 	}
 	var refused rpc.ServerError
-	switch {
-	case errors.Is(call.Error, rpc.ErrShutdown):
-		each.drop()
-		return errors.Wrap(errNoPeer, call.Error.Error())
-	case errors.As(call.Error, &refused):
-		// The peer has answered: its connection is sound.
-	case call.Error != nil:
-		each.drop()
+	if call.Error != nil && !errors.As(call.Error, &refused) {
+		// One that has answered with an error has a sound connection.
+		each.giveUp(client)
 	}
 	return call.Error
 }
@@ -312,12 +322,23 @@
 	return each.client, nil
 }
 
+// giveUp ends a connection to the peer that is broken. Of the calls that were under way
+// on it the last may come here when there is a new one, with calls on it.
+func (each *peer) giveUp(client *rpc.Client) {
+	each.mu.Lock()
+	if each.client == client {
+		each.client = nil
+	}
+	each.mu.Unlock()
+	_ = client.Close() // It is broken: there is nobody to tell.
+}
+
 // drop ends the connection to the peer.
 func (each *peer) drop() {
 	each.mu.Lock()
-	defer each.mu.Unlock()
-	if each.client != nil {
-		_ = each.client.Close() // It is given up because it is broken, or the daemon ends.
-		each.client = nil
+	client := each.client
+	each.mu.Unlock()
+	if client != nil {
+		each.giveUp(client)
 	}
 }
