--- a/internal/relay/direct_test.go
+++ b/internal/relay/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -139,3 +140,44 @@
 		asked.giveUp(later)
 	})
 }
+
+// ending is a connection whose reads end with io.EOF also where this side closes it, as
+// they do where the other side does so at the same moment.
+type ending struct{ net.Conn }
+
+func (e ending) Read(into []byte) (int, error) {
+	n, err := e.Conn.Read(into)
+	if err != nil {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// A daemon that ended gave up its connection to a peer at the moment at which the peer
+// closed it as well. net/rpc then tells the calls under way the same as one that was never
+// sent: an append that a peer was making counted as not made, which callers hear as a
+// promise that their batch will not run. A call that was sent is of unknown outcome.
+func TestACallUnderWayIsNeverToldAsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		asked, dials := &peer{Address: "b"}, 0
+		defer asked.drop()
+		dial := func(context.Context, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }() // it takes the call and says nothing
+			return ending{near}, nil
+		}
+		failed := make(chan error, 1)
+		answer := ""
+		go func() { failed <- asked.ask(ctx, dial, "Echo.Say", "x", &answer) }()
+		synctest.Wait()
+		asked.drop()
+		err := <-failed
+		is.True(err != nil)
+		is.True(!errors.Is(err, errNoPeer))
+		is.Equal(dials, 1) // and it is not sent again
+	})
+}
