A call to a peer counts as not sent only if it was not

Cause: net/rpc's Close marks a connection, after which the end of the other side's stream ends the calls under way with ErrShutdown, as it does calls that come too late. Connections are now ended below net/rpc, where ErrShutdown comes from calls that were never sent only.

--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -51,13 +51,21 @@
 	Zone    string `cbor:"2,keyasint"`
 
 	mu     sync.Mutex
-	client *rpc.Client
+	client *peerClient
 	// closed peers are connected to no more: the daemon ends.
 	closed bool
 	// restUntil is until when others are asked.
 	restUntil time.Time
 }
 
+// peerClient is a connection to a peer. It is ended by closing conn, never by the
+// client's Close: after that net/rpc may end calls under way with ErrShutdown, which here
+// says that a call was not sent.
+type peerClient struct {
+	*rpc.Client
+	conn net.Conn
+}
+
 // peers are the other daemons, as they announced themselves. It implements
 // journal.KeyedHandler and is safe for concurrent use.
 type peers struct {
@@ -305,7 +313,7 @@
 }
 
 // connect returns the connection to the peer, made if there is none.
-func (each *peer) connect(ctx context.Context, dial dial) (*rpc.Client, error) {
+func (each *peer) connect(ctx context.Context, dial dial) (*peerClient, error) {
 	each.mu.Lock()
 	defer each.mu.Unlock()
 	if each.closed {
@@ -318,19 +326,19 @@
 	if err != nil {
 		return nil, err
 	}
-	each.client = rpc.NewClient(conn)
+	each.client = &peerClient{Client: rpc.NewClient(conn), conn: conn}
 	return each.client, nil
 }
 
 // giveUp ends a connection to the peer that is broken. Of the calls that were under way
 // on it the last may come here when there is a new one, with calls on it.
-func (each *peer) giveUp(client *rpc.Client) {
+func (each *peer) giveUp(client *peerClient) {
 	each.mu.Lock()
 	if each.client == client {
 		each.client = nil
 	}
 	each.mu.Unlock()
-	_ = client.Close() // It is broken: there is nobody to tell.
+	_ = client.conn.Close() // It is broken: there is nobody to tell.
 }
 
 // drop ends the connection to the peer.
