The relay can drain: calls of peers under way are finished, new ones refused

Cause: what a daemon does for peers ended with its context, at the end of a planned stop. A peer's append was then of unknown outcome: a submission is sent again (doubles are harmless), a claim of a key is not, and its request can't be sent. Drain refuses new calls with the answer of a peer that has lost its path, at which peers turn to another one in the same call, and returns once those under way have ended (a held read takes up to 0.9 s) or its context has.

Nobody calls it yet: node.stop should, beside the drain of the listeners, before the context ends.

--- /dev/null
+++ b/internal/relay/drain.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"context"
+	"sync"
+)
+
+// gate counts the calls that are made for peers, and lets no more in once it is closed.
+// The zero value is open.
+type gate struct {
+	mu     sync.Mutex
+	closed bool
+	calls  sync.WaitGroup
+}
+
+// enter counts a call, which ends with calls.Done, or refuses it.
+func (g *gate) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
+	g.calls.Add(1)
+	return true
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+// Drain makes no more calls to the journal for peers, which turn to others, and returns
+// when those under way have ended or the context has: a call that a planned stop cuts is
+// of unknown outcome to its peer. It is called before the context of Serve ends. Questions
+// to registered receivers are answered on.
+func (j *Journal) Drain(ctx context.Context) {
+	j.gate.close()
+	done := make(chan struct{})
+	go func() {
+		j.gate.calls.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relay/drain_test.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A daemon that stopped as planned ended the calls that it was making for a peer: the
+// peer's appends were of unknown outcome, and a keyed request that had claimed its key by
+// one could not be sent. Those under way are finished, and new ones are sent elsewhere.
+func TestAPlannedStopFinishesTheCallsOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		made := newDaemons(ctx, t, 3)
+		asker, stopping := made.relays[0], made.relays[1]
+		made.ways[0].fault.Store(silent)
+		untilLost(ctx, asker)
+		made.ways[1].lag.Store(int64(300 * time.Millisecond))
+		asker.peers.mu.Lock()
+		asker.peers.current = "b"
+		asker.peers.mu.Unlock()
+		under := make(chan error, 1)
+		go func() { under <- appendOne(ctx, asker, "under way", time.Second) }()
+		time.Sleep(100 * time.Millisecond)
+		drained := make(chan time.Time, 1)
+		go func() {
+			stopping.Drain(ctx)
+			drained <- time.Now()
+		}()
+		synctest.Wait()
+		began := time.Now()
+		is.NoErr(appendOne(ctx, asker, "meanwhile", time.Second))
+		is.True(time.Since(began) < 100*time.Millisecond) // through the other peer
+		is.NoErr(<-under)
+		took := (<-drained).Sub(began)
+		is.True(took >= 200*time.Millisecond) // the append's rest
+		is.True(took <= time.Second)          // that of a read which is held for the peer
+		found, err := texts(ctx, made.relays[2])
+		is.NoErr(err)
+		is.Equal(found, []string{"meanwhile", "under way"})
+	})
+}
+
+// A drain ends with its context, whatever is under way.
+func TestADrainIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		made := newDaemons(ctx, t, 2)
+		made.ways[0].fault.Store(silent)
+		untilLost(ctx, made.relays[0])
+		made.ways[1].lag.Store(int64(time.Minute))
+		go func() { _ = appendOne(ctx, made.relays[0], "never", time.Second) }() // it is given up
+		time.Sleep(100 * time.Millisecond)
+		bounded, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		made.relays[1].Drain(bounded)
+		is.Equal(time.Since(began), 200*time.Millisecond)
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,7 @@
 	path    *path
 	peers   *peers
 	counts  counts
+	gate    gate
 	// receivers answer the other calls of peers, by name.
 	receivers map[string]any
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,6 +16,7 @@
 
 	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/periodic"
 	"woodworks/internal/testseed"
 )
 
@@ -27,6 +28,8 @@
 type cut struct {
 	journal.Journal
 	fault atomic.Int32
+	// lag is how long appends take, in nanoseconds.
+	lag atomic.Int64
 }
 
 const (
@@ -54,6 +57,9 @@
 	if err := c.meet(ctx); err != nil {
 		return journal.Appended{}, err
 	}
+	if periodic.Pause(ctx, time.Duration(c.lag.Load())); ctx.Err() != nil {
+		return journal.Appended{}, errors.Wrap(journal.ErrUnknown, ctx.Err().Error())
+	}
 	appended, err := c.Journal.Append(ctx, request)
 	return appended, either(err, c.meet(ctx))
 }
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -84,8 +84,13 @@
 	return nil
 }
 
-// answer makes the call on the own path, or says that this is lost.
+// answer makes the call on the own path, or says that this is lost, as it soon is for a
+// daemon that stops.
 func (s *Service) answer(call operation) reply {
+	if !s.own.gate.enter() {
+		return reply{Outcome: outcomeLost, Reason: "the peer stops"}
+	}
+	defer s.own.gate.calls.Done()
 	if s.own.Lost() {
 		return reply{Outcome: outcomeLost, Reason: "the peer has lost its own path"}
 	}
