--- a/internal/results/results_test.go
+++ b/internal/results/results_test.go
@@ -302,3 +302,40 @@
 	running.Wait()
 	return history
 }
+
+// A daemon that started after the journal had removed the oldest records of a partition
+// answered 404 for the batches in them, which those that had read them served on. What a
+// daemon has not read it does not deny: that is an answer only to who has read all.
+func TestNothingIsDeniedWhoseRecordsAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		d := newDaemons(ctx, 2)
+		d.hold(1)
+		d.accept(t, "b", 1)
+		partition := d.ledgers[0].Of("b").Name()
+		d.log.Trim(partition, 1)
+		for _, daemon := range []int{1, 0} {
+			_, err := d.readers[daemon].Results(ctx, Query{BatchID: "b"})
+			is.Equal(errors.Is(err, ErrBehind), daemon == 1) // the other one has the fold
+			_, err = d.readers[daemon].Item(ctx, ItemQuery{BatchID: "b", ItemID: "b-0"})
+			is.Equal(errors.Is(err, ErrBehind), daemon == 1)
+		}
+		// Of a batch that it has read it denies what there is not.
+		var later string
+		for i := 0; later == "" || d.ledgers[0].Of(later).Name() != partition; i++ {
+			later = fmt.Sprintf("later-%d", i)
+		}
+		d.append(t, later, batch.Accepted(&batch.Submission{ID: later, Tenant: "t", Items: []batch.Item{{ID: "i"}}}, "owner"))
+		page, err := d.readers[1].Results(ctx, Query{BatchID: later, Tenant: "t"})
+		is.NoErr(err)
+		is.True(page.Found)
+		page, err = d.readers[1].Results(ctx, Query{BatchID: later, Tenant: "another"})
+		is.NoErr(err)
+		is.True(!page.Found)
+		body, err := d.readers[1].Item(ctx, ItemQuery{BatchID: later, Tenant: "t", ItemID: "another"})
+		is.NoErr(err)
+		is.True(!body.Found)
+	})
+}
