A fold that missed removed records does not deny a batch that it does not know

It now says that it can't be sure (503), as the protocol asks; the caller's next try may meet a daemon with the fold.

What stays open: such a batch is not read by new watchers, so that nobody takes it over when its owner ends, and once no daemon has its fold it is gone. Records would have to be written again before they are removed; when that is, a daemon does not know now.

Before: 404 (Found false without an error) for an accepted batch; after: ErrBehind, and 404 still for another tenant's batch and an unknown item of a batch that was read.

--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -54,6 +54,8 @@
 	// lastRead is when a read was last answered after which the fold held all.
 	lastRead  time.Time
 	appending bool
+	// missed says that records were removed before they were folded here.
+	missed bool
 }
 
 func newPartition(ledger *Ledger, name journal.Partition) *Partition {
@@ -181,18 +183,26 @@
 }
 
 // skipTrimmed moves the fold over records that are gone. The batches already
-// folded stay known; those only in the trimmed records are past their time.
+// folded stay known; of those only in the trimmed records nothing is known.
 func (partition *Partition) skipTrimmed(from, first int64) journal.Records {
 	partition.mutex.Lock()
 	defer partition.mutex.Unlock()
 	if partition.next == from && first > from {
 		partition.ledger.logger.Info("records trimmed before they were read", zap.String("topic", partition.name.Topic),
 			zap.Int("partition", partition.name.Number), zap.Int64("offset", from), zap.Int64("first", first))
-		partition.next = first
+		partition.next, partition.missed = first, true
 	}
 	return journal.Records{End: noEnd, First: first}
 }
 
+// Missed reports whether records were removed from the journal before they were folded
+// here. Such a fold knows all that it tells, but a batch that it does not know may exist.
+func (partition *Partition) Missed() bool {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	return partition.missed
+}
+
 // LastRead is when the journal last answered a read that brought the fold up to the
 // partition's end. A long partition takes several reads, and what was folded of it
 // before the last of them may be long out of date.
--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -247,6 +247,9 @@
 		if err := catchUpWithin(ctx, partition, query.Wait); err != nil {
 			return Page{}, err
 		}
+		if err := mayDeny(partition, query.BatchID); err != nil {
+			return Page{}, err
+		}
 		seen = lookUp(partition, query)
 	case seen.Next < seen.Total && time.Since(partition.LastRead()) > staleAfter:
 		r.refresh(ctx, partition)
@@ -278,9 +281,23 @@
 	if err := catchUp(ctx, partition); err != nil {
 		return Body{}, err
 	}
+	if err := mayDeny(partition, query.BatchID); err != nil {
+		return Body{}, err
+	}
 	return itemBody(partition, query), nil
 }
 
+// mayDeny returns an error where the fold does not know a batch although it may exist:
+// its records may have been removed before this daemon read them, while others did.
+func mayDeny(partition *ledger.Partition, batchID string) error {
+	known := false
+	partition.View(func(state *batch.State) { _, known = state.Get(batchID) })
+	if !known && partition.Missed() {
+		return errors.Wrap(ErrBehind, "the partition's oldest records are gone")
+	}
+	return nil
+}
+
 // catchUp reads the journal up to now.
 func catchUp(ctx context.Context, partition *ledger.Partition) error {
 	bounded, cancel := context.WithTimeout(ctx, catchUpTimeout)
