--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -45,7 +45,8 @@
 	// Host and Path are those of the submitting request: they name the route.
 	Host string `cbor:"2,keyasint"`
 	Path string `cbor:"3,keyasint"`
-	// AcceptedAtMs is the accepting daemon's time of day, in milliseconds.
+	// AcceptedAtMs is the accepting daemon's time of day, in milliseconds. It is for logs:
+	// clocks of daemons may differ by any amount, and nothing is decided by it.
 	AcceptedAtMs int64 `cbor:"4,keyasint"`
 	// Trainer's part: the step, the model, the oldest version that may make a
 	// token, and how many whole groups the trainer waits for.
@@ -110,9 +111,12 @@
 	Submission
 	// Owner is the daemon that runs the batch, "" after a release.
 	Owner string
-	// Handed are the items that the last owner said it would still finish
-	// when it released the batch.
+	// Handed are the items that the owner before said it would still finish when it
+	// released the batch, less those that it has given back since. It is replaced, never
+	// changed.
 	Handed map[int]bool
+	// handedBy is the owner that released the batch last, while Handed counts.
+	handedBy string
 	// Results in the order of their positions.
 	Results []Result
 	// Listed says of each item whether it has a position.
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -109,3 +109,16 @@
 		is.Equal(len(second.Partitions()), 1)
 	})
 }
+
+// The last contact was kept as a time of day: a clock set ahead by 2 s made a daemon that
+// stayed in the group all along call itself not ready. A time that keeps its reading of
+// the steady clock differs from itself without it. Times of a bubble of synctest have none.
+func TestTheLastContactIsOfTheSteadyClock(t *testing.T) {
+	is := is.New(t)
+	member := New(journaltest.New(), "a/1", topics, zap.NewNop())
+	is.True(time.Since(member.LastContact()) > 24*time.Hour) // there was none
+	member.join(t.Context())
+	last := member.LastContact()
+	is.True(time.Since(last) < 24*time.Hour)
+	is.True(last != last.Round(0)) // without a steady clock's reading
+}
--- a/internal/relay/direct_test.go
+++ b/internal/relay/direct_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/rpc"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,3 +64,120 @@
 		is.NoErr(made.relays[0].Ask(ctx, "b", "Echo.Say", "back", &answer))
 	})
 }
+
+// restartable is a peer whose process ends and starts again at the same address.
+type restartable struct {
+	server *rpc.Server
+	mu     sync.Mutex
+	conns  []net.Conn
+	dials  int
+}
+
+func (r *restartable) dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns, r.dials = append(r.conns, far), r.dials+1
+	go r.server.ServeConn(far)
+	return near, nil
+}
+
+// restart ends the connections, as the end of a process does.
+func (r *restartable) restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.conns {
+		_ = conn.Close() // nobody reads what it says
+	}
+	r.conns = nil
+}
+
+// A peer that had been restarted as planned was there again, yet the first call to it met
+// the connection to the run before, counted as not reached, and the peer was left alone
+// for 3 s. In a restart of all daemons in turn each of them did so with each other one,
+// and questions about batches went to the journal, two at a time. A call that was not
+// sent as its connection had ended is sent on a new one.
+func TestAPeerThatWasRestartedIsAskedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		made := newDaemons(ctx, t, 2)
+		made.relays[1].Register("Echo", Echo{})
+		server, err := made.relays[1].server(ctx)
+		is.NoErr(err)
+		peer := &restartable{server: server}
+		made.relays[0].peers.dial = peer.dial
+		answer := ""
+		is.NoErr(made.relays[0].Ask(ctx, "b", "Echo.Say", "hello", &answer))
+		peer.restart()
+		synctest.Wait()
+		is.NoErr(made.relays[0].Ask(ctx, "b", "Echo.Say", "again", &answer))
+		is.Equal(answer, "again")
+		is.Equal(peer.dials, 2)
+	})
+}
+
+// Two calls were under way when their connection broke. The first one to notice gave it
+// up and made another; the second one then gave up that one, with the calls on it. A call
+// gives up the connection that it was made on.
+func TestABrokenCallLeavesALaterConnectionAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := rpc.NewServer()
+		is.NoErr(server.RegisterName("Echo", Echo{}))
+		remote := &restartable{server: server}
+		asked := &peer{Address: "b"}
+		before, err := asked.connect(t.Context(), remote.dial)
+		is.NoErr(err)
+		asked.giveUp(before)
+		later, err := asked.connect(t.Context(), remote.dial)
+		is.NoErr(err)
+		asked.giveUp(before)
+		again, err := asked.connect(t.Context(), remote.dial)
+		is.NoErr(err)
+		is.True(again == later)
+		asked.giveUp(later)
+	})
+}
+
+// ending is a connection whose reads end with io.EOF also where this side closes it, as
+// they do where the other side does so at the same moment.
+type ending struct{ net.Conn }
+
+func (e ending) Read(into []byte) (int, error) {
+	n, err := e.Conn.Read(into)
+	if err != nil {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// A daemon that ended gave up its connection to a peer at the moment at which the peer
+// closed it as well. net/rpc then tells the calls under way the same as one that was never
+// sent: an append that a peer was making counted as not made, which callers hear as a
+// promise that their batch will not run. A call that was sent is of unknown outcome.
+func TestACallUnderWayIsNeverToldAsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		asked, dials := &peer{Address: "b"}, 0
+		defer asked.drop()
+		dial := func(context.Context, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }() // it takes the call and says nothing
+			return ending{near}, nil
+		}
+		failed := make(chan error, 1)
+		answer := ""
+		go func() { failed <- asked.ask(ctx, dial, "Echo.Say", "x", &answer) }()
+		synctest.Wait()
+		asked.drop()
+		err := <-failed
+		is.True(err != nil)
+		is.True(!errors.Is(err, errNoPeer))
+		is.Equal(dials, 1) // and it is not sent again
+	})
+}
