--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -39,12 +39,15 @@
 		go node.member.Leave(ctx)
 		node.runner.Release(ctx)
 	}()
-	var listeners sync.WaitGroup
+	var draining sync.WaitGroup
+	if node.relay != nil {
+		draining.Go(func() { node.relay.Drain(ctx) })
+	}
 	for _, each := range []*frontServer{node.front, node.internal} {
 		each.plan = plan
-		listeners.Go(func() { each.stop(ctx) })
+		draining.Go(func() { each.stop(ctx) })
 	}
-	listeners.Wait()
+	draining.Wait()
 	select {
 	case <-released:
 	case <-ctx.Done():
