--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -125,3 +125,35 @@
 	is.Equal(strings.Count(written.String(), "\n"), 1)
 	is.True(strings.Contains(written.String(), `parts="[{a} {b}]"`))
 }
+
+// failing is a target whose first writes fail, as a disk that is full for a while.
+type failing struct {
+	lines
+	failures int
+}
+
+func (f *failing) Write(p []byte) (int, error) {
+	if f.failures > 0 {
+		f.failures--
+		return 0, errors.New("no space")
+	}
+	return f.lines.Write(p)
+}
+
+// Lines that the output refused were lost without a word. They are told as dropped like
+// those for which the queue had no room.
+func TestLinesThatTheOutputRefusedAreTold(t *testing.T) {
+	is := is.New(t)
+	target := &failing{failures: 1}
+	writer := NewAsyncWriter(target)
+	_, _ = writer.Write([]byte("one\ntwo\n"))
+	is.NoErr(writer.Sync())
+	for !strings.Contains(target.String(), "three") {
+		_, _ = writer.Write([]byte("three\n"))
+		time.Sleep(time.Millisecond)
+	}
+	is.True(strings.HasPrefix(target.String(), `level=warn event="log lines dropped" lines=`))
+	whole, told := linesAndDrops(target.String())
+	is.True(whole >= 1)
+	is.True(told >= 2)
+}
