Outputs that are closed, full or refuse lines neither end a daemon nor hold it up

Cause: Go ends a process by SIGPIPE when a write to descriptor 1 or 2 finds no reader, and the line that says why a daemon ended was written to standard error without a bound.

A daemon now ignores SIGPIPE; lines that the output refuses count as dropped and are told once it takes lines again, and a line of which it took a part is ended. The standard library's log and the complaints of zap itself, which wrote to standard error, go the way of all lines.

Ruled out: closed descriptors at the start (Go opens /dev/null for them) and a full disk; neither did harm before.

Not mended here: a process that panics while standard error is a full pipe stands in the runtime's write of the trace (seen with SIGQUIT and SIGSEGV, before and after).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"woodworks/internal/client"
+	"woodworks/internal/logging"
 	"woodworks/internal/node"
 	"woodworks/internal/signals"
 )
@@ -84,8 +85,9 @@
 type command struct {
 	node *flaggy.Subcommand
 	run  func(options *options) error
-	// takesSignals is true for a command that a signal does not simply end.
-	takesSignals bool
+	// isDaemon is true for a command that takes the signals itself, and whose end waits
+	// for no reader.
+	isDaemon bool
 	// surplus takes further arguments; nil where there must be none.
 	surplus func(options *options, arguments []string)
 }
@@ -122,9 +124,10 @@
 			if err := takeSurplus(chosen, candidate, parser.TrailingArguments); err != nil {
 				return report(stderr, err)
 			}
-			if !candidate.takesSignals {
-				taken.EndProcess()
+			if candidate.isDaemon {
+				return reportBounded(stderr, candidate.run(chosen))
 			}
+			taken.EndProcess()
 			return report(stderr, candidate.run(chosen))
 		}
 	}
@@ -144,6 +147,15 @@
 	return nil
 }
 
+// reportBounded is report for a daemon: a reader of stderr that never reads must not
+// hold up its end.
+func reportBounded(stderr io.Writer, err error) int {
+	writer := logging.NewAsyncWriter(stderr)
+	code := report(writer, err)
+	_ = writer.Sync()
+	return code
+}
+
 // report prints an error as one line and returns its exit code.
 func report(stderr io.Writer, err error) int {
 	if err == nil {
@@ -198,7 +210,7 @@
 	serve.String(&chosen.logLevel, "", "log-level", "debug, info, warn or error, over the file")
 	parser.AttachSubcommand(serve, 1)
 
-	commands := []command{{node: serve, run: runServe, takesSignals: true}}
+	commands := []command{{node: serve, run: runServe, isDaemon: true}}
 	commands = append(commands, attachPolicy(parser, chosen)...)
 	commands = append(commands, attachRollout(parser, chosen)...)
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -172,7 +172,6 @@
 	for {
 		select {
 		case <-done:
-			_ = logger.Sync()
 			return nil
 		case received := <-stops:
 			if received == syscall.SIGINT {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -30,15 +30,20 @@
 	encoding.EncodeTime = func(at time.Time, encoder zapcore.PrimitiveArrayEncoder) {
 		encoder.AppendString(at.UTC().Format("2006-01-02T15:04:05.000Z"))
 	}
-	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), NewAsyncWriter(os.Stdout), parsed))
-	logger := zap.New(core).With(zap.String("node", node))
+	output := NewAsyncWriter(os.Stdout)
+	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), output, parsed))
+	logger := zap.New(core, zap.ErrorOutput(output)).With(zap.String("node", node))
 	TakeOver(logger)
 	return logger, nil
 }
 
-// TakeOver sends go-zero's logs to the logger. go-zero installs a writer of
+// TakeOver sends go-zero's logs to the logger, and those of the standard library, which
+// would write to standard error and wait for its reader. go-zero installs a writer of
 // its own whenever a server is made, so this is called again after that.
 func TakeOver(logger *zap.Logger) {
+	if _, err := zap.RedirectStdLogAt(logger, zap.WarnLevel); err != nil {
+		logger.Warn("standard log not taken over", zap.Error(err))
+	}
 	logx.SetWriter(frameworkWriter{logger: logger.With(zap.String("source", "go-zero"))})
 }
 
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -157,3 +157,42 @@
 	is.True(whole >= 1)
 	is.True(told >= 2)
 }
+
+// tearing is a target that first takes the beginning of a line, then nothing, then all.
+type tearing struct {
+	lines
+	calls int
+}
+
+func (t *tearing) Write(p []byte) (int, error) {
+	t.calls++
+	switch t.calls {
+	case 1:
+		n, _ := t.lines.Write(p[:2])
+		return n, errors.New("no space")
+	case 2:
+		return 0, errors.New("no space")
+	default:
+		return t.lines.Write(p)
+	}
+}
+
+// After a line of which the output took a part the next one begins on its own.
+func TestATornLineIsEndedAndCountedOnce(t *testing.T) {
+	is := is.New(t)
+	target := &tearing{}
+	writer := NewAsyncWriter(target)
+	for _, line := range []string{"one\n", "two\n", "three\n"} {
+		_, _ = writer.Write([]byte(line))
+		for writer.waitsOrWrites() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	is.Equal(target.String(), "on\n"+droppedPrefix+"2\nthree\n")
+}
+
+func (writer *AsyncWriter) waitsOrWrites() bool {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	return writer.waiting.Len() > 0 || writer.busy
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -109,6 +109,8 @@
 func (t *Taken) Daemon() {
 	proc.SetTimeToForceQuit(never)
 	signal.Notify(t.hangup, syscall.SIGHUP)
+	// Standard output and error may lose their reader: the write fails, the process goes on.
+	signal.Ignore(syscall.SIGPIPE)
 	t.TakeUser()
 }
 
