A reload brings into force what can change, and never holds up a stop

Cause: the settings were read in the loop that takes the signals, and only compared.

A reader of its own reads them, one reading at a time; requests meanwhile count as one. On SIGHUP and as a stop begins the grace, the memory bound and the log level come into force; the line names them and, apart, the keys that need a restart. A file with a fault changes nothing. Nor does a file that lacks the grace or the memory bound, since it may be half written and the default grace of 2 minutes would outlast a supervisor's. A stop waits for the file for 100 ms at most and takes what it waited off its grace. Signals during a stop are logged and change nothing.

--- a/internal/cli/reload_test.go
+++ b/internal/cli/reload_test.go
@@ -1,12 +1,20 @@
 package cli
 
 import (
+	"errors"
 	"os"
+	"reflect"
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/settings"
+	"woodworks/internal/signals"
 )
 
 // A reload read the settings in the loop that takes the signals: one that was held up by
@@ -61,3 +69,66 @@
 	is.NoErr(d.end())
 	is.True(strings.Contains(d.written.String(), "event=stopped"))
 }
+
+// graced is a daemon that notes the grace with which it is stopped.
+type graced struct{ grace, stopped time.Duration }
+
+func (g *graced) setStopGrace(grace time.Duration) { g.grace = grace }
+
+func (g *graced) Stop() { g.stopped = g.grace }
+
+// stopWith stops a daemon that goes by a grace of 8 s by a SIGTERM and returns the grace
+// with which it was stopped.
+func stopWith(t *testing.T, load func() (settings.Settings, error)) (stopped time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		running := &graced{}
+		inForce := settings.Defaults()
+		inForce.Timing.StopGrace = settings.Duration(8 * time.Second)
+		stops := make(chan os.Signal, 1)
+		stops <- syscall.SIGTERM
+		l := &live{inForce: inForce, setStopGrace: running.setStopGrace, logger: zap.NewNop()}
+		is.New(t).NoErr(untilStopped(running, &signals.Taken{Stops: stops}, newReloader(load), l))
+		stopped = running.stopped
+		time.Sleep(time.Minute) // for a reading that still goes on
+	})
+	return stopped
+}
+
+// A stop went by the grace that was read at the start, also where the file had named
+// another since; with a shorter one the supervisor killed the daemon first.
+func TestAStopGoesByTheGraceOfTheFile(t *testing.T) {
+	is := is.New(t)
+	is.Equal(stopWith(t, func() (settings.Settings, error) {
+		again := settings.Defaults()
+		again.Timing.StopGrace = settings.Duration(5 * time.Second)
+		return again, nil
+	}), 5*time.Second)
+}
+
+// A file with a fault changes nothing, nor does one that lacks the grace, as it may be
+// half written.
+func TestAStopKeepsTheGraceWithoutASoundFile(t *testing.T) {
+	is := is.New(t)
+	is.Equal(stopWith(t, func() (settings.Settings, error) { return settings.Settings{}, errors.New("a fault") }), 8*time.Second)
+	is.Equal(stopWith(t, func() (settings.Settings, error) { return settings.Defaults(), nil }), 8*time.Second)
+}
+
+// A file that is held up costs the stop a bounded part of its grace.
+func TestAStopCountsTheTimeForTheFile(t *testing.T) {
+	is := is.New(t)
+	is.Equal(stopWith(t, func() (settings.Settings, error) {
+		time.Sleep(time.Second)
+		return settings.Defaults(), nil
+	}), 8*time.Second-settingsTime)
+}
+
+func TestChangedSettingsAreNamedAsInTheFile(t *testing.T) {
+	is := is.New(t)
+	before, after := settings.Defaults(), settings.Defaults()
+	after.Zone = "y"
+	after.Platform.Store.Partitions = 9
+	after.Operators = []settings.OperatorKey{{Name: "o"}}
+	is.Equal(changedKeys("", reflect.ValueOf(before), reflect.ValueOf(after)), []string{"zone", "platform.store.partitions", "operators"})
+	is.Equal(len(changedKeys("", reflect.ValueOf(before), reflect.ValueOf(before))), 0)
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -1,11 +1,11 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"os"
-	"reflect"
-	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -13,6 +13,7 @@
 	"woodworks/internal/logging"
 	"woodworks/internal/node"
 	"woodworks/internal/settings"
+	"woodworks/internal/signals"
 )
 
 // loadSettings reads the file over the defaults and the flags over the file.
@@ -115,19 +116,13 @@
 	logger.Info("signal", zap.String("signal", s.String()), zap.String("done", done))
 }
 
-// memoryShare is the part of the memory bound that the heap may fill before
-// collecting gets eager.
-const memoryShare = 0.7
-
 // serveDaemon runs a daemon until it is told to stop.
 func serveDaemon(chosen *options, loaded settings.Settings, logger *zap.Logger) error {
 	connect := chosen.drivers[loaded.Platform.Driver]
 	if connect == nil {
 		return usagef("platform.driver: this build has no driver %q", loaded.Platform.Driver)
 	}
-	if loaded.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.Limits.MemoryMB) * (1 << 20)))
-	}
+	limitMemory(loaded.Limits)
 	running, err := node.New(loaded, connect, logger)
 	if err != nil {
 		return err
@@ -143,16 +138,29 @@
 		return err
 	}
 	taken.TakeUser()
+	l := &live{inForce: loaded, setStopGrace: func(time.Duration) {}, logger: logger}
+	return untilStopped(running, taken, newReloader(func() (settings.Settings, error) { return loadSettings(chosen) }), l)
+}
+
+// untilStopped serves the signals of a running daemon until one has stopped it.
+func untilStopped(running stopper, taken *signals.Taken, reloads *reloader, l *live) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go reloads.run(ctx)
 	for {
 		select {
 		case s := <-taken.Stops:
-			logSignal(logger, s, stopBegins)
-			return stop(running, logger, taken.Stops)
+			logSignal(l.logger, s, stopBegins)
+			go tellOthers(ctx, taken.Reloads, taken.Others, l.logger)
+			reloadForStop(reloads, l)
+			return stop(running, l.logger, taken.Stops)
 		case s := <-taken.Reloads:
-			logSignal(logger, s, settingsRead)
-			reload(chosen, loaded, logger)
+			logSignal(l.logger, s, settingsRead)
+			reloads.ask()
+		case got := <-reloads.read:
+			l.take(got)
 		case s := <-taken.Others:
-			logSignal(logger, s, nothingDone)
+			logSignal(l.logger, s, nothingDone)
 		}
 	}
 }
@@ -182,17 +190,6 @@
 	}
 }
 
-// reload checks the settings file again. What a running daemon stands on
-// cannot change; the line says what would after a restart.
-func reload(chosen *options, loaded settings.Settings, logger *zap.Logger) {
-	again, err := loadSettings(chosen)
-	if err != nil {
-		logger.Error("reload refused", zap.Error(err))
-		return
-	}
-	logger.Info("reload", zap.Bool("changed", !reflect.DeepEqual(again, loaded)))
-}
-
 func runVersion(chosen *options) error {
 	_, err := fmt.Fprintln(chosen.stdout, "woodworks "+Version)
 	return err
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -15,14 +15,26 @@
 	"go.uber.org/zap/zapcore"
 )
 
+// level is the process's: a reload may change it.
+var level = zap.NewAtomicLevel()
+
+// SetLevel changes the level of the loggers that New has returned.
+func SetLevel(text string) error {
+	parsed, err := zapcore.ParseLevel(text)
+	if err != nil {
+		return errors.Wrap(err, "logging: level")
+	}
+	level.SetLevel(parsed)
+	return nil
+}
+
 // New returns a logger that writes to standard output at the given level
 // (debug, info, warn or error) and takes over go-zero's logs. Writing never
 // blocks, and lines of one event and reason are bounded; what is left out is
 // counted and told.
-func New(level, node string) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, errors.Wrap(err, "logging: level")
+func New(levelText, node string) (*zap.Logger, error) {
+	if err := SetLevel(levelText); err != nil {
+		return nil, err
 	}
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.TimeKey = "time"
@@ -31,7 +43,7 @@
 		encoder.AppendString(at.UTC().Format("2006-01-02T15:04:05.000Z"))
 	}
 	output := NewAsyncWriter(os.Stdout)
-	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), output, parsed))
+	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), output, level))
 	logger := zap.New(core, zap.ErrorOutput(output)).With(zap.String("node", node))
 	TakeOver(logger)
 	return logger, nil
