--- a/internal/signals/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/zeromicro/go-zero/core/proc"
@@ -62,6 +63,7 @@
 // the start. go-zero says of it that the process is done.
 func TestWhatCameBeforeTakeStops(t *testing.T) {
 	alone(t, func(is *is.I) {
+		proc.SetTimeToForceQuit(never) // so that only go-zero's word can tell of it
 		before := Take()
 		kill(is, syscall.SIGTERM)
 		<-proc.Done()
@@ -70,11 +72,34 @@
 
 		late := Take()
 		defer late.Release()
-		is.Equal(<-late.Stops, syscall.SIGTERM)
 		select {
-		case <-late.Stops:
-			t.Fatal("one signal was told twice")
-		default:
+		case s := <-late.Stops:
+			is.Equal(s, syscall.SIGTERM)
+		case <-time.After(hangTime):
+			t.Fatal("the signal is lost")
+		}
+	})
+}
+
+// hangTime is when a signal that does not come counts as lost.
+const hangTime = 10 * time.Second
+
+// repeatTime is longer than the 5.5 s after which go-zero sends a signal again.
+const repeatTime = 6 * time.Second
+
+// go-zero sent SIGTERM and SIGINT again after 5.5 s. A daemon takes a second SIGINT as
+// the order to end at once, so that one from a terminal cut off what was under way.
+func TestNoSignalIsRepeated(t *testing.T) {
+	alone(t, func(is *is.I) {
+		taken := Take()
+		defer taken.Release()
+		taken.Daemon()
+		kill(is, syscall.SIGINT)
+		is.Equal(<-taken.Stops, syscall.SIGINT)
+		select {
+		case s := <-taken.Stops:
+			t.Fatalf("%v came again", s)
+		case <-time.After(repeatTime):
 		}
 	})
 }
