Tests: pulls and tries with taken keys are held past a planned stop (known red)

Under virtual time, a stop 1.3 s after the call: the pull is answered after 60 s, the try after 30 s; the default grace is shorter than either. Beside them, one comparison in Deliver: at the very end of a pull it went round without waiting, which under virtual time never ends.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -227,7 +227,7 @@
 		if err := d.makeAgain(ctx, t, header, seen, plan.Again, trained); err != nil {
 			return Delivery{}, err
 		}
-		if len(plan.Ready) > 0 || plan.Open == 0 || time.Now().After(end) {
+		if len(plan.Ready) > 0 || plan.Open == 0 || !time.Now().Before(end) {
 			return deliver(pull.Cursor, plan, seen.first), nil
 		}
 		if err := d.wait(ctx, header, len(seen.rounds)-1, end); err != nil {
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/delivery"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/ledger"
+	"woodworks/internal/metrics"
+	"woodworks/internal/permit"
+	"woodworks/internal/policy"
+	"woodworks/internal/rollout"
+)
+
+// idle takes batches in and runs none of them.
+type idle struct{ batches *ledger.Ledger }
+
+func (i idle) Accept(ctx context.Context, job *batch.Submission) error {
+	return i.batches.Of(job.ID).Append(ctx, batch.Accepted(job, "nobody"))
+}
+
+func (idle) End(context.Context, string, string) error { return nil }
+
+// stoppable is a gateway with one trainer, "t", and the channel that begins its stop.
+func stoppable(ctx context.Context) (*Gateway, chan struct{}) {
+	log := journaltest.New()
+	batches := ledger.New(ctx, log, zap.NewNop())
+	stopping := make(chan struct{})
+	set := &policy.Set{Trainers: map[string]policy.Trainer{"t": {Name: "t"}}}
+	return New(Parts{
+		Configuration: func() (Configuration, bool) { return Configuration{Policies: set}, true },
+		Desk:          delivery.New(batches, idle{batches}, rollout.ItemHeaders{}, zap.NewNop()),
+		Permits:       permit.New(log, 10*time.Minute, func() string { return "claimant" }),
+		Metrics:       metrics.New(), Logger: zap.NewNop(), Stopping: stopping,
+	}, Limits{}), stopping
+}
+
+// A pull may be held for a minute, and a stop has a grace of seconds: it was cut at the
+// grace's end, without an answer. A pull that is held as the stop begins is answered with
+// what there is, and its cursor.
+func TestAStopEndsHeldPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g, stopping := stoppable(ctx)
+		caller := policy.Caller{Name: "c", Trainer: "t"}
+		header, err := g.parts.Desk.Submit(ctx, delivery.Trainer{Name: "t", Accepts: func(oldest, trained int64) bool { return oldest >= trained }},
+			rollout.Request{Trainer: "t", Name: "n", Prompts: []rollout.Prompt{{ID: "p", Text: "x"}}, SamplesPerPrompt: 1, MaxTokens: 5})
+		is.NoErr(err)
+		began := time.Now()
+		time.AfterFunc(1300*time.Millisecond, func() { close(stopping) })
+		for range 2 { // also one that comes after the stop has begun
+			asked := httptest.NewRequestWithContext(ctx, http.MethodGet, "/v1/rollouts/t/n/samples?wait_ms=60000", nil)
+			answer := httptest.NewRecorder()
+			g.pullSamples(answer, pathvar.WithVars(asked, map[string]string{"trainer": "t", "name": "n"}), caller)
+			is.Equal(answer.Code, http.StatusOK)
+			var got Pulled
+			is.NoErr(json.Unmarshal(answer.Body.Bytes(), &got))
+			is.Equal(got.Open, 1)
+			is.Equal(got.Cursor, rollout.NewCursor(header).String())
+			is.Equal(time.Since(began), 1300*time.Millisecond)
+		}
+	})
+}
+
+// A try with a key that another one holds waits for that one's outcome for as long as the
+// call may take, half a minute by default, and was cut by a stop before. It is told that
+// the outcome is not known here as the stop begins, so that the next try asks elsewhere.
+func TestAStopEndsTheWaitForAnEarlierTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g, stopping := stoppable(ctx)
+		_, err := g.parts.Permits.Claim(ctx, "c/k", 1)
+		is.NoErr(err)
+		began := time.Now()
+		time.AfterFunc(1300*time.Millisecond, func() { close(stopping) })
+		bounded, cancel := context.WithTimeout(ctx, defaultCallTimeout)
+		defer cancel()
+		answer := httptest.NewRecorder()
+		g.answerTaken(bounded, answer, "c/k")
+		is.Equal(answer.Code, http.StatusConflict)
+		is.Equal(time.Since(began), 1300*time.Millisecond)
+	})
+}
