A planned stop ends pulls that are held and waits for an earlier try

Cause: both are held for as long as their caller allows (60 s and 30 s), which is longer than the grace of a stop; at its end they were cut without an answer. A pull that is held as the stop begins, or that comes later, is answered at once with what there is and its cursor; a try whose key another holds hears that the outcome is not known here. Neither loses anything: the cursor and the key are the caller's.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -199,6 +199,18 @@
 	Version int64
 	Limit   int
 	Wait    time.Duration
+	// Stopping, if not nil, is closed when a planned stop begins: a pull is not held then.
+	Stopping <-chan struct{}
+}
+
+// held reports whether the pull may be held on until a time.
+func (p Pull) held(end time.Time) bool {
+	select {
+	case <-p.Stopping:
+		return false
+	default:
+		return time.Now().Before(end)
+	}
 }
 
 // Delivery is what a pull got. The samples and the cursor belong together.
@@ -227,10 +239,10 @@
 		if err := d.makeAgain(ctx, t, header, seen, plan.Again, trained); err != nil {
 			return Delivery{}, err
 		}
-		if len(plan.Ready) > 0 || plan.Open == 0 || !time.Now().Before(end) {
+		if len(plan.Ready) > 0 || plan.Open == 0 || !pull.held(end) {
 			return deliver(pull.Cursor, plan, seen.first), nil
 		}
-		if err := d.wait(ctx, header, len(seen.rounds)-1, end); err != nil {
+		if err := d.wait(ctx, header, len(seen.rounds)-1, end, pull.Stopping); err != nil {
 			return Delivery{}, errors.Wrap(ErrUnavailable, err.Error())
 		}
 	}
@@ -268,9 +280,9 @@
 	return nil
 }
 
-// wait returns when the newest round has changed, after a while, or at the end
-// of the pull.
-func (d *Desk) wait(ctx context.Context, header rollout.Header, round int, end time.Time) error {
+// wait returns when the newest round has changed, after a while, at the end of the pull,
+// or when a stop begins.
+func (d *Desk) wait(ctx context.Context, header rollout.Header, round int, end time.Time, stopping <-chan struct{}) error {
 	partition := d.ledger.Of(rollout.JobID(header.Trainer, header.Name, round))
 	release := partition.Follow()
 	defer release()
@@ -279,6 +291,7 @@
 	select {
 	case <-partition.Changed():
 	case <-timer.C:
+	case <-stopping:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -182,6 +182,8 @@
 	if !ok {
 		return
 	}
+	// A pull may be held for longer than the grace of a stop, which would cut it.
+	pull.Stopping = g.parts.Stopping
 	if pull.Cursor, ok = g.cursorOf(w, r, variables["trainer"], variables["name"]); !ok {
 		return
 	}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -187,7 +187,17 @@
 }
 
 // answerTaken answers a try whose request an earlier one may have run.
+// A planned stop ends the wait for that one's outcome, which may be longer than its grace.
 func (g *Gateway) answerTaken(ctx context.Context, w http.ResponseWriter, name string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-g.parts.Stopping:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	if outcome, known := g.parts.Permits.Await(ctx, name); known {
 		writeAnswer(w, outcome)
 		return
