--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -214,3 +214,24 @@
 	is.True(errors.Is(permits.Check(key, now.Add(retention)), ErrExpired))
 	is.True(errors.Is(permits.Check(key, now.Add(-time.Minute)), ErrEarly))
 }
+
+// A clock that was set ahead by more than the retention and back again made a daemon
+// forget every claim that it had read. It had gone past their records, so that the next
+// claim of such a key was the first one that it saw, and its request was sent twice. A key
+// is kept for as long as it may be used, by the steady clock too.
+func TestAClockSetAheadForgetsNoClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const retention = 10 * time.Minute
+		permits := New(journaltest.New(), retention, func() string { return "second" })
+		part := permits.of("k")
+		dropsBefore := func(clock time.Time) time.Time { return clock.Add(-retention - clockMargin) }
+		claim := record{Kind: kindClaim, Key: "k", Claimant: "first", Digest: 1, AtMs: time.Now().UnixMilli()}
+		part.fold([][]byte{claim.encode()}, dropsBefore(time.Now()))
+		part.fold(nil, dropsBefore(time.Now().Add(time.Hour)))
+		is.True(part.lookUp("k") != nil)
+		time.Sleep(retention + clockMargin + time.Millisecond)
+		part.fold(nil, dropsBefore(time.Now()))
+		is.True(part.lookUp("k") == nil)
+	})
+}
