Claims of keys are forgotten by the steady clock as well

Cause: claims older than the retention by this daemon's time of day were dropped from its fold, past whose records it had read. A clock that was set ahead by more than the retention for one read, and back, thus made the next claim of each key the first. Clocks that differ for good do no harm: the use of a key and its forgetting are bounded by the same clock (key age <= retention - 30 s, claim at >= issue - 30 s, forgotten at claim + retention + 30 s), for any difference.

Before: the key is gone after one look with the clock an hour ahead; after: kept, and gone in time.

--- a/internal/permit/fold.go
+++ b/internal/permit/fold.go
@@ -48,8 +48,10 @@
 type holding struct {
 	claimant string
 	digest   uint64
-	at       time.Time
-	outcome  *Outcome
+	// at is the claimant's time of day at the claim, foldedAt when the claim was read
+	// here, by the steady clock.
+	at, foldedAt time.Time
+	outcome      *Outcome
 }
 
 // state is the fold of one partition: of the claims of a key the first counts,
@@ -68,7 +70,7 @@
 	switch r.Kind {
 	case kindClaim:
 		if held == nil {
-			s[r.Key] = &holding{claimant: r.Claimant, digest: r.Digest, at: time.UnixMilli(r.AtMs)}
+			s[r.Key] = &holding{claimant: r.Claimant, digest: r.Digest, at: time.UnixMilli(r.AtMs), foldedAt: time.Now()}
 		}
 	case kindOutcome:
 		if held != nil && held.claimant == r.Claimant && held.outcome == nil {
@@ -82,10 +84,13 @@
 	}
 }
 
-// forget drops the keys that were claimed before a time.
-func (s state) forget(before time.Time) {
+// forget drops the keys that were claimed before a time of day, and were read here a span
+// ago at least: the time of day may be set ahead, and back again, and a claim that is
+// forgotten is not read again. The time of day alone does for daemons whose clocks differ
+// for good, as the use of keys is bounded by the same clock.
+func (s state) forget(before time.Time, kept time.Duration) {
 	for key, held := range s {
-		if held.at.Before(before) {
+		if held.at.Before(before) && time.Since(held.foldedAt) > kept {
 			delete(s, key)
 		}
 	}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -89,6 +89,8 @@
 	// reading has room for the one who reads; next is that one's.
 	reading chan struct{}
 	next    int64
+	// kept is how long a key is remembered at least after its claim was read.
+	kept time.Duration
 
 	mu   sync.Mutex
 	keys state
@@ -109,7 +111,7 @@
 	defer p.mu.Unlock()
 	found := p.parts[n]
 	if found == nil {
-		found = &partition{name: journal.Partition{Topic: Topic, Number: n}, reading: make(chan struct{}, 1), keys: state{}}
+		found = &partition{name: journal.Partition{Topic: Topic, Number: n}, reading: make(chan struct{}, 1), kept: p.retention + clockMargin, keys: state{}}
 		p.parts[n] = found
 	}
 	return found
@@ -228,7 +230,7 @@
 		part.keys.apply(each)
 		part.next++
 	}
-	part.keys.forget(before)
+	part.keys.forget(before, part.kept)
 }
 
 // lookUp returns a copy of what is known of a key, or nil.
