Test: a signal that go-zero swallows is sent until go-zero listens

go-zero listens from a goroutine, so that the one SIGTERM of the test could come before it; the test then waited for ever.

--- a/internal/signals/signals_test.go
+++ b/internal/signals/signals_test.go
@@ -65,8 +65,19 @@
 	alone(t, func(is *is.I) {
 		proc.SetTimeToForceQuit(never) // so that only go-zero's word can tell of it
 		before := Take()
-		kill(is, syscall.SIGTERM)
-		<-proc.Done()
+		delivered := make(chan os.Signal, 1)
+		signal.Notify(delivered, syscall.SIGTERM)
+		// go-zero listens from a goroutine, which may not have run yet. Each signal is
+		// delivered before the next, so that none is left for the second Take.
+		for swallowed := false; !swallowed; {
+			kill(is, syscall.SIGTERM)
+			<-delivered
+			select {
+			case <-proc.Done():
+				swallowed = true
+			case <-time.After(time.Millisecond):
+			}
+		}
 		is.Equal(<-before.Stops, syscall.SIGTERM)
 		before.Release()
 
