Soak: callers that keep their connections, and a schedule of planned work only

Cause: each request of the soak opened its own connection, so that what a planned stop does to a resting connection was never put to the test, and net/http's client hides a close that it meets before the first byte of an answer.

--- a/cmd/woodworks-soak/main.go
+++ b/cmd/woodworks-soak/main.go
@@ -30,6 +30,8 @@
 	program, folder := "target/woodworks", "out/soak"
 	seed := uint64(time.Now().UnixNano() % 1_000_000)
 	duration := time.Minute
+	schedule := soak.ScheduleMixed
+	daemons, callers := 0, 0
 	safetyOnly := false
 	flaggy.SetName("woodworks-soak")
 	flaggy.SetDescription("real daemons as separate processes under faults from outside")
@@ -38,11 +40,15 @@
 	flaggy.UInt64(&seed, "s", "seed", "seed of the schedule")
 	flaggy.Duration(&duration, "d", "duration", "how long faults are injected")
 	flaggy.Bool(&safetyOnly, "", "safety-only", "do not fail for a rule that was not put to the test")
+	flaggy.String(&schedule, "", "schedule", "mixed: all faults at random; planned: only planned stops and configurations")
+	flaggy.Int(&daemons, "", "daemons", "how many daemons run; 0 takes the default")
+	flaggy.Int(&callers, "", "callers", "how many callers keep their connections; 0 takes the default")
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	fmt.Printf("soak: seed %d, %v of faults\n", seed, duration)
-	outcome, err := soak.Run(ctx, soak.Options{Program: program, Folder: filepath.Join(folder, fmt.Sprint(seed)), Seed: seed, Duration: duration, Output: os.Stdout})
+	outcome, err := soak.Run(ctx, soak.Options{Program: program, Folder: filepath.Join(folder, fmt.Sprint(seed)), Seed: seed, Duration: duration,
+		Schedule: schedule, Daemons: daemons, Callers: callers, Output: os.Stdout})
 	switch {
 	case err != nil:
 		fmt.Fprintln(os.Stderr, "woodworks-soak:", err)
