Soak: planned work in series that overlaps, requests that last across a stop

Cause: the soak played one planned stop after another before callers whose requests last milliseconds; signals never came early, twice or to a process that stops; settings and limits never changed; a kill never came right after an acknowledgement.

--schedule series draws from: planned stops with SIGTERM repeated and SIGHUP meanwhile and in the first moments of the next process, a stop soon after a start, several stops at once (sometimes all), rewritten settings (stop_grace, memory_mb) with and without SIGHUP, configurations in quick succession, changed limits, replicas that leave together. The sequences of the schedules mixed and planned are as before.

--- a/cmd/woodworks-soak/main.go
+++ b/cmd/woodworks-soak/main.go
@@ -40,7 +40,7 @@
 	flaggy.UInt64(&seed, "s", "seed", "seed of the schedule")
 	flaggy.Duration(&duration, "d", "duration", "how long faults are injected")
 	flaggy.Bool(&safetyOnly, "", "safety-only", "do not fail for a rule that was not put to the test")
-	flaggy.String(&schedule, "", "schedule", "mixed: all faults at random; planned: only planned stops and configurations")
+	flaggy.String(&schedule, "", "schedule", "mixed: all faults at random; planned: only planned stops and configurations; series: planned work of all kinds that overlaps")
 	flaggy.Int(&daemons, "", "daemons", "how many daemons run; 0 takes the default")
 	flaggy.Int(&callers, "", "callers", "how many callers keep their connections; 0 takes the default")
 	flaggy.Parse()
