A connection to a replica rests from the end of its answer

Cause: the rest that a peer grants was counted from Close, which comes after the answer was passed on to a client: with a slow client, or a process that stood still, seconds after the peer began to count. The look for a close that has arrived (quiet) does not find one on its way; a request that can't be repeated then gets a 502. Now counted from when the body was read to its end.

Before: taken up 3.6 s after the answer's end with a grant of 2 s; after: not; -race, three times.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -181,8 +181,9 @@
 	response *http.Response
 	conn     *connection
 	stop     func() bool
-	whole    bool
-	failed   bool
+	// wholeAt is when the body was read to its end, or zero.
+	wholeAt time.Time
+	failed  bool
 }
 
 // Read reads the body. Any error but io.EOF means that the body is not whole.
@@ -190,7 +191,9 @@
 	count, err := answer.response.Body.Read(buffer)
 	switch {
 	case err == io.EOF:
-		answer.whole = true
+		if answer.wholeAt.IsZero() {
+			answer.wholeAt = time.Now()
+		}
 	case err != nil:
 		answer.failed = true
 		err = errors.Wrap(ErrNoAnswer, err.Error())
@@ -202,10 +205,11 @@
 func (answer *Answer) Length() int64 { return answer.response.ContentLength }
 
 // Close ends the exchange. The connection is kept if the body was read to its
-// end and nothing speaks against another request on it.
+// end and nothing speaks against another request on it. It rests from that end on, as
+// for the peer, however late Close comes.
 func (answer *Answer) Close() {
 	live := answer.stop()
-	if !live || !answer.whole || !answer.reusable() {
+	if !live || answer.wholeAt.IsZero() || !answer.reusable() {
 		answer.conn.close()
 		return
 	}
@@ -214,7 +218,7 @@
 		answer.conn.close()
 		return
 	}
-	answer.conn.pool.put(answer.conn, rest)
+	answer.conn.pool.put(answer.conn, answer.wholeAt.Add(rest))
 }
 
 func (answer *Answer) reusable() bool {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -196,8 +196,8 @@
 	return newConnection(pool, address, raw), nil
 }
 
-func (pool *Pool) put(conn *connection, rest time.Duration) {
-	conn.restUntil = time.Now().Add(rest)
+func (pool *Pool) put(conn *connection, restUntil time.Time) {
+	conn.restUntil = restUntil
 	pool.mutex.Lock()
 	pool.idle[conn.address] = append(pool.idle[conn.address], conn)
 	pool.mutex.Unlock()
