--- a/internal/results/results_test.go
+++ b/internal/results/results_test.go
@@ -339,3 +339,39 @@
 		is.True(!body.Found)
 	})
 }
+
+// A question whose holder said nothing waited for that one (0.9 s), then for a place among
+// those that read the journal themselves or for the journal (1.5 s each): a question that
+// was not to be held was answered after 2.4 s. Callers leave 1.5 s beyond the time that
+// they allow, and have no answer then. They hear in time that nothing can be said yet.
+func TestAQuestionIsAnsweredBeforeItsCallerLeaves(t *testing.T) {
+	const callerLeaves = 1500 * time.Millisecond
+	for _, wait := range []time.Duration{0, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.NewRelaxed(t) // used by several goroutines
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			d := newDaemons(ctx, 2)
+			d.accept(t, "b", 1)
+			d.dark[identity.Machine(d.runs[0])] = true
+			d.log.SetBefall(func(journaltest.Call) journaltest.Fault { return journaltest.Hang })
+			var asking sync.WaitGroup
+			for range 3 * coldReads {
+				asking.Go(func() {
+					began := time.Now()
+					_, err := d.readers[1].Results(ctx, Query{BatchID: "b", Wait: wait})
+					is.True(errors.Is(err, ErrBehind))
+					is.True(time.Since(began) < wait+callerLeaves)
+					if wait > 0 {
+						return
+					}
+					began = time.Now()
+					_, err = d.readers[1].Item(ctx, ItemQuery{BatchID: "b", ItemID: "b-0"})
+					is.True(errors.Is(err, ErrBehind))
+					is.True(time.Since(began) < callerLeaves)
+				})
+			}
+			asking.Wait()
+		})
+	}
+}
