--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -69,6 +69,9 @@
 	// question is held on purpose: twice what it takes one on a weak link to read its
 	// partition after a start.
 	answerTimeout = 900 * time.Millisecond
+	// answerWithin is the time beyond the one that a question is held on purpose within
+	// which it has an answer: callers leave after 1.5 s, and the answer needs its way.
+	answerWithin = 1300 * time.Millisecond
 	// coldReads is how many questions at a time may make this daemon read partitions
 	// from their beginning; others wait for a place as long as for a read.
 	coldReads = 2
@@ -158,6 +161,8 @@
 // answers it from this daemon's fold.
 func read[T any](ctx context.Context, r *Reader, batchID, method string, asked any, wait time.Duration, here func(ctx context.Context, wait time.Duration) (T, error)) (T, error) {
 	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerWithin)
+	defer cancel()
 	partition := r.batches.Of(batchID)
 	if r.readsByItself() || time.Since(partition.LastRead()) < warmFor {
 		return here(ctx, wait)
