--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -19,11 +19,15 @@
 // hangTime is when a process that should have ended counts as hanging.
 const hangTime = 30 * time.Second
 
+// buildFolder has the program once a test has built it.
+var buildFolder string
+
 var build = sync.OnceValues(func() (string, error) {
 	folder, err := os.MkdirTemp("", "woodworks-test")
 	if err != nil {
 		return "", err
 	}
+	buildFolder = folder
 	program := filepath.Join(folder, "woodworks")
 	output, err := exec.Command("go", "build", "-o", program, "woodworks/cmd/woodworks").CombinedOutput()
 	if err != nil {
@@ -34,8 +38,8 @@
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if program, err := build(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(program))
+	if buildFolder != "" {
+		_ = os.RemoveAll(buildFolder)
 	}
 	os.Exit(code)
 }
