--- a/Makefile
+++ b/Makefile
@@ -35,15 +35,20 @@
 SEED ?= 1
 DURATION ?= 60s
 
-# Real daemons on the platform's stand-ins under faults from outside.
+# Real daemons on the platform's stand-ins under faults from outside; SOAKFLAGS takes
+# --schedule, --daemons, --callers and --reader.
 soak:
 	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
-	./target/woodworks-soak --seed $(SEED) --duration $(DURATION)
+	./target/woodworks-soak --seed $(SEED) --duration $(DURATION) $(SOAKFLAGS)
 
-# A short soak with a fixed seed that asserts safety only.
+# Two short soaks at once with a fixed seed, of all faults and of planned work in
+# series, that assert safety only.
 soak-smoke:
 	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
-	./target/woodworks-soak --seed 1 --duration 8s --safety-only
+	@mkdir -p out
+	@./target/woodworks-soak --seed 1 --duration 8s --safety-only > out/soak-mixed.log 2>&1 & mixed=$$!; \
+	./target/woodworks-soak --seed 1 --duration 6s --schedule series --safety-only --folder out/soak-series; series=$$?; \
+	wait $$mixed; mixed=$$?; cat out/soak-mixed.log; exit $$((mixed > series ? mixed : series))
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
