--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -21,6 +21,7 @@
 
 	"woodworks/internal/batch"
 	"woodworks/internal/ledger"
+	"woodworks/internal/periodic"
 	"woodworks/internal/rollout"
 	"woodworks/internal/runner"
 )
@@ -49,6 +50,8 @@
 	submitTimeout = 2500 * time.Millisecond
 	// lookInterval bounds the time between two looks for results.
 	lookInterval = 500 * time.Millisecond
+	// lookPause is the time between two looks where the journal could not be read.
+	lookPause = 100 * time.Millisecond
 )
 
 // Trainer is what the policy in force says of one trainer.
@@ -229,6 +232,11 @@
 	header := pull.Cursor.Header
 	for {
 		seen, err := d.look(ctx, header.Trainer, header.Name)
+		if errors.Is(err, ErrUnavailable) && ctx.Err() == nil && pull.held(end) {
+			// Who is held anyway need not be sent away for a read that failed.
+			periodic.Pause(ctx, lookPause)
+			continue
+		}
 		if err != nil {
 			return Delivery{}, err
 		}
