--- a/internal/gateway/pull_test.go
+++ b/internal/gateway/pull_test.go
@@ -12,7 +12,9 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"woodworks/internal/delivery"
+	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/ledger"
 	"woodworks/internal/policy"
 	"woodworks/internal/rollout"
 )
@@ -47,3 +49,33 @@
 		})
 	}
 }
+
+// A daemon that started after the journal had removed a partition's oldest records told
+// trainers that their batch does not exist, while other daemons handed its samples over.
+// It can't be sure, and says so.
+func TestABatchWhoseRecordsAreGoneIsNotDenied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := journaltest.New()
+		before, _ := stoppableOn(ctx, log)
+		header, err := before.parts.Desk.Submit(ctx, delivery.Trainer{Name: "t", Accepts: func(oldest, trained int64) bool { return oldest >= trained }},
+			rollout.Request{Trainer: "t", Name: "n", Prompts: []rollout.Prompt{{ID: "p", Text: "x"}}, SamplesPerPrompt: 1, MaxTokens: 5})
+		is.NoErr(err)
+		for _, topic := range ledger.TopicNames() {
+			for number := range log.Partitions {
+				log.Trim(journal.Partition{Topic: topic, Number: number}, 1)
+			}
+		}
+		late, _ := stoppableOn(ctx, log)
+		for g, status := range map[*Gateway]int{before: http.StatusOK, late: http.StatusServiceUnavailable} {
+			for _, cursor := range []string{"", "&cursor=" + rollout.NewCursor(header).String()} {
+				asked := httptest.NewRequestWithContext(ctx, http.MethodGet, "/v1/rollouts/t/n/samples?wait_ms=0"+cursor, nil)
+				answer := httptest.NewRecorder()
+				g.pullSamples(answer, pathvar.WithVars(asked, map[string]string{"trainer": "t", "name": "n"}), policy.Caller{Name: "c", Trainer: "t"})
+				is.Equal(answer.Code, status)
+			}
+		}
+	})
+}
