A trainer's batch whose records are gone is not denied over /v1/

Cause and mend as for batch jobs: a fold that missed removed records can't tell whether a batch exists. Before: 404; after: 503, and 200 still from a daemon that has the fold.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -126,7 +126,7 @@
 		return rollout.Header{}, err
 	}
 	if first == nil {
-		return rollout.Header{}, ErrUnknownBatch
+		return rollout.Header{}, d.unknown(trainer, name)
 	}
 	digest, _ := rollout.DigestOf(&first.Submission)
 	return rollout.Header{Trainer: trainer, Name: name, Digest: digest, Samples: len(first.Items)}, nil
@@ -149,6 +149,15 @@
 	return nil
 }
 
+// unknown is the error for a batch that the fold does not have: it may be among records
+// that were removed before this daemon read them.
+func (d *Desk) unknown(trainer, name string) error {
+	if d.ledger.Of(rollout.JobID(trainer, name, 0)).Missed() {
+		return errors.Wrap(ErrUnavailable, "the partition's oldest records are gone")
+	}
+	return ErrUnknownBatch
+}
+
 // job returns a copy of a batch job as of now, or nil if there is none.
 func (d *Desk) job(ctx context.Context, id string) (*batch.Batch, error) {
 	partition := d.ledger.Of(id)
@@ -190,7 +199,7 @@
 		seen.rounds = append(seen.rounds, rollout.RoundOf(job))
 	}
 	if seen.first == nil {
-		return sight{}, ErrUnknownBatch
+		return sight{}, d.unknown(trainer, name)
 	}
 	return seen, nil
 }
