--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -21,6 +21,7 @@
 
 	"woodworks/internal/batch"
 	"woodworks/internal/ledger"
+	"woodworks/internal/periodic"
 	"woodworks/internal/rollout"
 	"woodworks/internal/runner"
 )
@@ -49,6 +50,8 @@
 	submitTimeout = 2500 * time.Millisecond
 	// lookInterval bounds the time between two looks for results.
 	lookInterval = 500 * time.Millisecond
+	// lookPause is the time between two looks where the journal could not be read.
+	lookPause = 100 * time.Millisecond
 )
 
 // Trainer is what the policy in force says of one trainer.
@@ -123,7 +126,7 @@
 		return rollout.Header{}, err
 	}
 	if first == nil {
-		return rollout.Header{}, ErrUnknownBatch
+		return rollout.Header{}, d.unknown(trainer, name)
 	}
 	digest, _ := rollout.DigestOf(&first.Submission)
 	return rollout.Header{Trainer: trainer, Name: name, Digest: digest, Samples: len(first.Items)}, nil
@@ -146,6 +149,15 @@
 	return nil
 }
 
+// unknown is the error for a batch that the fold does not have: it may be among records
+// that were removed before this daemon read them.
+func (d *Desk) unknown(trainer, name string) error {
+	if d.ledger.Of(rollout.JobID(trainer, name, 0)).Missed() {
+		return errors.Wrap(ErrUnavailable, "the partition's oldest records are gone")
+	}
+	return ErrUnknownBatch
+}
+
 // job returns a copy of a batch job as of now, or nil if there is none.
 func (d *Desk) job(ctx context.Context, id string) (*batch.Batch, error) {
 	partition := d.ledger.Of(id)
@@ -187,7 +199,7 @@
 		seen.rounds = append(seen.rounds, rollout.RoundOf(job))
 	}
 	if seen.first == nil {
-		return sight{}, ErrUnknownBatch
+		return sight{}, d.unknown(trainer, name)
 	}
 	return seen, nil
 }
@@ -229,6 +241,11 @@
 	header := pull.Cursor.Header
 	for {
 		seen, err := d.look(ctx, header.Trainer, header.Name)
+		if errors.Is(err, ErrUnavailable) && ctx.Err() == nil && pull.held(end) {
+			// Who is held anyway need not be sent away for a read that failed.
+			periodic.Pause(ctx, lookPause)
+			continue
+		}
 		if err != nil {
 			return Delivery{}, err
 		}
