--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -34,8 +34,8 @@
 	ErrUnknownBatch = errors.New("delivery: no such batch")
 	// ErrUnavailable: the journal did not answer; nothing was changed.
 	ErrUnavailable = errors.New("delivery: the journal did not answer")
-	// ErrUnsure: the batch may have been taken in.
-	ErrUnsure = errors.New("delivery: the batch may have been taken in")
+	// ErrUnsure: the batch may have been taken in, or ended.
+	ErrUnsure = errors.New("delivery: it may have been done")
 	// ErrTooManyRounds: samples became too old, or failed, in every round.
 	ErrTooManyRounds = errors.New("delivery: samples were not usable in any round")
 )
--- /dev/null
+++ b/internal/delivery/delivery_test.go
@@ -0,0 +1,45 @@
+package delivery
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/ledger"
+	"woodworks/internal/rollout"
+	"woodworks/internal/runner"
+)
+
+// endsWith is a runner whose ends fail in a way.
+type endsWith struct {
+	jobs *ledger.Ledger
+	err  error
+}
+
+func (e endsWith) Accept(ctx context.Context, job *batch.Submission) error {
+	return e.jobs.Of(job.ID).Append(ctx, batch.Accepted(job, "owner"))
+}
+
+func (e endsWith) End(context.Context, string, string) error { return e.err }
+
+// The end of a batch whose record may be in the journal was told as not executed, which
+// promises that the batch goes on.
+func TestAnEndOfUnknownOutcomeIsNotToldAsNotDone(t *testing.T) {
+	is := is.New(t)
+	jobs := ledger.New(t.Context(), journaltest.New(), zap.NewNop())
+	request := rollout.Request{Trainer: "t", Name: "n", SamplesPerPrompt: 1, MaxTokens: 10, Prompts: []rollout.Prompt{{ID: "p", Text: "x"}}}
+	ended := func(err error) error {
+		desk := New(jobs, endsWith{jobs, err}, rollout.ItemHeaders{}, zap.NewNop())
+		_, submitted := desk.Submit(t.Context(), Trainer{Name: "t"}, request)
+		is.NoErr(submitted)
+		return desk.End(t.Context(), "t", "n")
+	}
+	is.NoErr(ended(nil))
+	is.True(errors.Is(ended(errors.Wrap(runner.ErrNotDone, "refused")), ErrUnavailable))
+	is.True(errors.Is(ended(errors.Wrap(runner.ErrUnknown, "silent")), ErrUnsure))
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -165,11 +165,15 @@
 	if _, known := g.trainerOf(w, caller, variables["trainer"], "trainer"); !known {
 		return
 	}
-	if err := g.parts.Desk.End(r.Context(), variables["trainer"], variables["name"]); err != nil {
+	err := g.parts.Desk.End(r.Context(), variables["trainer"], variables["name"])
+	switch {
+	case err == nil:
+		writeDone(w, http.StatusOK, statusWord{Status: "ended"})
+	case errors.Is(err, delivery.ErrUnsure):
+		unsure(w, "end_unsure", err.Error()+"; end it again", refuseRetryAfter)
+	default:
 		writeDeliveryError(w, err)
-		return
 	}
-	writeDone(w, http.StatusOK, statusWord{Status: "ended"})
 }
 
 func (g *Gateway) pullSamples(w http.ResponseWriter, r *http.Request, caller policy.Caller) {
