--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -142,8 +142,12 @@
 		bounded, cancel := context.WithTimeout(ctx, submitTimeout)
 		err := d.runner.End(bounded, rollout.JobID(trainer, name, round), "")
 		cancel()
-		if err != nil {
+		switch {
+		case err == nil:
+		case round == 0 && errors.Is(err, runner.ErrNotDone):
 			return errors.Wrap(ErrUnavailable, err.Error())
+		default:
+			return errors.Wrap(ErrUnsure, err.Error())
 		}
 	}
 	return nil
