A call whose caller left or whose time ended sends nothing more and says what is certain

Cause: three windows at the end of a call's context. (1) Pool.Exchange took a resting connection for a context that had ended, and the write raced with the close: the request reached a replica for nobody. (2) forward's loop is woken by an outcome, the hedge's timer and the end of the context; with two of them ready the choice is by chance, and a retry or a hedge began although the caller had left. (3) At the end every open offer counted as one that may have run, also one whose connection had never come up: 504 in place of the 503 that is true, and an answer that came whole together with the end was thrown away for a 504.

Ruled out: Certainty elsewhere (declined, 421, not sent) is told rightly, TestCertainty.

Change: no exchange and no further offer for an ended context; at the end the cut offers get 8 ms (of the 25 that ingress keeps back) to say whether they were sent.

Before: TestNobodysRequestReachesNoReplica fails at once (may have run, and sent), TestARetryIsNotBegunForNobody and TestTimeThatEndsWhileConnectingHasRunNothing fail with (2) and (3) put back. After: five runs of the package with -race pass. Which replica is chosen and when a hedge begins is untouched for live callers.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,6 +36,7 @@
 	errUnsound   = errors.New("forward: unsound answer")
 	errDeclined  = errors.New("forward: declined")
 	errNoReplica = errors.New("forward: no replica")
+	errTimeUp    = errors.New("time is up")
 )
 
 const (
@@ -51,6 +52,10 @@
 	firstHedge  = 200 * time.Millisecond
 	hedgeFactor = 3
 	leastHedge  = 60 * time.Millisecond
+	// lastWord is how long the offers that the end of the context cuts have to say
+	// whether they were sent. They end at once; a third of the time that ingress keeps
+	// back for a final answer leaves the rest of it to the answer.
+	lastWord = 8 * time.Millisecond
 )
 
 // Call is one request to a service.
@@ -156,6 +161,9 @@
 }
 
 func (run *running) loop(ctx context.Context) (*Answer, error) {
+	if ctx.Err() != nil {
+		return nil, run.failure(errTimeUp.Error())
+	}
 	hedge := time.NewTimer(run.offer(ctx))
 	defer hedge.Stop()
 	for run.open > 0 {
@@ -166,17 +174,15 @@
 				run.drain(answer.Replica)
 				return answer, nil
 			}
-			if run.open == 0 && run.mayRetry() {
+			if run.open == 0 && run.mayRetry(ctx) {
 				hedge.Reset(run.offer(ctx))
 			}
 		case <-hedge.C:
-			if run.call.Hedge && run.mayRetry() {
+			if run.call.Hedge && run.mayRetry(ctx) {
 				hedge.Reset(run.offer(ctx))
 			}
 		case <-ctx.Done():
-			run.offered += run.open
-			run.drain("")
-			return nil, run.failure("time is up")
+			return run.timeUp()
 		}
 	}
 	if run.fallback != nil {
@@ -185,6 +191,33 @@
 	return nil, run.failure(run.lastReason)
 }
 
+// timeUp ends a call whose context has ended, which has cut its open offers. Each of them
+// says whether it was sent: one whose connection was never made has not run, and an
+// answer that came whole with the end is still the answer.
+func (run *running) timeUp() (*Answer, error) {
+	late := time.NewTimer(lastWord)
+	defer late.Stop()
+	for run.open > 0 {
+		select {
+		case outcome := <-run.outcomes:
+			run.open--
+			answer := run.judge(outcome)
+			if answer != nil && answer.Rest == nil {
+				run.drain(answer.Replica)
+				return answer, nil
+			}
+			if answer != nil {
+				answer.Close()
+			}
+		case <-late.C:
+			run.offered += run.open
+			run.drain("")
+			return nil, run.failure(errTimeUp.Error())
+		}
+	}
+	return nil, run.failure(errTimeUp.Error())
+}
+
 // drain cuts the offers that are open, but for that to the kept replica, and
 // gives their connections back.
 func (run *running) drain(kept string) {
@@ -231,9 +264,11 @@
 	return run.call.Repeatable || run.offered+run.open == 0
 }
 
-// mayRetry reports whether another replica is asked now.
-func (run *running) mayRetry() bool {
-	return run.mayOffer() && (run.call.MayRetry == nil || run.call.MayRetry(run.offered+run.notRun+run.open))
+// mayRetry reports whether another replica is asked now. Nothing is begun for a caller
+// that has left: its end may come together with the outcome or the moment that woke the
+// loop.
+func (run *running) mayRetry(ctx context.Context) bool {
+	return ctx.Err() == nil && run.mayOffer() && (run.call.MayRetry == nil || run.call.MayRetry(run.offered+run.notRun+run.open))
 }
 
 // offer sends the call to the next replica, if there is one, and returns after
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -186,3 +189,83 @@
 	is.Equal(failure.Certainty, MayHaveRun)
 	is.Equal(f.offered(), 1)
 }
+
+// A request whose caller has left reaches no replica, whichever moment that is: before its
+// first offer, or together with the outcome of one, which both wake the loop.
+func TestNobodysRequestReachesNoReplica(t *testing.T) {
+	is := is.New(t)
+	f := newFloor(t, 3, answers)
+	for range 3 {
+		answer, err := f.call(t, repeatable) // connections rest at the replicas
+		is.NoErr(err)
+		answer.Close()
+	}
+	before := f.offered()
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	for range 50 {
+		_, err := f.forwarder.Do(ctx, &Call{RequestID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"r"}},
+			Services: []string{"s"}, Repeatable: true, MaxAttempts: 3})
+		var failure *Failure
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Certainty, NotRun)
+	}
+	is.Equal(f.offered(), before)
+}
+
+// The end of a caller that comes together with a failure of its replica starts no retry.
+func TestARetryIsNotBegunForNobody(t *testing.T) {
+	is := is.New(t)
+	ctx, leave := context.WithCancel(t.Context())
+	run := &running{call: &Call{Repeatable: true, MaxAttempts: 3}}
+	is.True(run.mayRetry(ctx))
+	leave()
+	is.True(!run.mayRetry(ctx))
+}
+
+// A request whose time ends while the connection to its replica is still being made was
+// told as one that may have run.
+func TestTimeThatEndsWhileConnectingHasRunNothing(t *testing.T) {
+	is := is.New(t)
+	silent := silentAddress(t)
+	for range 20 {
+		f := newFloor(t, 0, answers)
+		f.forwarder.Pool = upstream.NewPool(upstream.Options{ConnectTimeout: time.Minute, UnackedTimeout: time.Second})
+		f.forwarder.Table.Set(replica.Entry{ID: "a", Service: "s", Address: silent, Slots: 4})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		_, err := f.forwarder.Do(ctx, &Call{RequestID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"r"}},
+			Services: []string{"s"}, Repeatable: true, MaxAttempts: 3})
+		cancel()
+		var failure *Failure
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Certainty, NotRun)
+	}
+}
+
+// silentAddress is an address at which no connection comes up: its queue is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
+	for {
+		conn, err := net.DialTimeout("tcp4", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -151,6 +151,10 @@
 // Exchange sends a request and returns its answer once the head is there. The
 // caller must Close the answer. When the context ends, the connection is cut.
 func (pool *Pool) Exchange(ctx context.Context, address string, request *Request) (*Answer, error) {
+	if ctx.Err() != nil {
+		// A resting connection would take the request before the end closes it.
+		return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
+	}
 	conn, err := pool.take(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
