A batch whose caller has left or whose time is up is not kept

Cause: Accept sent the record of a batch whatever its context said. With a context that had ended (the client gone, or the time used up by its body) the record went out, its fate was not awaited, the answer was 504, and the batch ran for nobody.

Ruled out: the same guard in appendUntil. Releases and ends of batches are worth sending also for a context that has ended; it stands in Accept alone.

Before: TestABatchOfNobodyIsNotKept and TestAStoppingOwnerTakesNoBatch fail. After: three runs of runner, ingress and delivery with -race pass.

--- /dev/null
+++ b/internal/runner/accept_test.go
@@ -0,0 +1,44 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"woodworks/internal/journal/journaltest"
+)
+
+// A batch whose caller has left, or whose time was up before its body was read, was kept
+// all the same: its record was sent, its fate not awaited, and the batch run for nobody.
+func TestABatchOfNobodyIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := journaltest.New()
+		owner := newOwner(ctx, t, log, "a/1")
+		left, leave := context.WithCancel(ctx)
+		leave()
+		is.True(errors.Is(owner.Accept(left, &twoItems), ErrNotDone))
+		time.Sleep(time.Second)
+		is.Equal(ownerInJournal(ctx, t, log, "x"), "")
+	})
+}
+
+// A batch that is turned away by a stop has not been taken, and its caller learns why.
+func TestAStoppingOwnerTakesNoBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		owner := newOwner(ctx, t, journaltest.New(), "a/1")
+		owner.Release(ctx)
+		err := owner.Accept(ctx, &twoItems)
+		is.True(errors.Is(err, ErrStopping))
+		is.True(errors.Is(err, ErrNotDone))
+	})
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,8 +26,8 @@
 	ErrNotDone = errors.New("runner: not taken")
 	// ErrUnknown: the work may have been taken.
 	ErrUnknown = errors.New("runner: outcome unknown")
-	// ErrStopping: this daemon takes no more work.
-	ErrStopping = errors.New("runner: stopping")
+	// ErrStopping: this daemon takes no more work; it is an ErrNotDone.
+	ErrStopping = errors.Wrap(ErrNotDone, "runner: stopping")
 )
 
 const (
@@ -87,7 +87,11 @@
 // exists; after ErrNotDone that this call has not made it exist.
 func (runner *Runner) Accept(ctx context.Context, submission *batch.Submission) error {
 	if runner.stopping.Load() {
-		return errors.Wrap(ErrNotDone, ErrStopping.Error())
+		return ErrStopping
+	}
+	if ctx.Err() != nil {
+		// Nobody would learn what became of it.
+		return errors.Wrap(ErrNotDone, ctx.Err().Error())
 	}
 	partition := runner.ledger.Of(submission.ID)
 	release := partition.Follow()
