A refusal names no longer a wait than a third of the request's time

Cause: Retry-After was 250 or 400 ms whatever time was left, also for a request that was held before it was refused or came with little time.

Ruled out: shorter pauses as such. With some time left they are as they were; what a shorter one is worth when a whole service is full was not measured, and clients have few tries.

Before: TestNobodyIsToldToWaitForLongerThanAThirdOfItsTime fails (250 ms for 100 and 0). TestBatchCallsAreAnsweredWithWhatIsCertain is of a method that came with the change; before, "stopping" was told as ErrNotDone with 400 ms. After: three runs with -race pass. Clients of the platform cap the wait so by themselves; others, and our own page, now get what is true.

--- a/internal/ingress/batches.go
+++ b/internal/ingress/batches.go
@@ -40,10 +40,19 @@
 	ctx, cancel := context.WithTimeout(asked.request.Context(), min(asked.timeLeft(), submitTimeout))
 	defer cancel()
 	err = asked.handler.Runner.Accept(ctx, submission)
+	if err != nil {
+		asked.notKept(err)
+		return
+	}
+	asked.write(http.StatusAccepted, nil)
+	asked.observe(http.StatusAccepted, "accepted", "")
+}
+
+// notKept answers a submission or an end whose record is not known to be in the journal.
+func (asked *request) notKept(err error) {
 	switch {
-	case err == nil:
-		asked.write(http.StatusAccepted, nil)
-		asked.observe(http.StatusAccepted, "accepted", "")
+	case errors.Is(err, runner.ErrStopping):
+		asked.refuse(err.Error(), stopRetryAfter)
 	case errors.Is(err, runner.ErrNotDone):
 		asked.refuse(err.Error(), storeRetryAfter)
 	default:
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -34,6 +34,9 @@
 	// retryAfter is when a refused client should come back, if nothing better
 	// is known.
 	retryAfter = 250 * time.Millisecond
+	// comeBackPart is the part of the time left, one in so many, that a refused client
+	// waits at most. Clients of the platform cap it so by themselves.
+	comeBackPart = 3
 	// copyBufferBytes bounds one copy of an answer's rest, in bytes.
 	copyBufferBytes = 32 << 10
 )
@@ -264,8 +267,10 @@
 	asked.observe(answer.Status, "answered", "")
 }
 
-// refuse promises that the request has not run and never will.
+// refuse promises that the request has not run and never will. Nobody is told to wait for
+// longer than a part of the time left: another daemon may serve the request within it.
 func (asked *request) refuse(reason string, comeBack time.Duration) {
+	comeBack = min(comeBack, max(asked.timeLeft()/comeBackPart, 0))
 	asked.writer.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 3, 64))
 	asked.fail(http.StatusServiceUnavailable, "refused", reason)
 }
