One pause that doubles after failed calls

Cause: usage.Reporter, fleet.Manager and modelsync each had the same pause, doubled with each failure in a row up to a bound, with two names for the bound of its doublings and none for where the figures come from.

Change: package backoff has it once (Bounds, the pure figure; Rest, the count and the moment). The bounds stay named constants at the users. No jitter, as none of the three had any. modelsync held up to ten doublings and the others six; the longest pause is reached after four or five, so neither bound ever decided.

Conclusion: no change of behaviour.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/backoff"
 	"woodworks/internal/demand"
 	"woodworks/internal/duty"
 	"woodworks/internal/journal"
@@ -35,12 +36,11 @@
 	// callTimeout bounds one call to the platform, journalTimeout one to the journal.
 	callTimeout    = 800 * time.Millisecond
 	journalTimeout = 1200 * time.Millisecond
-	// firstPause is the pause after an order that failed. It doubles with each one in a
-	// row, up to longestPause.
+	// firstPause is the pause after an order that failed, a little more than a look's
+	// interval. It doubles with each one in a row, up to longestPause, which is what a
+	// platform that takes orders again may wait for the next one.
 	firstPause   = 300 * time.Millisecond
 	longestPause = 5 * time.Second
-	// maxDoublings bounds the doublings of a pause.
-	maxDoublings = 6
 	// freshList is how old the list of replicas may be for an order: an outage of the
 	// journal lets entries lapse although their replicas live.
 	freshList = 1500 * time.Millisecond
@@ -52,6 +52,9 @@
 	seenFor = 15 * time.Second
 )
 
+// orderPauses bound the pauses between orders that fail.
+var orderPauses = backoff.Bounds{First: firstPause, Longest: longestPause}
+
 // List tells how far the list of replicas can be relied upon.
 type List interface{ LastContact() time.Time }
 
@@ -92,9 +95,9 @@
 	// unsettledAt is when the list was last seen to be old.
 	unsettledAt time.Time
 	// seen are the replicas listed of late, by subject.
-	seen     map[subject]sighting
-	failures int
-	notUntil time.Time
+	seen map[subject]sighting
+	// rest is the pause after orders that failed.
+	rest backoff.Rest
 
 	orders, failed atomic.Uint64
 }
@@ -133,7 +136,7 @@
 		m.known = nil
 		return
 	}
-	if !settled || now.Before(m.notUntil) || !m.read(ctx) {
+	if !settled || !m.rest.Over(now) || !m.read(ctx) {
 		return
 	}
 	for _, service := range configuration.Services {
@@ -250,14 +253,13 @@
 		zap.Int("need", Need(in)), zap.Stringers("zones", in.Zones), zap.Stringers("loads", in.Loads), zap.Int64("fence", fence), zap.Error(err))
 	if err != nil {
 		m.failed.Add(1)
-		m.failures++
-		m.notUntil = time.Now().Add(min(firstPause<<min(m.failures-1, maxDoublings), longestPause))
+		m.rest.Failed(orderPauses, time.Now())
 		// It has to be ordered again.
 		delete(m.known, key)
 		return false
 	}
 	m.orders.Add(1)
-	m.failures = 0
+	m.rest.Succeeded()
 	return true
 }
 
--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/backoff"
 	"woodworks/internal/demand"
 	"woodworks/internal/engine"
 	"woodworks/internal/lease"
@@ -28,11 +29,17 @@
 	// pollPause is the time between two looks at an engine that loads.
 	pollPause = 200 * time.Millisecond
 	// loadTimeout is how long a change may take before it is ordered again.
-	loadTimeout  = 8 * time.Second
+	loadTimeout = 8 * time.Second
+	// failedPause is how long an engine is left alone after a change that failed, a look's
+	// interval. It doubles with each one in a row, as engines that cannot be reached take
+	// the place of others, up to longestPause.
 	failedPause  = 100 * time.Millisecond
 	longestPause = 2 * time.Second
 )
 
+// changePauses bound the pauses between changes that fail.
+var changePauses = backoff.Bounds{First: failedPause, Longest: longestPause}
+
 // Named gives the newest version that was named of each model.
 type Named func() map[string]int64
 
@@ -64,10 +71,8 @@
 	// model is the one that the engine was dealt to, "" for none.
 	model   string
 	loading bool
-	// failures counts the failed tries in a row; no further one comes before
-	// notUntil.
-	failures int
-	notUntil time.Time
+	// rest is the pause after changes that failed.
+	rest     backoff.Rest
 	listedAt time.Time
 }
 
@@ -251,7 +256,7 @@
 			return
 		}
 		known := syncer.noteOf(each.replica.ID)
-		if known.loading || now.Before(known.notUntil) {
+		if known.loading || !known.rest.Over(now) {
 			continue
 		}
 		known.loading = true
@@ -270,21 +275,14 @@
 	known := syncer.noteOf(each.replica.ID)
 	known.loading = false
 	if err == nil {
-		known.failures = 0
+		known.rest.Succeeded()
 	} else {
-		known.failures++
-		known.notUntil = time.Now().Add(pauseAfter(known.failures))
+		known.rest.Failed(changePauses, time.Now())
 	}
 	syncer.logger.Info("weights", zap.String("replica", each.replica.ID), zap.String("model", each.model), zap.Int64("version", each.version),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
 }
 
-// pauseAfter is how long an engine is left alone after failures in a row. It
-// grows, as engines that cannot be reached take the place of others.
-func pauseAfter(failures int) time.Duration {
-	return min(failedPause<<min(failures-1, 10), longestPause)
-}
-
 func (syncer *Syncer) bring(ctx context.Context, each change) error {
 	bounded, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/internal/modelsync/modelsync_test.go
+++ b/internal/modelsync/modelsync_test.go
@@ -187,9 +187,9 @@
 
 func TestPausesGrowWithFailures(t *testing.T) {
 	is := is.New(t)
-	is.Equal(pauseAfter(1), failedPause)
-	is.Equal(pauseAfter(3), 4*failedPause)
-	is.Equal(pauseAfter(99), longestPause)
+	is.Equal(changePauses.After(1), failedPause)
+	is.Equal(changePauses.After(3), 4*failedPause)
+	is.Equal(changePauses.After(99), longestPause)
 }
 
 // What is remembered of engines goes with them, as ids never come again, but
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/backoff"
 	"woodworks/internal/duty"
 	"woodworks/internal/journal"
 	"woodworks/internal/lease"
@@ -31,14 +32,16 @@
 	readBytes   = 256 << 10
 	// callTimeout bounds one call to the platform.
 	callTimeout = 800 * time.Millisecond
-	// firstPause is the pause after a call that failed. It doubles with each one in a
-	// row, up to longestPause.
+	// firstPause is the pause after a call that failed, a look's interval. It doubles with
+	// each one in a row, up to longestPause, which leaves some tries between a decision
+	// and when the report is due (6 s where that is 10 s after the window).
 	firstPause   = 200 * time.Millisecond
 	longestPause = 2 * time.Second
-	// maxDoublings bounds the doublings of a pause.
-	maxDoublings = 6
 )
 
+// callPauses bound the pauses between calls that fail.
+var callPauses = backoff.Bounds{First: firstPause, Longest: longestPause}
+
 // Reporter settles and reports the usage of windows while it may act.
 type Reporter struct {
 	journal journal.Journal
@@ -53,9 +56,8 @@
 	next  int64
 	// failedAt is when the journal last did not answer, or this daemon could not act.
 	failedAt time.Time
-	// failures counts the calls in a row that failed; no further one before notUntil.
-	failures int
-	notUntil time.Time
+	// rest is the pause after calls that failed.
+	rest backoff.Rest
 	// reported and failed count calls, for the metrics.
 	reported, failed atomic.Uint64
 }
@@ -185,7 +187,7 @@
 // report calls the platform for the windows that are decided, the oldest first.
 func (r *Reporter) report(ctx context.Context) {
 	for _, window := range r.state.unreported() {
-		if time.Now().Before(r.notUntil) || !r.reportOne(ctx, window) {
+		if !r.rest.Over(time.Now()) || !r.reportOne(ctx, window) {
 			return
 		}
 	}
@@ -203,11 +205,10 @@
 		return false
 	}
 	r.logger.Info("usage reported", zap.Int64("window", window), zap.Int64("fence", fence), zap.Int64("requests", total(requests)),
-		zap.Duration("after", r.clock.Now().Sub(endOf(window, r.windows))), zap.Int("failures_before", r.failures), zap.Error(err))
+		zap.Duration("after", r.clock.Now().Sub(endOf(window, r.windows))), zap.Int("failures_before", r.rest.Failures()), zap.Error(err))
 	if err != nil && !errors.Is(err, duty.ErrRefused) {
 		r.failed.Add(1)
-		r.failures++
-		r.notUntil = time.Now().Add(min(firstPause<<min(r.failures-1, maxDoublings), longestPause))
+		r.rest.Failed(callPauses, time.Now())
 		return false
 	}
 	if err != nil {
@@ -216,7 +217,7 @@
 	} else {
 		r.reported.Add(1)
 	}
-	r.failures = 0
+	r.rest.Succeeded()
 	r.state.reported[window] = true
 	if err := r.append(ctx, record{Kind: kindReported, Window: window}); err != nil {
 		r.logger.Info("report not noted, a successor may repeat it", zap.Int64("window", window), zap.Error(err))
