Failing test: orders for replicas by clocks that are minutes off

A successor takes the age of what was ordered from the time of day of the daemon that ordered it. Five minutes behind: replicas that are on their way are ordered again at once, and their zones are taken for ones that bring up nothing. Five minutes ahead: replicas that never come are not missed.

Red here: the cases behind (first test) and ahead (second and third); the cases with the right clock pass.

--- /dev/null
+++ b/internal/fleet/clock_test.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/duty"
+)
+
+// clockErrors are by how much a predecessor's time of day is ahead of this daemon's.
+var clockErrors = map[string]time.Duration{"behind": -5 * time.Minute, "right": 0, "ahead": 5 * time.Minute}
+
+// leaveOrders notes orders for six replicas a zone, as a predecessor whose clock is off
+// did just before it ended.
+func (s *stage) leaveOrders(ctx context.Context, is *is.I, clockError time.Duration) {
+	is.Helper()
+	m := NewManager(Parts{Journal: s.log, Lease: s, Driver: s}, zap.NewNop())
+	for _, zone := range []string{"a", "b", "c"} {
+		is.NoErr(m.note(ctx, ordered{Service: "s", Zone: zone, Desired: 6, AtMs: time.Now().Add(clockError).UnixMilli()}))
+	}
+}
+
+// Replicas that a predecessor has just ordered are on their way, whatever its time of day:
+// no zone is asked for more, and none is taken for one that brings up nothing.
+func TestASuccessorWaitsForWhatWasOrderedWhateverTheClock(t *testing.T) {
+	for name, clockError := range clockErrors {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(is *is.I, ctx context.Context) {
+				s := newStage(240)
+				is.Equal(Need(Input{Slots: 6, Loads: loadsOf(240)}), 18) // six in each zone
+				s.leaveOrders(ctx, is, clockError)
+				s.start(ctx, zap.NewNop())
+				time.Sleep(s.boot() + bootSlack - lookInterval)
+				is.Equal(s.taken(), []duty.Fleet(nil))
+			})
+		})
+	}
+}
+
+// Replicas that never come are missed after the time that they take to start, whatever
+// the time of day of the daemon that ordered them.
+func TestASuccessorMissesWhatNeverComesWhateverTheClock(t *testing.T) {
+	for name, clockError := range clockErrors {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(is *is.I, ctx context.Context) {
+				s := newStage(240)
+				s.leaveOrders(ctx, is, clockError)
+				s.start(ctx, zap.NewNop())
+				time.Sleep(s.boot() + bootSlack + renewEvery + lookInterval)
+				is.True(len(s.taken()) > 0)
+			})
+		})
+	}
+}
+
+// A holder whose lease lapses again and again reads the same orders each time; they
+// do not become new by that.
+func TestOrdersDoNotBecomeNewWithEachReading(t *testing.T) {
+	for name, clockError := range clockErrors {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(is *is.I, ctx context.Context) {
+				s := newStage(240)
+				s.leaveOrders(ctx, is, clockError)
+				s.start(ctx, zap.NewNop())
+				end := time.Now().Add(s.boot() + bootSlack + renewEvery + lookInterval)
+				for time.Now().Before(end) {
+					s.set(func() { s.held = true })
+					time.Sleep(4 * lookInterval)
+					s.set(func() { s.held = false })
+					time.Sleep(2 * lookInterval)
+				}
+				s.set(func() { s.held = true })
+				time.Sleep(2 * lookInterval)
+				is.True(len(s.taken()) > 0)
+			})
+		})
+	}
+}
+
+func (s *stage) boot() time.Duration { return s.configuration().Services["s"].Scaling.Boot }
