The age of an order for replicas is told by the own steady clock

Cause: fleet compared OrderedAt, the time of day of the daemon that ordered, with its own (Zone.booting, and the time between two orders for the same replicas). Another machine minutes behind made a successor order again at once and pass over zones whose replicas were on their way; minutes ahead, it made it wait minutes for replicas that never came. A step of the own time of day did the same after a rereading.

Change: an order is as old as the time since this daemon first saw it, by its steady clock. That moment outlives the lease, so that a holder whose lease lapses and comes back does not take an order for new. AtMs stays in the record, where it tells one order from another; records written before are read as they are.

Ruled out: comparing the two clocks within a bound. No bound is known, and a wrong one gives the same faults. Following the orders on all daemons, which would make a successor know their age: reads by every daemon for a figure that one needs.

Error that is left: a daemon that holds the lease for the first time takes an old order for new, and so waits boot + 2 s longer at most before it misses replicas that are not coming, and up to 10 s for the next order for them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,17 +79,28 @@
 	Service string `cbor:"1,keyasint"`
 	Zone    string `cbor:"2,keyasint"`
 	Desired int    `cbor:"3,keyasint"`
-	// AtMs is the ordering daemon's time of day, in milliseconds.
+	// AtMs is the ordering daemon's time of day, in milliseconds. It tells one order from
+	// another and no more: that clock may be off by any amount.
 	AtMs int64 `cbor:"4,keyasint"`
 }
 
+// sighted is an order with when this daemon first saw it, by its own steady clock: the
+// order is at least that old.
+type sighted struct {
+	ordered
+	at time.Time
+}
+
 // Manager orders replicas while it may act.
 type Manager struct {
 	Parts
 	logger *zap.Logger
 
 	// known is what was ordered; it is read when this daemon begins to act.
-	known map[subject]ordered
+	known map[subject]sighted
+	// newest are the newest orders that were ever seen. They outlive the lease, so that an
+	// order does not become new by being read again.
+	newest map[subject]sighted
 	// lowSince is since when each service has needed fewer replicas.
 	lowSince map[string]time.Time
 	// unsettledAt is when the list was last seen to be old.
@@ -110,7 +121,7 @@
 
 // NewManager returns a manager.
 func NewManager(parts Parts, logger *zap.Logger) *Manager {
-	return &Manager{Parts: parts, logger: logger, lowSince: map[string]time.Time{}, seen: map[subject]sighting{}}
+	return &Manager{Parts: parts, logger: logger, newest: map[subject]sighted{}, lowSince: map[string]time.Time{}, seen: map[subject]sighting{}}
 }
 
 // Orders returns how many orders the platform took from this daemon.
@@ -193,7 +204,7 @@
 			continue
 		}
 		last := m.known[key]
-		in.Zones = append(in.Zones, Zone{Name: key.zone, Present: count, Seen: m.seen[key].count, Ordered: last.Desired, OrderedAt: time.UnixMilli(last.AtMs)})
+		in.Zones = append(in.Zones, Zone{Name: key.zone, Present: count, Seen: m.seen[key].count, Ordered: last.Desired, OrderedAt: last.at})
 	}
 	sortZones(in.Zones)
 	switch {
@@ -243,7 +254,7 @@
 	err := m.note(ctx, noted)
 	fence := int64(0)
 	if err == nil {
-		m.known[key] = noted
+		m.known[key] = m.sight(key, noted, in.Now)
 		err = lease.Act(ctx, m.Lease, callTimeout, func(ctx context.Context, held int64) error {
 			fence = held
 			return m.Driver.OrderFleet(ctx, duty.Authority{Holder: m.Holder, Fence: held}, duty.Fleet{Service: service, Zone: order.Zone, Desired: order.Desired})
@@ -280,12 +291,20 @@
 	return errors.Wrap(err, "fleet: order not noted")
 }
 
+// sight returns an order with when it was first seen.
+func (m *Manager) sight(key subject, noted ordered, now time.Time) sighted {
+	if m.newest[key].ordered != noted {
+		m.newest[key] = sighted{noted, now}
+	}
+	return m.newest[key]
+}
+
 // read learns what was ordered, when this daemon begins to act.
 func (m *Manager) read(ctx context.Context) bool {
 	if m.known != nil {
 		return true
 	}
-	known := map[subject]ordered{}
+	known := map[subject]sighted{}
 	for afterKey, more := "", true; more; {
 		bounded, cancel := context.WithTimeout(ctx, journalTimeout)
 		page, err := m.Journal.Newest(bounded, m.partition(), afterKey)
@@ -300,7 +319,8 @@
 				m.logger.Error("order for replicas refused", zap.String("key", each.Key), zap.Error(err))
 				continue
 			}
-			known[subject{noted.Service, noted.Zone}] = noted
+			key := subject{noted.Service, noted.Zone}
+			known[key] = m.sight(key, noted, time.Now())
 			afterKey = each.Key
 		}
 		more = page.More && len(page.Records) > 0
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -41,7 +41,8 @@
 	// Seen is how many were listed at most of late. Those that are missing may live, so
 	// that an order for fewer could end them.
 	Seen int
-	// Ordered is how many were ordered last, 0 if none ever were, and OrderedAt when.
+	// Ordered is how many were ordered last, 0 if none ever were, and OrderedAt when, or
+	// when that was first seen, by the clock of Input.Now.
 	Ordered   int
 	OrderedAt time.Time
 }
