The counts behind a report of usage are told by tenant and daemon

Cause: a disputed bill ended at "usage decided" with a sum over all tenants; nothing said which daemon had counted what, nor the figure of a tenant.

A line names 40 tenants at most and sums the others.

Ruled out: a line a record. Records come up to five times a second from each daemon, as many lines as requests have on a quiet one.

Checked: each request that was written is told in one line (telling_test.go).

--- a/internal/usage/recorder.go
+++ b/internal/usage/recorder.go
@@ -42,6 +42,8 @@
 	// counts once.
 	number  int64
 	sending []byte
+	// inSending are the counts of sending, untold those that were written and not logged.
+	inSending, untold map[int64]map[string]int64
 	// flushing is held by the one who sends.
 	flushing sync.Mutex
 }
@@ -49,7 +51,7 @@
 // NewRecorder returns a recorder for a run of a daemon. Pace is the least time between
 // two appends that the journal's grants allow.
 func NewRecorder(log journal.Journal, run string, windows duty.Windows, pace journal.Pace, clock Clock, logger *zap.Logger) *Recorder {
-	return &Recorder{journal: log, run: run, windows: windows, pace: pace, clock: clock, logger: logger, counts: map[int64]map[string]int64{}}
+	return &Recorder{journal: log, run: run, windows: windows, pace: pace, clock: clock, logger: logger, counts: map[int64]map[string]int64{}, untold: map[int64]map[string]int64{}}
 }
 
 // Ran counts a request of a tenant that was sent to a replica at a moment of the
@@ -68,7 +70,9 @@
 func (r *Recorder) Run(ctx context.Context) {
 	pause := leastFlush
 	periodic.Repeat(ctx, func(ctx context.Context) time.Duration {
-		if r.Flush(ctx) == nil {
+		err := r.flush(ctx)
+		r.tell(r.clock.Now())
+		if err == nil {
 			pause = leastFlush
 		} else {
 			pause = min(2*pause, mostFlush)
@@ -77,8 +81,17 @@
 	})
 }
 
-// Flush appends what was counted so far.
+// Flush appends what was counted so far and logs all that was written: it is for the end
+// of a daemon.
 func (r *Recorder) Flush(ctx context.Context) error {
+	err := r.flush(ctx)
+	if err == nil {
+		r.tell(r.clock.Now().Add(r.windows.Length))
+	}
+	return err
+}
+
+func (r *Recorder) flush(ctx context.Context) error {
 	r.flushing.Lock()
 	defer r.flushing.Unlock()
 	encoded := r.take()
@@ -94,7 +107,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sending = nil
+	r.written(r.inSending)
+	r.sending, r.inSending = nil, nil
 	return nil
 }
 
@@ -110,6 +124,6 @@
 	}
 	r.number++
 	r.sending = encode(record{Kind: kindCounted, Run: r.run, Number: r.number, Counts: r.counts})
-	r.counts = map[int64]map[string]int64{}
+	r.inSending, r.counts = r.counts, map[int64]map[string]int64{}
 	return r.sending
 }
--- /dev/null
+++ b/internal/usage/telling.go
@@ -0,0 +1,62 @@
+package usage
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// maxToldTenants bounds the tenants that one log line names, those with the most requests:
+// a line stays below a kilobyte or two whatever the number of tenants.
+const maxToldTenants = 40
+
+// byTenant is the counts of tenants as logs tell them.
+type byTenant map[string]int64
+
+// String names the tenants with the most requests, and counts the others' requests.
+func (counts byTenant) String() string {
+	tenants := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	var parts []string
+	rest := int64(0)
+	for i, tenant := range tenants {
+		if i < maxToldTenants {
+			parts = append(parts, tenant+":"+strconv.FormatInt(counts[tenant], 10))
+		} else {
+			rest += counts[tenant]
+		}
+	}
+	if rest > 0 {
+		parts = append(parts, "others:"+strconv.FormatInt(rest, 10))
+	}
+	return strings.Join(parts, ",")
+}
+
+// written notes the counts of a record that the journal has. The mutex is held.
+func (r *Recorder) written(counts map[int64]map[string]int64) {
+	for window, requests := range counts {
+		addTo(r.untold, window, requests)
+	}
+}
+
+// tell logs what this run has counted in the windows that had ended at a time of day: a
+// line a window, and another one for what was written of it later.
+func (r *Recorder) tell(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, window := range slices.Sorted(maps.Keys(r.untold)) {
+		if endOf(window, r.windows).After(at) {
+			continue
+		}
+		requests := r.untold[window]
+		delete(r.untold, window)
+		r.logger.Info("usage counted", zap.Int64("window", window), zap.String("run", r.run), zap.Int64("requests", total(requests)),
+			zap.Int("tenants", len(requests)), zap.Stringer("counts", byTenant(requests)), zap.Int64("number", r.number))
+	}
+}
--- /dev/null
+++ b/internal/usage/telling_test.go
@@ -0,0 +1,64 @@
+package usage
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/wallclock"
+)
+
+// Each request that was written is in one line of its window: at the window's end, or at
+// the end of the daemon.
+func TestWhatWasCountedIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		core, logs := observer.New(zap.InfoLevel)
+		recorder := NewRecorder(journaltest.New(), "a/1", windows, func() time.Duration { return 0 }, wallclock.New(), zap.New(core))
+		ctx, cancel := context.WithCancel(t.Context())
+		go recorder.Run(ctx)
+		const requests = 40
+		for i := range requests {
+			recorder.Ran([]string{"x", "y"}[i%2], time.Now())
+			time.Sleep(300 * time.Millisecond)
+		}
+		is.NoErr(recorder.Flush(ctx))
+		is.NoErr(recorder.Flush(ctx)) // nothing is told twice
+		cancel()
+		synctest.Wait()
+		told := int64(0)
+		windowsTold := map[int64]bool{}
+		for _, entry := range logs.FilterMessage("usage counted").All() {
+			fields := entry.ContextMap()
+			window := fields["window"].(int64)
+			is.True(!windowsTold[window])
+			windowsTold[window] = true
+			told += fields["requests"].(int64)
+			is.Equal(fields["run"], "a/1")
+			is.True(strings.Contains(fields["counts"].(string), "x:"))
+		}
+		is.Equal(told, int64(requests))
+		is.True(len(windowsTold) >= 3) // 12 s of windows of five
+	})
+}
+
+func TestLinesNameTheTenantsWithTheMostRequests(t *testing.T) {
+	is := is.New(t)
+	is.Equal(byTenant{"b": 2, "a": 2, "c": 7}.String(), "c:7,a:2,b:2")
+	many := byTenant{}
+	for i := range 3 * maxToldTenants {
+		many[fmt.Sprintf("t%03d", i)] = 1
+	}
+	many["most"] = 9
+	text := many.String()
+	is.True(strings.HasPrefix(text, "most:9,t000:1,"))
+	is.True(strings.HasSuffix(text, fmt.Sprintf(",others:%d", 2*maxToldTenants+1)))
+}
