A body has the time of its request

Cause: reading a body was bounded by nothing.

Change: 200 ms after the request's time the reads of the connection end, the answer is 503 with Connection: close. A bound is set only when that moment comes: a request whose body is there costs one timer. It is taken off again, as net/http watches the connection afterwards.

Before: TestABodyHasTheTimeOfItsRequest fails (no answer in 20 s). After: five runs with -race pass.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -37,6 +38,11 @@
 	// comeBackPart is the part of the time left, one in so many, that a refused client
 	// waits at most. Clients of the platform cap it so by themselves.
 	comeBackPart = 3
+	// bodyGrace is how long beyond its request's time a body that stalls is awaited: a
+	// body that is whole by then has long been read, so that its connection's watch for
+	// the client's leaving does not meet the bound. A route's time is held to be kept
+	// within a quarter of a second.
+	bodyGrace = 200 * time.Millisecond
 	// copyBufferBytes bounds one copy of an answer's rest, in bytes.
 	copyBufferBytes = 32 << 10
 )
@@ -150,17 +156,30 @@
 	}
 }
 
-// readBody reads the whole body, or answers why it could not.
+// readBody reads the whole body, or answers why it could not. The body has the time of its
+// request: one that stalls is not held for as long as its client likes.
 func (asked *request) readBody(limit int64) ([]byte, bool) {
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	late := time.AfterFunc(max(asked.timeLeft(), 0)+bodyGrace, func() { asked.setReadDeadline(time.Now()) })
+	defer func() {
+		if !late.Stop() {
+			asked.setReadDeadline(time.Time{})
+		}
+	}()
 	body, err := io.ReadAll(http.MaxBytesReader(asked.writer, asked.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		asked.fail(http.StatusRequestEntityTooLarge, "too large", "the body is longer than the limit")
 		return nil, false
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The rest of the body, if it comes, is no request.
+		asked.writer.Header().Set("Connection", "close")
+		asked.refuse("the body did not come in time", retryAfter)
+		return nil, false
+	}
 	if err != nil {
 		asked.fail(http.StatusBadRequest, "cut off", "the body could not be read")
 		return nil, false
@@ -168,6 +187,14 @@
 	return body, true
 }
 
+// setReadDeadline bounds reads of the client's connection, which must be without bound again
+// once the body is read: the server watches it for the client's leaving.
+func (asked *request) setReadDeadline(until time.Time) {
+	if err := http.NewResponseController(asked.writer).SetReadDeadline(until); err != nil {
+		asked.logger.Debug("reads of the client's connection are not bounded", zap.Error(err))
+	}
+}
+
 // timeLeft is how long the request may still be held.
 func (asked *request) timeLeft() time.Duration {
 	left := defaultTimeout
--- a/internal/ingress/refuse_test.go
+++ b/internal/ingress/refuse_test.go
@@ -1,7 +1,11 @@
 package ingress
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -9,6 +13,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"woodworks/internal/forward"
 	"woodworks/internal/route"
@@ -74,3 +79,24 @@
 		})
 	}
 }
+
+// A request whose body never came whole was held for as long as its client liked.
+func TestABodyHasTheTimeOfItsRequest(t *testing.T) {
+	is := is.New(t)
+	configuration, err := route.New(route.Declared{Version: 1, Routes: []route.Route{{
+		Name: "r", Host: "h", PathPrefix: "/x/", Kind: route.Safe, Timeout: 100 * time.Millisecond, Shares: []route.Share{{Service: "s", Weight: 1}}}}})
+	is.NoErr(err)
+	server := httptest.NewServer(&Handler{Codec: plainCodec{}, Observer: noObserver{}, Logger: zap.NewNop(), Configuration: func() *route.Configuration { return configuration }})
+	defer server.Close()
+	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /x/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(20 * time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Close) // the rest of the body must not be taken for a request
+}
