--- a/internal/ingress/batches.go
+++ b/internal/ingress/batches.go
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(asked.request.Context(), min(asked.timeLeft(), submitTimeout))
 	defer cancel()
 	if err := asked.handler.Runner.End(ctx, call.BatchID, asked.tenantName()); err != nil {
-		asked.fail(http.StatusGatewayTimeout, "unknown", err.Error())
+		asked.notKept(err)
 		return
 	}
 	asked.write(http.StatusOK, nil)
