--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -235,3 +236,31 @@
 	is.True(<-done != nil)
 	<-cut
 }
+
+// A resting connection took a request whose context had ended: the write came before the
+// close.
+func TestNothingIsSentForAnEndedContext(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int64
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader, _ int) {
+		for {
+			id, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			seen.Add(1)
+			_, _ = io.WriteString(conn, answerText(id, "whole"))
+		}
+	})
+	pool := newTestPool()
+	_, err := ask(pool, address, "a")
+	is.NoErr(err)
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	_, err = pool.Exchange(ctx, address, request("b"))
+	is.True(errors.Is(err, ErrNotSent))
+	is.True(pool.Rests(address)) // the connection is not spent on it
+	_, err = ask(pool, address, "c")
+	is.NoErr(err)
+	is.Equal(seen.Load(), int64(2))
+}
