Explain planned stops, tenants, reports and orders for replicas

Cause: a daemon name was unknown to "explain"; a request that a planned stop met had only its reason; an item had no tenant; a window and a service had lines and no conclusion.

Change: the name of a daemon tells its planned stops in order, with what each turned away, released and interrupted, and says where the end of one is missing. A request that was turned away or interrupted says so, by which daemon, with the steps of that stop around it. Stories of requests, items and batches name their tenant. A window compares the figures with the counts of the daemons; a service ends with the last order and its reason.

Ruled out: finding interrupted requests by their reason alone. One that has not run is refused with what its tries failed of, so those that end after the interruption of the stop count too. No run has shown such a line yet: that branch has no real line behind it.

Checked: platform.TestLogsOfProcessesExplainIDs stops real processes and explains their logs; internal/explain/testdata are lines of one run of it, also cut off at any place. Before: "daemon-0: explain: no line names this id" from the same test.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -224,7 +224,7 @@
 	remoteFlags(drain, chosen)
 	parser.AttachSubcommand(drain, 1)
 
-	why := leaf("explain", "tell from logs what befell a request, item, batch or replica", "woodworks explain 9c41d07be2a35f68 edge-1.log edge-2.log")
+	why := leaf("explain", "tell from logs what befell a request, item, batch, replica, service or window of usage, or how a daemon was stopped", "woodworks explain 9c41d07be2a35f68 edge-1.log edge-2.log")
 	why.AddPositionalValue(&chosen.explainID, "id", 1, true, "id as it stands in the logs")
 	why.StringSlice(&chosen.logFiles, "l", "log", "log file, as is each further argument; without one, standard input is read")
 	parser.AttachSubcommand(why, 1)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -1,11 +1,21 @@
 // Package explain finds in the daemons' logs what befell one request, item, batch,
-// replica, service or window of usage, and puts it in the order of time over all machines.
+// replica, service or window of usage, or how a daemon was stopped, and puts it in the
+// order of time over all machines.
+//
+// # Usage
+//
+//	err := explain.Explain(os.Stdout, id, logOfOneDaemon, logOfAnother)
+//
+// Lines that name the id have a star. The last ones are conclusions: the decision that
+// ended its way, the planned stop that turned it away or interrupted it, its tenant, the
+// counts behind a report, the reason of an order for replicas.
 package explain
 
 import (
 	"bufio"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 
@@ -28,7 +38,8 @@
 // batchEvents and replicaEvents are the lines that explain an item or a request
 // although they do not name it.
 var (
-	batchEvents   = map[string]bool{"batch owned": true, "batch left": true, "batch account": true, "batch released": true, "batch taken over": true, "batch not taken over": true, "results not listed yet": true, "results listed": true}
+	batchEvents = map[string]bool{"batch owned": true, "batch left": true, "batch account": true, "batch released": true, "batch taken over": true, "batch not taken over": true, "results not listed yet": true, "results listed": true,
+		"items given back": true, "batch let go unbegun": true}
 	replicaEvents = map[string]bool{"replica listed": true, "replica state changed": true, "replica gone from the list": true, "replica failed": true, "order": true, "weights": true}
 	// contextEvents are told of each node that a line of the story comes from.
 	contextEvents = map[string]bool{"started": true, "stopping": true, "stopped": true, "dependency lost": true, "dependency regained": true,
@@ -106,17 +117,19 @@
 			return err
 		}
 	}
+	inOrder(lines)
+	stops := stopsOf(lines)
 	own, batches, replicas := directLines(lines, id)
-	if len(own) == 0 {
+	story := related(lines, own, batches, replicas)
+	story = append(story, linesOfStops(stops, id, story)...)
+	if len(story) == 0 && isNode(lines, id) {
+		_, err := fmt.Fprintf(output, "%s: no planned stop is in these logs\n", id)
+		return err
+	}
+	if len(story) == 0 {
 		return errors.Wrap(ErrNotFound, id)
 	}
-	story := related(lines, own, batches, replicas)
-	sort.SliceStable(story, func(i, j int) bool {
-		if story[i].time != story[j].time {
-			return story[i].time < story[j].time
-		}
-		return story[i].order < story[j].order
-	})
+	inOrder(story)
 	for _, each := range story {
 		mark := " "
 		if own[each] {
@@ -124,10 +137,58 @@
 		}
 		_, _ = fmt.Fprintf(output, "%s %s %s: %s%s\n", mark, each.time, each.node, each.event, fieldsText(each))
 	}
-	_, err := fmt.Fprintf(output, "\n%s: %s\n", id, conclusion(story, own))
+	_, err := fmt.Fprintln(output)
+	for _, each := range conclusions(id, story, own, stops) {
+		_, err = fmt.Fprintf(output, "%s: %s\n", id, each)
+	}
 	return err
 }
 
+// inOrder sorts lines by time, those of one moment as they were read.
+func inOrder(lines []*line) {
+	sort.SliceStable(lines, func(i, j int) bool {
+		if lines[i].time != lines[j].time {
+			return lines[i].time < lines[j].time
+		}
+		return lines[i].order < lines[j].order
+	})
+}
+
+// isNode reports whether a daemon of that name wrote any of the lines.
+func isNode(lines []*line, name string) bool {
+	return slices.ContainsFunc(lines, func(each *line) bool { return each.node == name })
+}
+
+// linesOfStops are the lines of the stops of a daemon, or the steps of those that befell
+// a request, as far as the story does not have them.
+func linesOfStops(stops []*stop, id string, story []*line) []*line {
+	there := map[*line]bool{}
+	for _, each := range story {
+		there[each] = true
+	}
+	var added []*line
+	add := func(each *line) {
+		if !there[each] {
+			there[each] = true
+			added = append(added, each)
+		}
+	}
+	ofDaemon, ofRequest := stopped(stops, id)
+	for _, stop := range ofDaemon {
+		for _, each := range stop.story() {
+			add(each)
+		}
+	}
+	for _, stop := range ofRequest {
+		for _, each := range stop.lines {
+			if stopSteps[each.event] {
+				add(each)
+			}
+		}
+	}
+	return added
+}
+
 // directLines are the lines that name the id, with the batches and replicas
 // that they name.
 func directLines(lines []*line, id string) (own map[*line]bool, batches, replicas map[string]bool) {
@@ -176,6 +237,7 @@
 		switch {
 		case own[each]:
 		case batchEvents[each.event] && batches[each.get("batch")]:
+		case each.event == eventRequest && each.get("outcome") == "accepted" && (batches[each.get("request")] || batches[each.get("batch")]):
 		case within && replicaEvents[each.event] && replicas[each.get("replica")] && nodes[each.node]:
 		case within && contextEvents[each.event] && nodes[each.node]:
 		default:
@@ -195,21 +257,3 @@
 	}
 	return text
 }
-
-// conclusion names the decision that ended the story.
-func conclusion(story []*line, own map[*line]bool) string {
-	for i := len(story) - 1; i >= 0; i-- {
-		each := story[i]
-		if !own[each] {
-			continue
-		}
-		if outcome := each.get("outcome"); outcome != "" {
-			text := fmt.Sprintf("%s on %s: %s", each.event, each.node, outcome)
-			if reason := each.get("reason"); reason != "" {
-				text += ", because: " + reason
-			}
-			return text
-		}
-	}
-	return "no outcome is in these logs"
-}
