--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -34,8 +34,8 @@
 	ErrUnknownBatch = errors.New("delivery: no such batch")
 	// ErrUnavailable: the journal did not answer; nothing was changed.
 	ErrUnavailable = errors.New("delivery: the journal did not answer")
-	// ErrUnsure: the batch may have been taken in.
-	ErrUnsure = errors.New("delivery: the batch may have been taken in")
+	// ErrUnsure: the batch may have been taken in, or ended.
+	ErrUnsure = errors.New("delivery: it may have been done")
 	// ErrTooManyRounds: samples became too old, or failed, in every round.
 	ErrTooManyRounds = errors.New("delivery: samples were not usable in any round")
 )
@@ -142,8 +142,12 @@
 		bounded, cancel := context.WithTimeout(ctx, submitTimeout)
 		err := d.runner.End(bounded, rollout.JobID(trainer, name, round), "")
 		cancel()
-		if err != nil {
+		switch {
+		case err == nil:
+		case round == 0 && errors.Is(err, runner.ErrNotDone):
 			return errors.Wrap(ErrUnavailable, err.Error())
+		default:
+			return errors.Wrap(ErrUnsure, err.Error())
 		}
 	}
 	return nil
