A listener ends in the moment in which no connection waits

Cause: between the last look at the listener's queue and its close lay a log line and the closing itself, which waits for the goroutine in Accept. What the kernel accepted in between was reset. The socket is now shut down in the same look that finds no connection waiting.

What is left is a handshake between two calls of the kernel. No test fails without it for certain; the trial stands in the comment.

--- a/internal/node/frontstop.go
+++ b/internal/node/frontstop.go
@@ -69,13 +69,13 @@
 	if bound == nil {
 		return
 	}
-	waiting, err := acceptWaiting(bound)
+	waiting, err := stopListening(bound)
 	for _, conn := range waiting {
 		front.take(conn)
 	}
-	front.logger.Info("listener closed", zap.Int("waiting", len(waiting)), zap.Error(err))
 	_ = bound.Close()
 	front.accepting.Wait()
+	front.logger.Info("listener closed", zap.Int("waiting", len(waiting)), zap.Error(err))
 }
 
 // interrupt has all requests under way answered as they stand, and closes the
@@ -94,10 +94,15 @@
 	front.logger.Info("requests interrupted by the stop", zap.Int("connections", under), zap.Int("cut_off", left))
 }
 
-// acceptWaiting takes the connections that the kernel has accepted and this process has
-// not: closing the listener would reset them, with the requests that their clients have
-// sent. A process with a fraction of a core finds them there for a tenth of a second.
-func acceptWaiting(listener net.Listener) (waiting []net.Conn, err error) {
+// stopListening ends a listener and returns the connections that the kernel has accepted
+// and this process has not: closing the listener would reset them, with the requests that
+// their clients have sent. A process with a fraction of a core finds them there for a tenth
+// of a second.
+//
+// The socket is shut down in the moment in which none waits. To close it takes longer, as
+// another goroutine stands in Accept: before 20 callers that always dial, 18 to 25 of 100
+// closes cut a request, and 1 with the shutdown.
+func stopListening(listener net.Listener) (waiting []net.Conn, err error) {
 	withDescriptor, ok := listener.(syscall.Conn)
 	if !ok {
 		return nil, nil
@@ -114,6 +119,7 @@
 			case errors.Is(err, syscall.ECONNABORTED):
 				// Its client has gone; others may wait behind it.
 			case errors.Is(err, syscall.EAGAIN):
+				failed = errors.Wrap(syscall.Shutdown(int(fd), syscall.SHUT_RDWR), "front")
 				return
 			case err != nil:
 				failed = errors.Wrap(err, "front")
