Revert "A listener is open as long as connections come"

Where more than half of the daemons are being stopped the platform sends connections to all, so that the listener stayed open to the end of the grace, turned late requests away, and was closed in the same moment of a handshake then. A client without a connection goes elsewhere at once.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -139,8 +139,6 @@
 
 	mu   sync.Mutex
 	open map[*clientConn]struct{}
-	// added is when the last connection was accepted.
-	added time.Time
 }
 
 func newClientConns() *clientConns {
@@ -157,17 +155,10 @@
 	c := &clientConn{Conn: conn, set: s, quietSince: now, idleLimit: s.limits.Load().idle}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.open[c], s.added = struct{}{}, now
+	s.open[c] = struct{}{}
 	return c
 }
 
-// lastAdded is when the last connection was accepted, the zero time before any.
-func (s *clientConns) lastAdded() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.added
-}
-
 func (s *clientConns) remove(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/frontstop.go
+++ b/internal/node/frontstop.go
@@ -18,7 +18,7 @@
 
 // stop ends the listener by plan. For a while requests are taken as ever, each answer
 // being the last of its connection. Then connections are closed that no client takes up
-// any more, and the listener is closed once none is open and none comes. When the context ends, what is
+// any more, and the listener is closed once none is open. When the context ends, what is
 // still under way is answered as it stands.
 //
 // A connection is closed under a request only in the moment in which the request is on its
@@ -28,19 +28,10 @@
 func (front *frontServer) stop(ctx context.Context) {
 	front.drain()
 	periodic.Pause(ctx, front.planned.Plan().Drain)
-	for front.closeUnused(ctx); front.awaited() && ctx.Err() == nil; front.closeUnused(ctx) {
-		periodic.Pause(ctx, closePause)
-	}
+	front.closeUnused(ctx)
 	front.shutdown(ctx)
 }
 
-// awaited reports whether more connections may come: as long as they do, somebody has not
-// heard yet that this daemon is not ready, and the next one may be coming up while the
-// listener is closed, which resets it.
-func (front *frontServer) awaited() bool {
-	return time.Since(front.conns.lastAdded()) < front.planned.Plan().Still
-}
-
 // drain makes each further answer the last one of its connection. Idle connections stay
 // open: clients may still take them up.
 func (front *frontServer) drain() { front.draining.Store(true) }
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -46,10 +46,6 @@
 	// asEverShare is the part of that time in which requests are taken whatever time
 	// they need: callers may not have seen yet that the daemon is not ready.
 	asEverShare = 5.0 / 6
-	// stillShare is how long no new connection has come when none is expected any more, as
-	// a part of the time of the drain: a second of three, the time between two looks of the
-	// platform at readiness.
-	stillShare = 1.0 / 3
 	// longestMargin is left of the grace when what is under way is interrupted: for
 	// the answers, for giving up the lease, and for the process to end. A process that
 	// has a tenth of a core answers 1,000 requests in 0.5 s.
@@ -69,8 +65,6 @@
 	AsEver time.Duration
 	// Drain is until when new connections are expected.
 	Drain time.Duration
-	// Still is how long none has come when no more are expected.
-	Still time.Duration
 	// Interrupt is when what is under way is interrupted.
 	Interrupt time.Duration
 	// Answer is how long the answers to what was interrupted may take.
@@ -86,7 +80,6 @@
 	return Plan{
 		AsEver:    part(drain, asEverShare),
 		Drain:     drain,
-		Still:     part(drain, stillShare),
 		Interrupt: grace - margin,
 		Answer:    part(margin, answerShare),
 		Resign:    part(margin, resignShare),
