--- /dev/null
+++ b/internal/forward/offer.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+// attempt is the outcome of one offer to one replica.
+type attempt struct {
+	answer  *Answer
+	err     error
+	ran     bool
+	replica string
+}
+
+// attempt offers the call to one replica.
+func (forwarder *Forwarder) attempt(ctx context.Context, cancel context.CancelFunc, call *Call, chosen replica.Replica) attempt {
+	forwarder.Table.Started(chosen.ID)
+	end := func() {
+		cancel()
+		forwarder.Table.Ended(chosen.ID)
+	}
+	started := time.Now()
+	answer, sentAt, ran, err := forwarder.exchange(ctx, call, chosen)
+	if ran && call.Ran != nil {
+		call.Ran(sentAt)
+	}
+	forwarder.Observe(chosen.Service, offerOutcome(ctx, err), time.Since(started))
+	if err != nil {
+		end()
+		if ctx.Err() == nil {
+			forwarder.learn(chosen, err)
+		}
+		return attempt{err: err, ran: ran, replica: chosen.ID}
+	}
+	forwarder.Table.Succeeded(chosen.ID, time.Since(started))
+	answer.Replica = chosen.ID
+	answer.end = end
+	if answer.Rest == nil {
+		end()
+		answer.end = func() {}
+	}
+	return attempt{answer: answer, ran: true, replica: chosen.ID}
+}
+
+// offerOutcome names how an offer ended.
+func offerOutcome(ctx context.Context, err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.Is(err, errDeclined), errors.Is(err, ErrDeclined):
+		return "declined"
+	case ctx.Err() != nil:
+		return "cut"
+	case errors.Is(err, upstream.ErrNotSent):
+		return "not sent"
+	case errors.Is(err, ErrStatus):
+		return "failed"
+	default:
+		return "broken"
+	}
+}
+
+func (forwarder *Forwarder) learn(chosen replica.Replica, err error) {
+	if errors.Is(err, errDeclined) {
+		forwarder.Table.Busy(chosen.ID, declinedPause)
+		return
+	}
+	forwarder.Table.Failed(chosen.ID)
+	forwarder.Logger.Info("replica failed", zap.String("replica", chosen.ID), zap.String("service", chosen.Service),
+		zap.String("address", chosen.Address), zap.Error(err))
+}
+
+// exchange sends the call and reads the answer, whole if it is short.
+func (forwarder *Forwarder) exchange(ctx context.Context, call *Call, chosen replica.Replica) (answer *Answer, sentAt time.Time, ran bool, err error) {
+	header := call.Header.Clone()
+	header[http.CanonicalHeaderKey(forwarder.Names.ExpectReplica)] = []string{chosen.ID}
+	if deadline, bounded := ctx.Deadline(); bounded {
+		header[http.CanonicalHeaderKey(forwarder.Names.DeadlineMs)] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
+	}
+	response, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
+		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body,
+		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID, Sending: func() { sentAt = time.Now() },
+	})
+	if err != nil {
+		return nil, sentAt, !errors.Is(err, upstream.ErrNotSent), err
+	}
+	forwarder.noteLoad(chosen.ID, response.Header)
+	if response.Header.Get(forwarder.Names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response, bufferedBytes))
+		response.Close()
+		return nil, sentAt, false, errors.Wrapf(errDeclined, "status %d", response.Status)
+	}
+	if response.Header.Get(forwarder.Names.Stamp) == "" {
+		response.Close()
+		return nil, sentAt, true, errors.Wrapf(errUnsound, "status %d without a signature", response.Status)
+	}
+	answer, err = forwarder.readAnswer(response)
+	return answer, sentAt, true, err
+}
+
+// noteLoad notes what an answer tells of its replica's load. The request that it
+// answers is over.
+func (forwarder *Forwarder) noteLoad(replicaID string, header http.Header) {
+	if forwarder.Names.Load == nil {
+		return
+	}
+	if load, told := forwarder.Names.Load(header); told {
+		forwarder.Table.Reported(replicaID, load.Running+load.Waiting)
+	}
+}
+
+func (forwarder *Forwarder) readAnswer(response *upstream.Answer) (*Answer, error) {
+	answer := &Answer{Status: response.Status, Header: response.Header}
+	body, err := io.ReadAll(io.LimitReader(response, bufferedBytes))
+	if err != nil {
+		response.Close()
+		return nil, err
+	}
+	answer.Body = body
+	if len(body) < bufferedBytes {
+		// The limit was not reached, so the end of the body was.
+		response.Close()
+		return answer, nil
+	}
+	answer.Rest = response
+	return answer, nil
+}
