Sight: a failed offer tells its content and what became of its replica

Cause: the logs of the incident could not tell the hypotheses apart: no line joined two tries of one content, and none said whether a replica had ended, one connection had broken, or the link was cut. Each failed offer (declined and cut ones aside) now leaves a line with the content's digest and, if its connection ended, what a new connection finds at the address: one connection for each broken offer, kept for the next request.

Streams and items tell it too, for a break in the middle as well.

--- /dev/null
+++ b/internal/forward/broken.go
@@ -0,0 +1,50 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/eventstream"
+	"woodworks/internal/quarantine"
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+// failedOffer is an offer that got no sound answer.
+type failedOffer struct {
+	requestID string
+	content   *quarantine.Content
+	chosen    replica.Replica
+	// outcome is the name of how it ended, ran says that the replica may have run it.
+	outcome string
+	ran     bool
+	after   time.Duration
+	err     error
+}
+
+// explain tells how an offer failed and what became of its replica, in one line. The
+// content's digest joins the tries of one content at all daemons.
+func (forwarder *Forwarder) explain(ctx context.Context, failed failedOffer) {
+	switch failed.outcome {
+	case outcomeDeclined, outcomeCut:
+		// Neither says anything of the replica's soundness, and both are frequent.
+		return
+	}
+	liveness := upstream.LivenessUnknown
+	if connectionEnded(failed.err) {
+		liveness = forwarder.Pool.Probe(ctx, failed.chosen.Address)
+	}
+	forwarder.Logger.Info("offer failed", zap.String("request", failed.requestID), zap.String("outcome", failed.outcome),
+		zap.String("content", failed.content.Digest().Short()), zap.String("replica", failed.chosen.ID), zap.String("service", failed.chosen.Service),
+		zap.String("address", failed.chosen.Address), zap.Stringer("process", liveness), zap.Bool("may_have_run", failed.ran),
+		zap.Duration("after", failed.after), zap.Error(failed.err))
+}
+
+// connectionEnded reports whether an offer failed as its connection did, once the request
+// had been sent.
+func connectionEnded(err error) bool {
+	return errors.Is(err, upstream.ErrNoAnswer) || errors.Is(err, eventstream.ErrCut)
+}
--- /dev/null
+++ b/internal/forward/broken_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+// A replica that ends under a request and one that only breaks a connection look the
+// same to the request. The line about the failed offer tells them apart, and names the
+// content, so that the tries of one content can be joined.
+func TestAFailedOfferTellsWhetherItsReplicaEnded(t *testing.T) {
+	for _, c := range []struct {
+		process string
+		ends    bool
+	}{{"gone", true}, {"alive", false}} {
+		t.Run(c.process, func(t *testing.T) {
+			is := is.New(t)
+			core, logged := observer.New(zapcore.InfoLevel)
+			server := httptest.NewUnstartedServer(nil)
+			server.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				if c.ends {
+					_ = server.Listener.Close()
+				}
+				panic(http.ErrAbortHandler)
+			})
+			server.Start()
+			t.Cleanup(server.Close)
+			table := replica.NewTable(time.Second, zap.NewNop())
+			table.Set(replica.Entry{ID: "a", Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4})
+			f := &floor{forwarder: &Forwarder{Table: table, Names: names, Logger: zap.New(core), Observe: func(string, string, time.Duration) {},
+				Pool: upstream.NewPool(upstream.Options{ConnectTimeout: time.Second, UnackedTimeout: time.Second})}}
+			var asked *Call
+			_, err := f.call(t, func(call *Call) { asked = call })
+			is.True(err != nil)
+			lines := logged.FilterMessage("offer failed").All()
+			is.Equal(len(lines), 1)
+			fields := lines[0].ContextMap()
+			is.Equal(fields["process"], c.process)
+			is.Equal(fields["content"], contentOf(asked).Digest().Short())
+			is.Equal(fields["replica"], "a")
+			is.Equal(fields["may_have_run"], true)
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/headers"
+	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/upstream"
 )
@@ -65,6 +66,8 @@
 	Host      string
 	Header    http.Header
 	Body      []byte
+	// Caller is the tenant that sent the call, "" where there are none.
+	Caller string
 	// Services are tried in this order; the later ones only where no replica
 	// of the earlier ones is there.
 	Services []string
@@ -81,6 +84,13 @@
 	// Ran, if not nil, is told of each replica that ran the call or may have run it,
 	// with when the call was sent there.
 	Ran func(sentAt time.Time)
+
+	content *quarantine.Content
+}
+
+// contentOf names what the call asks for.
+func contentOf(call *Call) *quarantine.Content {
+	return &quarantine.Content{Caller: call.Caller, Method: call.Method, Host: call.Host, Target: call.Target, Body: call.Body}
 }
 
 // Answer is a replica's whole answer, or its beginning with the rest to come.
@@ -130,6 +140,7 @@
 // Do sends the call until a replica has answered, the attempts are used up or
 // the context has ended.
 func (forwarder *Forwarder) Do(ctx context.Context, call *Call) (*Answer, error) {
+	call.content = contentOf(call)
 	run := &running{forwarder: forwarder, call: call, tried: map[string]bool{}, cancels: map[string]context.CancelFunc{},
 		outcomes: make(chan attempt, call.MaxAttempts+extraTries+1)}
 	return run.loop(ctx)
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -34,8 +34,10 @@
 	if ran && call.Ran != nil {
 		call.Ran(sentAt)
 	}
-	forwarder.Observe(chosen.Service, offerOutcome(ctx, err), time.Since(started))
+	outcome := offerOutcome(ctx, err)
+	forwarder.Observe(chosen.Service, outcome, time.Since(started))
 	if err != nil {
+		forwarder.explain(ctx, failedOffer{requestID: call.RequestID, content: call.content, chosen: chosen, outcome: outcome, ran: ran, after: time.Since(started), err: err})
 		end()
 		if ctx.Err() == nil {
 			forwarder.learn(chosen, err)
@@ -52,21 +54,31 @@
 	return attempt{answer: answer, ran: true, replica: chosen.ID}
 }
 
+// Names of how offers end, in logs and metrics.
+const (
+	outcomeAnswered = "answered"
+	outcomeDeclined = "declined"
+	outcomeCut      = "cut"
+	outcomeNotSent  = "not sent"
+	outcomeFailed   = "failed"
+	outcomeBroken   = "broken"
+)
+
 // offerOutcome names how an offer ended.
 func offerOutcome(ctx context.Context, err error) string {
 	switch {
 	case err == nil:
-		return "answered"
+		return outcomeAnswered
 	case errors.Is(err, errDeclined), errors.Is(err, ErrDeclined):
-		return "declined"
+		return outcomeDeclined
 	case ctx.Err() != nil:
-		return "cut"
+		return outcomeCut
 	case errors.Is(err, upstream.ErrNotSent):
-		return "not sent"
+		return outcomeNotSent
 	case errors.Is(err, ErrStatus):
-		return "failed"
+		return outcomeFailed
 	default:
-		return "broken"
+		return outcomeBroken
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"woodworks/internal/eventstream"
+	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/upstream"
 )
@@ -42,10 +43,18 @@
 	Version int64
 	reader  *eventstream.Reader
 	answer  *upstream.Answer
+	// failed is told of an error that ends the events before their proper end.
+	failed func(err error)
 }
 
 // Next returns the next whole event, or io.EOF at the stream's proper end.
-func (stream *Stream) Next() (eventstream.Event, error) { return stream.reader.Next() }
+func (stream *Stream) Next() (eventstream.Event, error) {
+	event, err := stream.reader.Next()
+	if err != nil && err != io.EOF {
+		stream.failed(err)
+	}
+	return event, err
+}
 
 // Close ends the exchange.
 func (stream *Stream) Close() { stream.answer.Close() }
@@ -58,6 +67,8 @@
 	Host      string
 	Header    http.Header
 	Body      []byte
+	// Caller is the tenant that sent the request, "" where there are none.
+	Caller string
 	// After is the last event that is known; HasAfter says that there is one.
 	After    int64
 	HasAfter bool
@@ -79,7 +90,12 @@
 	if request.Deadline > 0 {
 		header[http.CanonicalHeaderKey(names.DeadlineMs)] = []string{strconv.FormatInt(request.Deadline.Milliseconds(), 10)}
 	}
+	content := &quarantine.Content{Caller: request.Caller, Method: request.Method, Host: request.Host, Target: request.Target, Body: request.Body}
 	began := time.Now()
+	failed := func(err error) {
+		forwarder.explain(ctx, failedOffer{requestID: request.RequestID, content: content, chosen: chosen, outcome: offerOutcome(ctx, err),
+			ran: !errors.Is(err, upstream.ErrNotSent), after: time.Since(began), err: err})
+	}
 	answer, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
 		Method: request.Method, Target: request.Target, Host: request.Host, Header: header, Body: request.Body,
 		EchoName: names.RequestID, EchoValue: request.RequestID,
@@ -88,6 +104,9 @@
 		err = forwarder.checkStreamHead(answer)
 	}
 	forwarder.Observe(chosen.Service, offerOutcome(ctx, err), time.Since(began))
+	if err != nil {
+		failed(err)
+	}
 	if answer == nil {
 		return nil, err
 	}
@@ -98,7 +117,7 @@
 	}
 	version, _ := strconv.ParseInt(strings.TrimSpace(answer.Header.Get(names.Versions)), 10, 64)
 	return &Stream{Status: answer.Status, Header: answer.Header, Version: version,
-		reader: eventstream.NewReader(answer, names.Versions), answer: answer}, nil
+		reader: eventstream.NewReader(answer, names.Versions), answer: answer, failed: failed}, nil
 }
 
 func (forwarder *Forwarder) checkStreamHead(answer *upstream.Answer) error {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -220,7 +220,7 @@
 	repeatable := asked.route.Kind == route.Safe
 	call := &forward.Call{
 		RequestID: asked.id, Method: asked.request.Method, Target: asked.request.RequestURI, Host: asked.request.Host,
-		Header: asked.headerOnward(configuration), Body: body, Services: asked.route.Order(asked.id),
+		Header: asked.headerOnward(configuration), Body: body, Caller: asked.tenantName(), Services: asked.route.Order(asked.id),
 		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable, HedgeAfter: asked.route.HedgeAfter,
 	}
 	call.Ran = asked.ran
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -39,7 +39,7 @@
 	defer cancel()
 	relaying := &relay{request: asked, tried: map[string]bool{}, asking: &forward.StreamRequest{
 		RequestID: asked.id, Method: asked.request.Method, Target: asked.request.RequestURI, Host: asked.request.Host,
-		Header: asked.headerOnward(configuration), Body: body,
+		Header: asked.headerOnward(configuration), Body: body, Caller: asked.tenantName(),
 	}}
 	if text := asked.request.Header.Get(asked.handler.Names.LastEventID); text != "" {
 		if after, err := strconv.ParseInt(text, 10, 64); err == nil {
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -130,7 +130,7 @@
 	names.SetTenant(header, job.submission.Tenant)
 	return &forward.StreamRequest{
 		RequestID: each.ID, Method: http.MethodPost, Target: each.Path, Host: job.submission.Host,
-		Header: header, Body: each.Body, After: each.lastEvent, HasAfter: each.hasEvent, Deadline: itemDeadline,
+		Header: header, Body: each.Body, Caller: job.submission.Tenant, After: each.lastEvent, HasAfter: each.hasEvent, Deadline: itemDeadline,
 	}
 }
 
