--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -73,6 +73,7 @@
 	version      uint64
 	machine      string
 	undo         bool
+	digest       string
 	drivers      Drivers
 	signals      *signals.Taken
 	explainID    string
@@ -213,6 +214,7 @@
 	commands := []command{{node: serve, run: runServe, isDaemon: true}}
 	commands = append(commands, attachPolicy(parser, chosen)...)
 	commands = append(commands, attachRollout(parser, chosen)...)
+	commands = append(commands, attachQuarantine(parser, chosen)...)
 
 	status := leaf("status", "show one daemon's view", "woodworks status --server http://127.0.0.1:7181")
 	remoteFlags(status, chosen)
@@ -276,6 +278,20 @@
 	return []command{{node: submit, run: runRolloutSubmit}, {node: follow, run: runRolloutFollow}}
 }
 
+func attachQuarantine(parser *flaggy.Parser, chosen *options) []command {
+	group := leaf("quarantine", "see and lift what is held against requests that end their replicas", "woodworks quarantine list --server http://127.0.0.1:7183")
+	list := leaf("list", "show the contents that are suspected or refused", "woodworks quarantine list --server http://127.0.0.1:7183")
+	lift := leaf("lift", "let a content run again, at all daemons", "woodworks quarantine lift DIGEST --server http://127.0.0.1:7183")
+	lift.AddPositionalValue(&chosen.digest, "digest", 1, true, "digest as list shows it")
+	for _, node := range []*flaggy.Subcommand{list, lift} {
+		node.String(&chosen.server, "s", "server", "a daemon's address for metrics")
+		node.String(&chosen.output, "o", "output", "text or json")
+		group.AttachSubcommand(node, 1)
+	}
+	parser.AttachSubcommand(group, 1)
+	return []command{{node: list, run: runQuarantineList}, {node: lift, run: runQuarantineLift}}
+}
+
 func remoteFlags(node *flaggy.Subcommand, chosen *options) {
 	node.String(&chosen.server, "s", "server", "a daemon's internal listener")
 	node.String(&chosen.key, "", "key", "bearer key")
--- /dev/null
+++ b/internal/forward/admit.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"woodworks/internal/quarantine"
+	"woodworks/internal/replica"
+)
+
+// QuarantinedError says that a request was not sent, as replicas have ended under its
+// content. It promises that the request has not run.
+type QuarantinedError struct {
+	// Ended is how many replicas have ended under the content, 0 if others decide.
+	Ended int
+	// RetryAfter is when the content may be asked for again with some hope.
+	RetryAfter time.Duration
+	// Final says that it stays refused until an operator lifts that.
+	Final bool
+	// Elsewhere says that another replica may take it now.
+	Elsewhere bool
+	// over, if not nil, is closed when the run of the content has ended that decides.
+	over <-chan struct{}
+}
+
+// Error implements error.
+func (err *QuarantinedError) Error() string {
+	switch {
+	case err.Elsewhere:
+		return "forward: another suspect runs at the replica"
+	case err.over != nil:
+		return "forward: a run of the content finds out whether it ends its replica"
+	case err.Final:
+		return "forward: " + strconv.Itoa(err.Ended) + " replicas ended while they ran this content; it is refused until an operator lifts that"
+	default:
+		return "forward: " + strconv.Itoa(err.Ended) + " replicas ended while they ran this content; it may run alone later"
+	}
+}
+
+// Await waits for the run that decides on the content, if there is one, and reports
+// whether the content may be asked for again.
+func (err *QuarantinedError) Await(ctx context.Context) bool {
+	if err.over == nil {
+		return false
+	}
+	select {
+	case <-err.over:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// admit asks whether a content may run at a replica now. If so, release must be called
+// when the run is over and what it showed is noted.
+func (forwarder *Forwarder) admit(content *quarantine.Content, chosen replica.Replica) (release func(), err *QuarantinedError) {
+	free := func() {}
+	if forwarder.Quarantine.Quiet() {
+		return free, nil
+	}
+	switch got := forwarder.Quarantine.Admit(content, chosen.ID, forwarder.others(chosen)).(type) {
+	case quarantine.Alone:
+		return got.End, nil
+	case quarantine.Wait:
+		return nil, &QuarantinedError{RetryAfter: suspectPause, over: got.Over}
+	case quarantine.Elsewhere:
+		return nil, &QuarantinedError{RetryAfter: suspectPause, Elsewhere: true}
+	case quarantine.Refused:
+		return nil, &QuarantinedError{Ended: got.Ended, RetryAfter: got.RetryAfter, Final: got.Final}
+	default: // quarantine.Free
+		return free, nil
+	}
+}
+
+// suspectPause is when a content should be asked for again that other runs keep waiting:
+// most requests to plain services are over by then.
+const suspectPause = 100 * time.Millisecond
+
+// others returns the ids of the other replicas of a replica's service.
+func (forwarder *Forwarder) others(chosen replica.Replica) []string {
+	var ids []string
+	for _, each := range forwarder.Table.Replicas(chosen.Service) {
+		if each.ID != chosen.ID {
+			ids = append(ids, each.ID)
+		}
+	}
+	return ids
+}
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -36,6 +36,7 @@
 	liveness := upstream.LivenessUnknown
 	if connectionEnded(failed.err) {
 		liveness = forwarder.Pool.Probe(ctx, failed.chosen.Address)
+		forwarder.suspect(failed, liveness)
 	}
 	forwarder.Logger.Info("offer failed", zap.String("request", failed.requestID), zap.String("outcome", failed.outcome),
 		zap.String("content", failed.content.Digest().Short()), zap.String("replica", failed.chosen.ID), zap.String("service", failed.chosen.Service),
@@ -43,6 +44,20 @@
 		zap.Duration("after", failed.after), zap.Error(failed.err))
 }
 
+// suspect holds the end of a replica, or what may be one, against the content that it
+// ran. The end of a replica that was leaving was planned.
+func (forwarder *Forwarder) suspect(failed failedOffer, liveness upstream.Liveness) {
+	chosen := failed.chosen
+	if now, listed := forwarder.Table.Get(chosen.ID); listed && now.Draining {
+		return
+	}
+	if liveness == upstream.Gone {
+		forwarder.Quarantine.Ended(failed.content, chosen.ID, chosen.Service)
+	} else {
+		forwarder.Quarantine.Broke(failed.content, chosen.ID, chosen.Service)
+	}
+}
+
 // connectionEnded reports whether an offer failed as its connection did, once the request
 // had been sent.
 func connectionEnded(err error) bool {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -88,9 +89,13 @@
 	content *quarantine.Content
 }
 
-// contentOf names what the call asks for.
+// contentOf returns what the call asks for. Its first use comes before offers of the call
+// run side by side.
 func contentOf(call *Call) *quarantine.Content {
-	return &quarantine.Content{Caller: call.Caller, Method: call.Method, Host: call.Host, Target: call.Target, Body: call.Body}
+	if call.content == nil {
+		call.content = &quarantine.Content{Caller: call.Caller, Method: call.Method, Host: call.Host, Target: call.Target, Body: call.Body}
+	}
+	return call.content
 }
 
 // Answer is a replica's whole answer, or its beginning with the rest to come.
@@ -100,10 +105,29 @@
 	Replica string
 	// Body is the answer's body if Rest is nil, else its beginning.
 	Body []byte
-	Rest *upstream.Answer
+	Rest *Rest
 	end  func()
 }
 
+// Rest is what is still to come of a long answer.
+type Rest struct {
+	*upstream.Answer
+	// ended is told how the reading ended, nil being the answer's proper end.
+	ended func(err error)
+}
+
+// Read implements io.Reader.
+func (rest *Rest) Read(buffer []byte) (int, error) {
+	count, err := rest.Answer.Read(buffer)
+	switch {
+	case err == io.EOF:
+		rest.ended(nil)
+	case err != nil:
+		rest.ended(err)
+	}
+	return count, err
+}
+
 // Close gives the connection of a rest back.
 func (answer *Answer) Close() {
 	if answer.Rest != nil {
@@ -116,6 +140,9 @@
 type Failure struct {
 	Certainty Certainty
 	Reason    string
+	// Quarantined, if not nil, says that the request was not sent as replicas have ended
+	// under its content.
+	Quarantined *QuarantinedError
 	// Attempts is how many replicas may have run the request.
 	Attempts int
 	// Tried are the replicas that the request was offered to.
@@ -127,11 +154,13 @@
 
 // Forwarder sends requests to replicas. It is safe for concurrent use.
 type Forwarder struct {
-	Pool   *upstream.Pool
-	Table  *replica.Table
-	Names  headers.Names
-	Zone   string
-	Logger *zap.Logger
+	Pool  *upstream.Pool
+	Table *replica.Table
+	Names headers.Names
+	Zone  string
+	// Quarantine knows the contents under which replicas have ended.
+	Quarantine *quarantine.Table
+	Logger     *zap.Logger
 	// Observe is told of each offer to a replica: the service, how it ended and
 	// how long it took.
 	Observe func(service, outcome string, took time.Duration)
@@ -140,7 +169,7 @@
 // Do sends the call until a replica has answered, the attempts are used up or
 // the context has ended.
 func (forwarder *Forwarder) Do(ctx context.Context, call *Call) (*Answer, error) {
-	call.content = contentOf(call)
+	contentOf(call)
 	run := &running{forwarder: forwarder, call: call, tried: map[string]bool{}, cancels: map[string]context.CancelFunc{},
 		outcomes: make(chan attempt, call.MaxAttempts+extraTries+1)}
 	return run.loop(ctx)
@@ -151,13 +180,15 @@
 	forwarder *Forwarder
 	call      *Call
 	tried     map[string]bool
-	// cancels cut the offer to a replica.
+	// cancels cut the offer to a replica. They name the replicas that had one.
 	cancels  map[string]context.CancelFunc
 	outcomes chan attempt
 	// offered counts offers that may have run, notRun those that did not,
 	// open those without an outcome yet.
 	offered, notRun, open int
 	lastReason            string
+	// quarantined, if not nil, is why the content may not run now.
+	quarantined *QuarantinedError
 	// fallback is a replica's own failure, passed on if nothing better comes.
 	fallback *Answer
 }
@@ -180,7 +211,7 @@
 				hedge.Reset(run.offer(ctx))
 			}
 		case <-hedge.C:
-			if run.call.Hedge && run.mayRetry(ctx) {
+			if run.call.Hedge && run.suspicion() == quarantine.Unsuspected && run.mayRetry(ctx) {
 				hedge.Reset(run.offer(ctx))
 			}
 		case <-ctx.Done():
@@ -252,12 +283,17 @@
 	if reason == "" {
 		reason = errNoReplica.Error()
 	}
-	return &Failure{Certainty: certainty, Reason: reason, Attempts: run.offered, Tried: slices.Sorted(maps.Keys(run.tried))}
+	return &Failure{Certainty: certainty, Reason: reason, Quarantined: run.quarantined, Attempts: run.offered, Tried: slices.Sorted(maps.Keys(run.cancels))}
 }
 
 // mayOffer reports whether another replica may be asked.
 func (run *running) mayOffer() bool {
-	if run.notRun > extraTries {
+	if run.notRun > extraTries || run.quarantined != nil {
+		return false
+	}
+	if run.offered+run.open > 0 && run.suspicion() >= quarantine.OnlyAlone {
+		// It has just ended replicas, or another daemon has learned so: the next run, if
+		// there is one, is alone.
 		return false
 	}
 	if run.offered+run.open >= max(run.call.MaxAttempts, 1) {
@@ -276,7 +312,7 @@
 // offer sends the call to the next replica, if there is one, and returns after
 // which time another should be asked as well.
 func (run *running) offer(ctx context.Context) time.Duration {
-	chosen, found := run.choose()
+	chosen, release, found := run.admitted(ctx)
 	if !found {
 		return time.Hour
 	}
@@ -284,7 +320,9 @@
 	run.open++
 	offerContext, cancel := context.WithCancel(ctx)
 	run.cancels[chosen.ID] = cancel
-	go func() { run.outcomes <- run.forwarder.attempt(offerContext, cancel, run.call, chosen) }()
+	go func() {
+		run.outcomes <- run.forwarder.attempt(offerContext, func() { cancel(); release() }, run.call, chosen)
+	}()
 	if run.call.HedgeAfter > 0 {
 		return run.call.HedgeAfter
 	}
@@ -294,6 +332,33 @@
 	return max(hedgeFactor*chosen.Latency, leastHedge)
 }
 
+// suspicion is what is held against the call's content.
+func (run *running) suspicion() quarantine.Suspicion {
+	return run.forwarder.Quarantine.Suspicion(contentOf(run.call))
+}
+
+// admitted picks a replica at which the call's content may run now. It waits while
+// another run of the content finds out whether it ends its replica.
+func (run *running) admitted(ctx context.Context) (chosen replica.Replica, release func(), found bool) {
+	for ctx.Err() == nil {
+		if chosen, found = run.choose(); !found {
+			return replica.Replica{}, nil, false
+		}
+		release, err := run.forwarder.admit(contentOf(run.call), chosen)
+		switch {
+		case err == nil:
+			return chosen, release, true
+		case err.Await(ctx):
+		case err.Elsewhere:
+			run.tried[chosen.ID] = true
+		default:
+			run.quarantined, run.lastReason = err, err.Error()
+			return replica.Replica{}, nil, false
+		}
+	}
+	return replica.Replica{}, nil, false
+}
+
 // Replicas returns the replicas of a service that may get new work, with whether a
 // connection to each rests here.
 func (forwarder *Forwarder) Replicas(service string) []replica.Replica {
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -22,11 +22,11 @@
 	replica string
 }
 
-// attempt offers the call to one replica.
-func (forwarder *Forwarder) attempt(ctx context.Context, cancel context.CancelFunc, call *Call, chosen replica.Replica) attempt {
+// attempt offers the call to one replica. Over is called once the exchange is.
+func (forwarder *Forwarder) attempt(ctx context.Context, over func(), call *Call, chosen replica.Replica) attempt {
 	forwarder.Table.Started(chosen.ID)
 	end := func() {
-		cancel()
+		over()
 		forwarder.Table.Ended(chosen.ID)
 	}
 	started := time.Now()
@@ -37,7 +37,7 @@
 	outcome := offerOutcome(ctx, err)
 	forwarder.Observe(chosen.Service, outcome, time.Since(started))
 	if err != nil {
-		forwarder.explain(ctx, failedOffer{requestID: call.RequestID, content: call.content, chosen: chosen, outcome: outcome, ran: ran, after: time.Since(started), err: err})
+		forwarder.explain(ctx, failedOffer{requestID: call.RequestID, content: contentOf(call), chosen: chosen, outcome: outcome, ran: ran, after: time.Since(started), err: err})
 		end()
 		if ctx.Err() == nil {
 			forwarder.learn(chosen, err)
@@ -48,6 +48,7 @@
 	answer.Replica = chosen.ID
 	answer.end = end
 	if answer.Rest == nil {
+		forwarder.Quarantine.Answered(contentOf(call))
 		end()
 		answer.end = func() {}
 	}
@@ -117,9 +118,21 @@
 		return nil, sentAt, true, errors.Wrapf(errUnsound, "status %d without a signature", response.Status)
 	}
 	answer, err = forwarder.readAnswer(response)
+	if err == nil && answer.Rest != nil {
+		answer.Rest.ended = func(err error) { forwarder.restEnded(ctx, call, chosen, err) }
+	}
 	return answer, sentAt, true, err
 }
 
+// restEnded notes how the rest of a long answer ended, nil being its proper end.
+func (forwarder *Forwarder) restEnded(ctx context.Context, call *Call, chosen replica.Replica, err error) {
+	if err == nil {
+		forwarder.Quarantine.Answered(contentOf(call))
+		return
+	}
+	forwarder.explain(ctx, failedOffer{requestID: call.RequestID, content: contentOf(call), chosen: chosen, outcome: offerOutcome(ctx, err), ran: true, err: err})
+}
+
 // noteLoad notes what an answer tells of its replica's load. The request that it
 // answers is over.
 func (forwarder *Forwarder) noteLoad(replicaID string, header http.Header) {
@@ -144,6 +157,6 @@
 		response.Close()
 		return answer, nil
 	}
-	answer.Rest = response
+	answer.Rest = &Rest{Answer: response}
 	return answer, nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,21 +43,29 @@
 	Version int64
 	reader  *eventstream.Reader
 	answer  *upstream.Answer
-	// failed is told of an error that ends the events before their proper end.
-	failed func(err error)
+	// ended is told how the events ended, nil being their proper end, release that the
+	// exchange is over.
+	ended   func(err error)
+	release func()
 }
 
 // Next returns the next whole event, or io.EOF at the stream's proper end.
 func (stream *Stream) Next() (eventstream.Event, error) {
 	event, err := stream.reader.Next()
-	if err != nil && err != io.EOF {
-		stream.failed(err)
+	switch {
+	case err == io.EOF:
+		stream.ended(nil)
+	case err != nil:
+		stream.ended(err)
 	}
 	return event, err
 }
 
 // Close ends the exchange.
-func (stream *Stream) Close() { stream.answer.Close() }
+func (stream *Stream) Close() {
+	stream.answer.Close()
+	stream.release()
+}
 
 // StreamRequest is a request for events, maybe from the middle on.
 type StreamRequest struct {
@@ -76,10 +84,14 @@
 	Deadline time.Duration
 }
 
+func (request *StreamRequest) content() *quarantine.Content {
+	return &quarantine.Content{Caller: request.Caller, Method: request.Method, Host: request.Host, Target: request.Target, Body: request.Body}
+}
+
 // OpenStream sends a request for events to one replica. It returns when the
 // head of the answer has come. A declined request gives ErrDeclined, a failure
-// of the replica a *StatusError, and anything else may have run unless it
-// wraps upstream.ErrNotSent.
+// of the replica a *StatusError, a content that may not run now a *QuarantinedError, and
+// anything else may have run unless it wraps upstream.ErrNotSent.
 func (forwarder *Forwarder) OpenStream(ctx context.Context, request *StreamRequest, chosen replica.Replica) (*Stream, error) {
 	names := forwarder.Names
 	header := request.Header.Clone()
@@ -90,9 +102,17 @@
 	if request.Deadline > 0 {
 		header[http.CanonicalHeaderKey(names.DeadlineMs)] = []string{strconv.FormatInt(request.Deadline.Milliseconds(), 10)}
 	}
-	content := &quarantine.Content{Caller: request.Caller, Method: request.Method, Host: request.Host, Target: request.Target, Body: request.Body}
+	content := request.content()
+	release, refused := forwarder.admit(content, chosen)
+	if refused != nil {
+		return nil, refused
+	}
 	began := time.Now()
-	failed := func(err error) {
+	ended := func(err error) {
+		if err == nil {
+			forwarder.Quarantine.Answered(content)
+			return
+		}
 		forwarder.explain(ctx, failedOffer{requestID: request.RequestID, content: content, chosen: chosen, outcome: offerOutcome(ctx, err),
 			ran: !errors.Is(err, upstream.ErrNotSent), after: time.Since(began), err: err})
 	}
@@ -105,19 +125,28 @@
 	}
 	forwarder.Observe(chosen.Service, offerOutcome(ctx, err), time.Since(began))
 	if err != nil {
-		failed(err)
-	}
-	if answer == nil {
-		return nil, err
-	}
-	if err != nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, bufferedBytes))
-		answer.Close()
+		forwarder.headFailed(answer, err, ended)
+		release()
 		return nil, err
 	}
 	version, _ := strconv.ParseInt(strings.TrimSpace(answer.Header.Get(names.Versions)), 10, 64)
 	return &Stream{Status: answer.Status, Header: answer.Header, Version: version,
-		reader: eventstream.NewReader(answer, names.Versions), answer: answer, failed: failed}, nil
+		reader: eventstream.NewReader(answer, names.Versions), answer: answer, ended: ended, release: release}, nil
+}
+
+// headFailed ends an exchange whose answer, if there is one, has no events.
+func (forwarder *Forwarder) headFailed(answer *upstream.Answer, err error, ended func(err error)) {
+	switch {
+	case !errors.Is(err, ErrStatus):
+		ended(err)
+	case answer.Header.Get(forwarder.Names.Stamp) != "":
+		// The replica itself says that the request failed, and lives on.
+		ended(nil)
+	}
+	if answer != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, bufferedBytes)) // What it says of its failure is not passed on.
+		answer.Close()
+	}
 }
 
 func (forwarder *Forwarder) checkStreamHead(answer *upstream.Answer) error {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -13,6 +13,10 @@
 // maxAnswerBytes bounds a back end's answer, in bytes.
 const maxAnswerBytes = 8 << 20
 
+// QuarantinedHeader is how the ingress says that a request was refused for its content's
+// sake, and how many replicas have ended under it.
+const QuarantinedHeader = "Woodworks-Quarantined"
+
 // asked is a request to the ingress.
 type asked struct {
 	host    string
@@ -95,13 +99,22 @@
 	return problemOf(p.status, p.header)
 }
 
+// retryAfterOf is when the ingress told the caller to come back.
+func retryAfterOf(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil {
+		return refuseRetryAfter
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // problemOf turns a final answer of the ingress into a problem.
 func problemOf(status int, header http.Header) (int, Problem) {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		wait := refuseRetryAfter
-		if seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil {
-			wait = time.Duration(seconds * float64(time.Second))
+		wait := retryAfterOf(header)
+		if ended := header.Get(QuarantinedHeader); ended != "" {
+			return status, Problem{Code: "quarantined", Message: ended + " replicas of the service ended while they ran this content", Outcome: NotExecuted, RetryAfterMillis: wait.Milliseconds()}
 		}
 		return status, Problem{Code: "no_replica", Message: "no replica of the service took the request", Outcome: NotExecuted, RetryAfterMillis: wait.Milliseconds()}
 	case http.StatusNotFound:
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -33,6 +33,9 @@
 	// Tenant is the name of the tenant whose key the request carried, "" where the
 	// platform has no tenants.
 	Tenant string
+	// Quarantined says that a request was refused, and how many replicas have ended under
+	// its content; "" where callers are told in words only.
+	Quarantined string
 	// WaitMs is how long a call may be held for news, in milliseconds.
 	WaitMs string
 	// Load, if not nil, decodes what an answer tells of its replica's load, and
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -258,6 +258,8 @@
 	}
 	asked.attempts, asked.replica = failure.Attempts, strings.Join(failure.Tried, ",")
 	switch {
+	case failure.Certainty == forward.NotRun && failure.Quarantined != nil:
+		asked.refuseQuarantined(failure.Quarantined)
 	case failure.Certainty == forward.NotRun:
 		asked.refuse(failure.Reason, asked.comeBack())
 	case asked.interrupted():
@@ -297,11 +299,25 @@
 // refuse promises that the request has not run and never will. Nobody is told to wait for
 // longer than a part of the time left: another daemon may serve the request within it.
 func (asked *request) refuse(reason string, comeBack time.Duration) {
-	comeBack = min(comeBack, max(asked.timeLeft()/comeBackPart, 0))
-	asked.writer.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 3, 64))
+	asked.setRetryAfter(min(comeBack, max(asked.timeLeft()/comeBackPart, 0)))
 	asked.fail(http.StatusServiceUnavailable, "refused", reason)
 }
 
+// refuseQuarantined promises that the request has not run, as replicas have ended under
+// its content. The caller hears it at once, with a time to come back that no other daemon
+// would shorten.
+func (asked *request) refuseQuarantined(err *forward.QuarantinedError) {
+	if name := asked.handler.Names.Quarantined; name != "" {
+		asked.writer.Header().Set(name, strconv.Itoa(err.Ended))
+	}
+	asked.setRetryAfter(err.RetryAfter)
+	asked.fail(http.StatusServiceUnavailable, "quarantined", err.Error())
+}
+
+func (asked *request) setRetryAfter(comeBack time.Duration) {
+	asked.writer.Header().Set("Retry-After", strconv.FormatFloat(comeBack.Seconds(), 'f', 3, 64))
+}
+
 // fail gives an answer of our own.
 func (asked *request) fail(status int, outcome, reason string) {
 	asked.write(status, asked.handler.Codec.EncodeError(reason))
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -27,6 +27,8 @@
 	notRun  int
 	began   bool
 	reasons error
+	// quarantined, if not nil, is why the stream may not run now.
+	quarantined *forward.QuarantinedError
 }
 
 // maxNotRun is how often a stream that was certainly not run is offered again.
@@ -55,13 +57,21 @@
 		if !found {
 			break
 		}
-		relaying.tried[chosen.ID] = true
-		relaying.replica = chosen.ID
 		whole, ran, err := relaying.attempt(ctx, chosen)
 		if whole {
+			relaying.replica = chosen.ID
 			relaying.observe(http.StatusOK, "answered", "")
 			return
 		}
+		var quarantined *forward.QuarantinedError
+		if errors.As(err, &quarantined) {
+			if !relaying.mayAskAgain(ctx, chosen, quarantined) {
+				break
+			}
+			continue
+		}
+		relaying.tried[chosen.ID] = true
+		relaying.replica = chosen.ID
 		relaying.reasons = err
 		relaying.logger.Info("stream attempt failed", zap.String("replica", chosen.ID), zap.Bool("may_have_run", ran), zap.Error(err))
 		if ran {
@@ -86,6 +96,22 @@
 	return replica.Replica{}, false
 }
 
+// mayAskAgain reports whether a stream that was not sent for its content's sake may be
+// asked for again now.
+func (relaying *relay) mayAskAgain(ctx context.Context, chosen replica.Replica, err *forward.QuarantinedError) bool {
+	switch {
+	case relaying.ran > 0 && !err.Elsewhere:
+		// Its own run has ended a replica: the next one is alone, or is none.
+	case err.Elsewhere:
+		relaying.tried[chosen.ID] = true
+		return true
+	case err.Await(ctx):
+		return true
+	}
+	relaying.quarantined, relaying.reasons = err, err
+	return false
+}
+
 func (relaying *relay) mayContinue(ctx context.Context) bool {
 	if ctx.Err() != nil || relaying.notRun > maxNotRun || relaying.ran >= max(relaying.route.MaxAttempts, 1) {
 		return false
@@ -101,6 +127,10 @@
 	relaying.asking.Deadline = relaying.timeLeft() + answerMargin
 	sentAt := time.Now()
 	stream, err := forwarder.OpenStream(ctx, relaying.asking, chosen)
+	var quarantined *forward.QuarantinedError
+	if errors.As(err, &quarantined) {
+		return false, false, err
+	}
 	ran = err == nil || !errors.Is(err, forward.ErrDeclined) && !errors.Is(err, upstream.ErrNotSent)
 	if ran {
 		relaying.request.ran(sentAt)
@@ -158,6 +188,8 @@
 	case relaying.began || relaying.clientLeft():
 		relaying.observe(0, "broken off", reason)
 		panic(http.ErrAbortHandler)
+	case relaying.ran == 0 && relaying.quarantined != nil:
+		relaying.refuseQuarantined(relaying.quarantined)
 	case relaying.ran == 0:
 		relaying.refuse(reason, relaying.comeBack())
 	case relaying.interrupted():
--- a/internal/lab/plainstand/plainstand.go
+++ b/internal/lab/plainstand/plainstand.go
@@ -55,6 +55,17 @@
 	mu       sync.Mutex
 	executed []Execution
 	faults   []Fault
+	// ends, if not nil, is told of each execution and reports whether that has ended the
+	// process.
+	ends func(one Execution) bool
+}
+
+// EndOn sets what is told of each execution and reports whether that has ended the
+// process, so that there is no answer.
+func (b *Backend) EndOn(ends func(one Execution) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ends = ends
 }
 
 // New returns a back end that takes the delay for each request.
@@ -86,7 +97,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	id := r.Header.Get(names.RequestID)
-	fault := b.execute(Execution{Operation: strings.Trim(r.URL.Path, "/"), RequestID: id, Body: string(body), At: time.Now()})
+	one := Execution{Operation: strings.Trim(r.URL.Path, "/"), RequestID: id, Body: string(body), At: time.Now()}
+	fault := b.execute(one)
 	if fault == Decline {
 		w.Header().Set(names.NotExecuted, "busy")
 		w.Header().Set(names.RequestID, id)
@@ -94,6 +106,12 @@
 		return
 	}
 	time.Sleep(b.delay)
+	b.mu.Lock()
+	ends := b.ends
+	b.mu.Unlock()
+	if ends != nil && ends(one) {
+		panic(http.ErrAbortHandler)
+	}
 	if fault == Cut {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -88,7 +88,7 @@
 	taken, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = taken.Close() }()
-	health := &healthServer{ready: func() (bool, string) { return true, "" }, metrics: http.NotFoundHandler(), logger: zap.NewNop()}
+	health := &healthServer{ready: func() (bool, string) { return true, "" }, metrics: http.NotFoundHandler(), quarantine: http.NotFoundHandler(), logger: zap.NewNop()}
 	is.NoErr(health.listen("127.0.0.1:0", taken.Addr().String()))
 	is.True(health.listen(taken.Addr().String(), "") != nil)
 }
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
+	"woodworks/internal/quarantine"
 )
 
 // healthTimeout is how long the head of a request for health or metrics may take.
@@ -16,7 +18,9 @@
 type healthServer struct {
 	ready   func() (bool, string)
 	metrics http.Handler
-	logger  *zap.Logger
+	// quarantine shows operators the contents that are held back.
+	quarantine http.Handler
+	logger     *zap.Logger
 }
 
 func (health *healthServer) listen(readyAddress, metricsAddress string) error {
@@ -36,12 +40,21 @@
 		return nil
 	}
 	// Without metrics a daemon still serves.
-	if err := serveHealth(metricsAddress, health.metrics); err != nil {
+	if err := serveHealth(metricsAddress, health.operators()); err != nil {
 		health.logger.Error("metrics not served", zap.String("address", metricsAddress), zap.Error(err))
 	}
 	return nil
 }
 
+// operators returns the handler of the address that only operators reach.
+func (health *healthServer) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(quarantine.Path, health.quarantine)
+	mux.Handle(quarantine.Path+"/", health.quarantine)
+	mux.Handle("/", health.metrics)
+	return mux
+}
+
 func serveHealth(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"woodworks/internal/modelsync"
 	"woodworks/internal/operation"
 	"woodworks/internal/periodic"
+	"woodworks/internal/quarantine"
 	"woodworks/internal/relay"
 	"woodworks/internal/replica"
 	"woodworks/internal/results"
@@ -124,6 +125,7 @@
 	// relay and peerFollower are nil where the settings name no address for peers.
 	relay          *relay.Journal
 	peerFollower   *journal.KeyedFollower
+	quarantine     *quarantined
 	assigner       *runner.Assigner
 	lease          *lease.Lease
 	syncer         *modelsync.Syncer
@@ -189,7 +191,8 @@
 	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), contact, logger)
 	node.operatorFollower.SetPace(journal.SharedPace(drivers.Journal, operatorReadShare, node.daemons))
 	node.replicaFollower.SetPace(journal.SharedPace(drivers.Journal, replicaReadShare, node.daemons))
-	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Logger: logger, Observe: node.metrics.Attempt}
+	node.quarantine = newQuarantined(node, drivers.Journal)
+	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Quarantine: node.quarantine.table, Logger: logger, Observe: node.metrics.Attempt}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
 	node.member = group.New(drivers.Journal, node.identity, append(ledger.TopicNames(), runner.RunnersTopic), logger)
 	node.assigner = runner.NewAssigner(drivers.Journal, node.member, node.identity, logger)
@@ -216,7 +219,7 @@
 		made := drivers.Interface(node.parts(drivers))
 		node.front.handler, node.internal.handler = made.Public, made.Internal
 	}
-	node.health = &healthServer{ready: node.ready, metrics: node.metrics.Handler(), logger: logger}
+	node.health = &healthServer{ready: node.ready, metrics: node.metrics.Handler(), quarantine: quarantine.Handler(node.quarantine.table, logger), logger: logger}
 	node.registerMetrics()
 }
 
@@ -268,6 +271,7 @@
 		node.metrics.Counter("journal_calls_relayed_total", "Calls to the journal answered through a peer.", func() float64 { done, _ := node.relay.Relayed(); return float64(done) })
 	}
 	node.registerDutyMetrics()
+	node.quarantine.registerMetrics(node.metrics)
 	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
 }
 
@@ -289,7 +293,7 @@
 	}
 	for _, run := range []func(context.Context){
 		node.operatorFollower.Run, node.replicaFollower.Run, node.member.Run, node.watcher.Run,
-		node.runner.Run, node.lease.Run, node.sweep,
+		node.runner.Run, node.lease.Run, node.sweep, node.quarantine.run,
 		func(ctx context.Context) { node.assigner.Run(ctx, node.runner.AdoptWhenSeen) },
 		func(ctx context.Context) { node.syncer.Run(ctx, node.demandFollower.Run) },
 	} {
@@ -321,10 +325,17 @@
 		node.pool.Sweep(now)
 		node.ledger.Sweep(now)
 		node.table.Sweep(now)
+		node.quarantine.table.Sweep(node.listed)
 		node.lease.SetCandidate(isCandidate(node.member.Partitions(), node.partitions))
 	})
 }
 
+// listed reports whether a replica is in the platform's list.
+func (node *Node) listed(id string) bool {
+	_, listed := node.table.Get(id)
+	return listed
+}
+
 // closeExpired closes clients' connections that have rested for longer than they may.
 func (node *Node) closeExpired(now time.Time) {
 	node.front.conns.closeExpired(now)
--- /dev/null
+++ b/internal/node/quarantine.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+
+	"woodworks/internal/bootclock"
+	"woodworks/internal/journal"
+	"woodworks/internal/metrics"
+	"woodworks/internal/quarantine"
+)
+
+// quarantined are the parts that keep contents under which replicas end from further ones.
+type quarantined struct {
+	table    *quarantine.Table
+	keeper   *quarantine.Keeper
+	follower *journal.KeyedFollower
+	// spreader is nil where the settings name no address for peers.
+	spreader *quarantine.Spreader
+}
+
+// newQuarantined makes the parts. The relay is there already, if there is one.
+func newQuarantined(node *Node, log journal.Journal) *quarantined {
+	table := quarantine.New(node.settings.Name, bootclock.Now, node.logger)
+	made := &quarantined{table: table, keeper: quarantine.NewKeeper(table, log, node.relay != nil, node.logger)}
+	contact := node.settings.Timing.ContactBound.Std()
+	if node.relay != nil {
+		// Peers tell what is new; the journal is for what this daemon has missed.
+		contact = peerContact
+		made.spreader = quarantine.NewSpreader(table, node.relay, node.logger)
+		node.relay.Register(quarantine.ServiceName, quarantine.NewService(table))
+	}
+	made.follower = journal.NewKeyedFollower(log, quarantine.Partition(log), made.keeper, contact, node.logger)
+	made.follower.SetPace(journal.SharedPace(log, peerReadShare, node.daemons))
+	return made
+}
+
+// run keeps the table up to date until the context ends.
+func (q *quarantined) run(ctx context.Context) {
+	if q.spreader != nil {
+		go q.spreader.Run(ctx)
+	}
+	go q.keeper.Run(ctx)
+	q.follower.Run(ctx)
+}
+
+func (q *quarantined) registerMetrics(registry *metrics.Metrics) {
+	registry.Gauge("contents_suspected", "Contents of requests under which replicas have ended without an answer since.", func() float64 {
+		suspected, _, _ := q.table.Count()
+		return float64(suspected)
+	})
+	registry.Gauge("contents_refused", "Contents of requests that are refused as replicas ended under them.", func() float64 {
+		_, refused, _ := q.table.Count()
+		return float64(refused)
+	})
+	registry.Counter("requests_quarantined_total", "Tries that were refused for their content's sake.", func() float64 {
+		_, _, turnedAway := q.table.Count()
+		return float64(turnedAway)
+	})
+}
--- a/internal/quarantine/content.go
+++ b/internal/quarantine/content.go
@@ -1,4 +1,3 @@
-// Package quarantine names the contents of requests.
 package quarantine
 
 import (
--- /dev/null
+++ b/internal/quarantine/entry.go
@@ -0,0 +1,155 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Entry is what is known of a content under which replicas have ended. Two entries of a
+// content merge to the same one at every daemon, in whatever order they come.
+type Entry struct {
+	Digest Digest `cbor:"1,keyasint" json:"-"`
+	// Epoch rises with each answer that the content gets and each time that an operator
+	// lifts its refusal. What is known of an earlier epoch counts no more.
+	Epoch int64 `cbor:"2,keyasint" json:"epoch"`
+	// Ended counts, by replica, how often each ended under the content in this epoch.
+	// Some platforms give a replica a new id at each start, others keep it.
+	Ended map[string]int `cbor:"3,keyasint" json:"replicas_ended"`
+	// Keeper is the machine that may find out whether the refused content still ends
+	// replicas, and Retried says that it has begun to.
+	Keeper  string `cbor:"4,keyasint" json:"keeper,omitempty"`
+	Retried bool   `cbor:"5,keyasint" json:"retried,omitempty"`
+	// Label tells an operator what the content is.
+	Label Label `cbor:"6,keyasint" json:"request"`
+}
+
+// Label is what an operator is told of a content.
+type Label struct {
+	Service string `cbor:"1,keyasint" json:"service"`
+	Caller  string `cbor:"2,keyasint" json:"caller,omitempty"`
+	Method  string `cbor:"3,keyasint" json:"method"`
+	Host    string `cbor:"4,keyasint" json:"host"`
+	// Target is the beginning of the path, of labelBytes at most.
+	Target string `cbor:"5,keyasint" json:"target"`
+	Bytes  int    `cbor:"6,keyasint" json:"body_bytes"`
+}
+
+// labelBytes bounds the path in a label, as an entry must fit a record.
+const labelBytes = 256
+
+func labelOf(content *Content, service string) Label {
+	return Label{Service: service, Caller: content.Caller, Method: content.Method, Host: content.Host,
+		Target: content.Target[:min(len(content.Target), labelBytes)], Bytes: len(content.Body)}
+}
+
+// ends is how often a replica ended under the content.
+func (e *Entry) ends() int {
+	total := 0
+	for _, times := range e.Ended {
+		total += times
+	}
+	return total
+}
+
+// replicas returns the replicas that ended under the content, in order.
+func (e *Entry) replicas() []string { return slices.Sorted(maps.Keys(e.Ended)) }
+
+// refused reports whether the content must not run any more.
+func (e *Entry) refused() bool { return e.ends() >= endedLimit }
+
+// known is an entry with what concerns only this daemon.
+type known struct {
+	Entry
+	// broke are replicas on which a connection ended under the content while it is not
+	// known yet whether the process did, with when that was.
+	broke map[string]time.Time
+	// seenAt is when the last end of each replica was learned of here, endedAt the newest
+	// of these; usedAt is when the entry was last changed or asked for.
+	seenAt          map[string]time.Time
+	endedAt, usedAt time.Time
+	// turnedAway counts tries that were refused here.
+	turnedAway uint64
+	// deciding is not nil while a run alone is under way from here; it is closed with it.
+	deciding chan struct{}
+	// journaled is the entry as the journal has it, nil if it has none. A difference that
+	// comes from here (ownChange) is written at once, any other only after keepAfter, in
+	// case the daemon that made it has gone.
+	journaled *Entry
+	ownChange bool
+	keepAfter time.Time
+}
+
+// active reports whether requests must be looked up for the entry's sake.
+func (k *known) active() bool { return len(k.Ended) > 0 || len(k.broke) > 0 }
+
+// label names the content to operators, if that was not done.
+func (k *known) label(content *Content, service string) {
+	if k.Label == (Label{}) {
+		k.Label = labelOf(content, service)
+	}
+}
+
+// merge takes in what another daemon knows. It reports whether that changed the entry.
+func (k *known) merge(other Entry, now time.Time) bool {
+	if other.Epoch < k.Epoch {
+		return false
+	}
+	changed := other.Epoch > k.Epoch
+	if changed {
+		k.Entry = Entry{Digest: k.Digest, Epoch: other.Epoch, Label: k.Label}
+		k.broke, k.seenAt = nil, nil
+	}
+	for replica, times := range other.Ended {
+		changed = k.raise(replica, times, now) || changed
+	}
+	if other.Keeper != "" && (k.Keeper == "" || other.Keeper < k.Keeper) {
+		k.Keeper, changed = other.Keeper, true
+	}
+	if other.Retried && !k.Retried {
+		k.Retried, changed = true, true
+	}
+	if k.Label == (Label{}) {
+		k.Label = other.Label
+	}
+	return changed
+}
+
+// addEnd notes an end of a replica. It reports whether it is a new one, and not that
+// which another run of the content, here or at another daemon, has shown.
+func (k *known) addEnd(replica string, now time.Time) bool {
+	if seen, before := k.seenAt[replica]; before && now.Sub(seen) < sameEnd {
+		return false
+	}
+	return k.raise(replica, k.Ended[replica]+1, now)
+}
+
+// raise sets how often a replica ended, if that is more than is known. Replicas beyond
+// endedKept count no more.
+func (k *known) raise(replica string, times int, now time.Time) bool {
+	before, named := k.Ended[replica]
+	if times <= before || !named && len(k.Ended) >= endedKept {
+		return false
+	}
+	if k.Ended == nil {
+		k.Ended = map[string]int{}
+	}
+	if k.seenAt == nil {
+		k.seenAt = map[string]time.Time{}
+	}
+	k.Ended[replica], k.seenAt[replica], k.endedAt = times, now, now
+	return true
+}
+
+// endedLately reports whether a replica ended under the content so short a time ago that
+// it is hardly back.
+func (k *known) endedLately(replica string, now time.Time) bool {
+	seen, ended := k.seenAt[replica]
+	return ended && now.Sub(seen) < aloneWait
+}
+
+func (k *known) copied() Entry {
+	copied := k.Entry
+	copied.Ended = maps.Clone(k.Ended)
+	return copied
+}
--- /dev/null
+++ b/internal/quarantine/http.go
@@ -0,0 +1,69 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"go.uber.org/zap"
+)
+
+// Path is where operators see the suspected contents of a daemon; the one below it with
+// a digest is where they lift what is held against a content, by DELETE.
+const Path = "/quarantine"
+
+// problem is an answer that is not a success, as daemons answer everywhere.
+type problem struct {
+	Error problemText `json:"error"`
+}
+
+type problemText struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// Field names the faulty part of the request.
+	Field string `json:"field,omitempty"`
+}
+
+// Lifted is the answer to a content that was cleared.
+type Lifted struct {
+	Digest string `json:"digest"`
+}
+
+// Handler answers operators. What one daemon lifts all lift.
+func Handler(table *Table, logger *zap.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text := strings.Trim(strings.TrimPrefix(r.URL.Path, Path), "/")
+		switch {
+		case text == "" && r.Method == http.MethodGet:
+			answer(w, http.StatusOK, table.List(), logger)
+		case r.Method != http.MethodDelete || text == "":
+			answer(w, http.StatusMethodNotAllowed, problemOf("wrong_method", "list with GET "+Path+", lift with DELETE "+Path+"/DIGEST", "method"), logger)
+		default:
+			lift(w, table, text, logger)
+		}
+	})
+}
+
+func lift(w http.ResponseWriter, table *Table, text string, logger *zap.Logger) {
+	digest, err := ParseDigest(text)
+	switch {
+	case err != nil:
+		answer(w, http.StatusBadRequest, problemOf("malformed", err.Error(), "digest"), logger)
+	case !table.Lift(digest):
+		answer(w, http.StatusNotFound, problemOf("unknown_content", "digest: nothing is held against this content here", "digest"), logger)
+	default:
+		answer(w, http.StatusOK, Lifted{Digest: text}, logger)
+	}
+}
+
+func problemOf(code, message, field string) problem {
+	return problem{Error: problemText{Code: code, Message: message, Field: field}}
+}
+
+func answer(w http.ResponseWriter, status int, body any, logger *zap.Logger) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		logger.Info("operator not answered", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/quarantine/keep.go
@@ -0,0 +1,196 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/periodic"
+)
+
+const (
+	topic = "woodworks.quarantine"
+	// keepInterval is the time between two looks for what the journal does not have.
+	keepInterval = 250 * time.Millisecond
+	// keepInstead is how long a daemon leaves a change to the one that made it to write.
+	keepInstead = 4 * time.Second
+	keepTimeout = time.Second
+	// keepAtOnce bounds the records of one append.
+	keepAtOnce = 32
+)
+
+// Partition is where refused contents are kept.
+func Partition(log journal.Journal) journal.Partition {
+	return journal.Partition{Topic: log.KeyedTopic(topic)}
+}
+
+// Keeper keeps refused contents in the journal, so that they outlast every process, and
+// learns from it what was refused before this one started. It implements
+// journal.KeyedHandler.
+type Keeper struct {
+	table   *Table
+	journal journal.Journal
+	// all has every suspected content kept: daemons that do not reach each other count
+	// ends through the journal.
+	all    bool
+	logger *zap.Logger
+}
+
+// NewKeeper returns the keeper of a table. Reached says that daemons tell each other of
+// suspected contents, so that only refused ones need the journal.
+func NewKeeper(table *Table, log journal.Journal, reached bool, logger *zap.Logger) *Keeper {
+	return &Keeper{table: table, journal: log, all: !reached, logger: logger}
+}
+
+// Reset implements journal.KeyedHandler.
+func (k *Keeper) Reset(records []journal.KeyedRecord) {
+	there := map[string]bool{}
+	for _, record := range records {
+		there[record.Key] = true
+		k.Apply(record)
+	}
+	k.table.dropMissing(there)
+}
+
+// Apply implements journal.KeyedHandler.
+func (k *Keeper) Apply(record journal.KeyedRecord) {
+	digest, err := ParseDigest(record.Key)
+	if err != nil {
+		k.logger.Warn("kept content not understood", zap.String("key", record.Key), zap.Error(err))
+		return
+	}
+	if len(record.Value) == 0 {
+		k.table.dropped(digest)
+		return
+	}
+	entry := Entry{}
+	if err := cbor.Unmarshal(record.Value, &entry); err != nil || entry.Digest != digest {
+		k.logger.Warn("kept content not understood", zap.String("key", record.Key), zap.Error(err))
+		return
+	}
+	k.table.journaled(entry)
+}
+
+// Run writes what the journal lacks until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	failing := false
+	periodic.Every(ctx, keepInterval, func(ctx context.Context) {
+		due := k.table.toKeep(k.all)
+		if len(due) == 0 {
+			return
+		}
+		err := k.write(ctx, due)
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			k.logger.Info("refused contents kept", zap.Bool("failing", failing), zap.Int("contents", len(due)), zap.Error(err))
+		}
+	})
+}
+
+// write appends the entries, or drops those that have no ended replicas any more. What
+// was written is taken as kept once it is read back.
+func (k *Keeper) write(ctx context.Context, entries []Entry) error {
+	var records [][]byte
+	for _, entry := range entries {
+		record := journal.KeyedRecord{Key: entry.Digest.String()}
+		if len(entry.Ended) > 0 {
+			encoded, err := cbor.Marshal(entry)
+			if err != nil {
+				return err
+			}
+			record.Value = encoded
+		}
+		records = append(records, k.journal.JoinKeyed(record))
+	}
+	bounded, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	if _, err := k.journal.Append(bounded, journal.Append{Partition: Partition(k.journal), Records: records}); err != nil {
+		return err
+	}
+	k.table.written(entries)
+	return nil
+}
+
+// toKeep returns the entries that this daemon should write to the journal now.
+func (t *Table) toKeep(all bool) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var due []Entry
+	for _, found := range t.entries {
+		if len(due) == keepAtOnce {
+			break
+		}
+		if found.lacksKeeping(all) && (found.ownChange || !now.Before(found.keepAfter)) {
+			due = append(due, found.copied())
+		}
+	}
+	return due
+}
+
+// lacksKeeping reports whether the journal has something else of the content than it
+// should have.
+func (k *known) lacksKeeping(all bool) bool {
+	wanted := k.refused() || all && len(k.Ended) > 0
+	switch {
+	case !wanted:
+		return k.journaled != nil
+	case k.journaled == nil:
+		return true
+	default:
+		return k.journaled.Epoch != k.Epoch || k.journaled.Retried != k.Retried || all && k.journaled.ends() != k.ends()
+	}
+}
+
+// written has the entries that were just written left alone until they are read back.
+func (t *Table) written(entries []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, entry := range entries {
+		if found := t.entries[entry.Digest]; found != nil {
+			found.ownChange, found.keepAfter = false, t.now().Add(keepInstead)
+		}
+	}
+}
+
+// journaled takes in an entry as the journal has it.
+func (t *Table) journaled(entry Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := t.entry(entry.Digest)
+	t.merge(found, entry, "journal")
+	found.journaled = &entry
+}
+
+// dropped takes in that the journal has no entry of a content any more: it was cleared.
+func (t *Table) dropped(digest Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if found := t.entries[digest]; found != nil {
+		t.drop(found)
+	}
+}
+
+// dropMissing takes in that the journal has entries only under the keys given.
+func (t *Table) dropMissing(there map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, found := range t.entries {
+		if !there[found.Digest.String()] {
+			t.drop(found)
+		}
+	}
+}
+
+// drop clears an entry that the journal had in its present epoch and has no more. The
+// mutex is held.
+func (t *Table) drop(found *known) {
+	before := found.journaled
+	found.journaled = nil
+	if before != nil && before.Epoch == found.Epoch && len(found.Ended) > 0 {
+		t.clear(found, "cleared in the journal")
+	}
+}
--- /dev/null
+++ b/internal/quarantine/spread.go
@@ -0,0 +1,177 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/periodic"
+	"woodworks/internal/relay"
+)
+
+// ServiceName is the name under which daemons answer each other about contents, and
+// tellMethod what they call there.
+const (
+	ServiceName = "Quarantine"
+	tellMethod  = ServiceName + ".Tell"
+)
+
+const (
+	// gatherTime is how long a change waits for others to be told with: the ends that one
+	// crash leaves at a daemon come within milliseconds.
+	gatherTime = 5 * time.Millisecond
+	// tellTimeout bounds one call to a neighbour, tellPause is the time between two tries.
+	tellTimeout = 700 * time.Millisecond
+	tellPause   = 300 * time.Millisecond
+	// tellFor is how long a neighbour that does not answer is tried. One that is away for
+	// longer learns from the journal what is refused.
+	tellFor = time.Minute
+	// toldAtOnce bounds the entries of one call, of 1 KiB each at most.
+	toldAtOnce = 128
+)
+
+// Neighbours are the daemons that this one tells.
+type Neighbours interface {
+	// Neighbours returns the machines to tell: if each daemon tells its own, all learn.
+	Neighbours() []string
+	Ask(ctx context.Context, machine, method string, asked, answer any) error
+}
+
+// Told is what one daemon tells another.
+type Told struct {
+	From    string
+	Entries []Entry
+}
+
+// Service takes in what other daemons tell. Its exported method is that of net/rpc.
+type Service struct{ table *Table }
+
+// NewService returns the service of a table.
+func NewService(table *Table) *Service { return &Service{table: table} }
+
+// Tell takes entries in. It is exported for net/rpc.
+func (s *Service) Tell(told Told, known *int) error {
+	s.table.Merge(told.Entries, told.From)
+	*known = len(told.Entries)
+	return nil
+}
+
+// Spreader tells neighbours of changes of a table. What they learn anew they tell on, so
+// that all daemons know after a few calls, with or without the journal.
+type Spreader struct {
+	table      *Table
+	neighbours Neighbours
+	logger     *zap.Logger
+
+	mu sync.Mutex
+	// due are the contents that a neighbour has to be told of. A neighbour has an entry
+	// while a goroutine tells it.
+	due map[string]map[Digest]bool
+}
+
+// NewSpreader returns a spreader; Run starts it.
+func NewSpreader(table *Table, neighbours Neighbours, logger *zap.Logger) *Spreader {
+	return &Spreader{table: table, neighbours: neighbours, logger: logger, due: map[string]map[Digest]bool{}}
+}
+
+// Run tells of changes until the context ends.
+func (s *Spreader) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.table.wake:
+		}
+		periodic.Pause(ctx, gatherTime)
+		changed := s.table.takeChanged()
+		for _, machine := range s.neighbours.Neighbours() {
+			s.add(ctx, machine, changed)
+		}
+	}
+}
+
+// add has a neighbour told of contents.
+func (s *Spreader) add(ctx context.Context, machine string, changed []Digest) {
+	if len(changed) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due, telling := s.due[machine]
+	if !telling {
+		due = map[Digest]bool{}
+		s.due[machine] = due
+		go s.tell(ctx, machine)
+	}
+	for _, digest := range changed {
+		due[digest] = true
+	}
+}
+
+// tell tells a neighbour what is due until nothing is, or until it has not answered for
+// too long.
+func (s *Spreader) tell(ctx context.Context, machine string) {
+	var silent time.Duration
+	for {
+		batch, over := s.take(machine, ctx.Err() != nil || silent >= tellFor)
+		if over {
+			return
+		}
+		err := s.tellOnce(ctx, machine, batch)
+		if err == nil {
+			silent = 0
+			continue
+		}
+		if silent == 0 {
+			s.logger.Info("neighbour not told of contents", zap.String("machine", machine), zap.Int("contents", len(batch)), zap.Error(err))
+		}
+		s.putBack(machine, batch)
+		silent += tellPause
+		periodic.Pause(ctx, tellPause)
+	}
+}
+
+// tellOnce makes one call. A neighbour that does not know the call, as one of an earlier
+// version, is taken as told.
+func (s *Spreader) tellOnce(ctx context.Context, machine string, batch []Digest) error {
+	bounded, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	known := 0
+	err := s.neighbours.Ask(bounded, machine, tellMethod, Told{From: s.table.machine, Entries: s.table.entriesOf(batch)}, &known)
+	if errors.Is(err, relay.ErrRefused) {
+		s.logger.Info("neighbour does not take contents", zap.String("machine", machine), zap.Error(err))
+		return nil
+	}
+	return err
+}
+
+// take returns the next contents to tell a neighbour of. If there are none, or if it is
+// given up, the telling is over.
+func (s *Spreader) take(machine string, giveUp bool) (batch []Digest, over bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := s.due[machine]
+	if len(due) == 0 || giveUp {
+		delete(s.due, machine)
+		return nil, true
+	}
+	for digest := range due {
+		batch = append(batch, digest)
+		delete(due, digest)
+		if len(batch) == toldAtOnce {
+			break
+		}
+	}
+	return batch, false
+}
+
+func (s *Spreader) putBack(machine string, batch []Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, digest := range batch {
+		s.due[machine][digest] = true
+	}
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,270 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+// testClock is a clock that the test moves.
+type testClock struct{ now time.Time }
+
+func (c *testClock) read() time.Time       { return c.now }
+func (c *testClock) pass(d time.Duration)  { c.now = c.now.Add(d) }
+func newTestClock() *testClock             { return &testClock{now: time.Unix(1000, 0)} }
+func contentNamed(name string) *Content    { return &Content{Target: name} }
+func (c *testClock) table(n string) *Table { return New(n, c.read, zap.NewNop()) }
+
+var others = []string{"x", "y"}
+
+// admission names what a content may do, without beginning it.
+func admission(t *Table, content *Content, replica string, others ...string) string {
+	switch got := t.Admit(content, replica, others).(type) {
+	case Free:
+		if got.Suspected {
+			return "suspected"
+		}
+		return "free"
+	case Alone:
+		got.End()
+		return "alone"
+	case Wait:
+		return "wait"
+	case Elsewhere:
+		return "elsewhere"
+	case Refused:
+		if got.Final {
+			return "refused for good"
+		}
+		return "refused"
+	}
+	return "none"
+}
+
+func TestSuspicionComesInSteps(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, bad := clock.table("m"), contentNamed("bad")
+	is.True(table.Quiet())
+	is.Equal(admission(table, bad, "a", others...), "free")
+	table.Ended(bad, "a", "s")
+	is.True(!table.Quiet())
+	is.Equal(admission(table, bad, "b", others...), "suspected")
+	table.Ended(bad, "a", "s") // the same end, seen by another request's side
+	is.Equal(admission(table, bad, "b", others...), "suspected")
+	table.Ended(bad, "b", "s")
+	is.Equal(admission(table, bad, "a", others...), "elsewhere") // it has just ended there
+	is.Equal(admission(table, bad, "x", "a", "b"), "refused")    // no other replica would serve the others
+	is.Equal(admission(table, bad, "x", "y"), "alone")
+	clock.pass(aloneWait)
+	is.Equal(admission(table, bad, "x"), "alone") // a service may have one replica only
+	table.Ended(bad, "x", "s")
+	is.Equal(admission(table, bad, "y", others...), "refused")
+	is.True(table.Blocked(bad))
+	is.Equal(admission(table, contentNamed("good"), "y", others...), "free")
+}
+
+// A replica that keeps its id over its starts ends again and again under the content, also
+// where there is no other.
+func TestEndsOfOneReplicaAddUp(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, content := clock.table("m"), contentNamed("c")
+	for _, wanted := range []string{"suspected", "alone", "refused"} {
+		table.Ended(content, "only", "s")
+		table.Ended(content, "only", "s") // another run shows the same end
+		if wanted == "alone" {
+			is.Equal(admission(table, content, "only"), "refused") // it is hardly back
+			clock.pass(aloneWait)
+		}
+		is.Equal(admission(table, content, "only"), wanted)
+		clock.pass(sameEnd)
+	}
+}
+
+// One run of a suspect is under way at a time, and one suspect at a replica.
+func TestARunAloneIsAlone(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, one, two := clock.table("m"), contentNamed("one"), contentNamed("two")
+	for _, content := range []*Content{one, two} {
+		table.Ended(content, "a", "s")
+		table.Ended(content, "b", "s")
+	}
+	run, granted := table.Admit(one, "x", others).(Alone)
+	is.True(granted)
+	is.Equal(admission(table, two, "x", others...), "elsewhere")
+	is.Equal(admission(table, two, "y", others...), "alone")
+	waiting, waits := table.Admit(one, "y", others).(Wait)
+	is.True(waits)
+	table.Answered(one)
+	run.End()
+	<-waiting.Over
+	is.Equal(admission(table, one, "y", others...), "free")
+	is.Equal(admission(table, two, "x", others...), "alone")
+}
+
+// What three coincidences have condemned is found innocent by its keeper, and only there.
+func TestARefusedContentRunsOnceMoreAtItsKeeper(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	keeper, other, content := clock.table("keeper"), clock.table("other"), contentNamed("c")
+	for _, replica := range []string{"a", "b", "c"} {
+		keeper.Ended(content, replica, "s")
+	}
+	other.Merge(keeper.entriesOf([]Digest{content.Digest()}), "keeper")
+	is.Equal(admission(other, content, "x", others...), "refused for good")
+	is.Equal(admission(keeper, content, "x", others...), "refused")
+	clock.pass(retryAfterEnd)
+	is.Equal(admission(other, content, "x", others...), "refused for good")
+	is.True(other.Blocked(content))
+	is.True(!keeper.Blocked(content))
+	is.Equal(admission(keeper, content, "x", others...), "alone")
+	is.Equal(admission(keeper, content, "x", others...), "refused for good") // once only
+	keeper.Answered(content)
+	other.Merge(keeper.entriesOf([]Digest{content.Digest()}), "keeper")
+	for _, each := range []*Table{keeper, other} {
+		is.Equal(admission(each, content, "x", others...), "free")
+		is.True(each.Quiet())
+	}
+}
+
+// A popular innocent content runs at many replicas. Those that end under it for another
+// reason do not add up, as it is answered in between.
+func TestAnswersClearWhatCoincidenceHolds(t *testing.T) {
+	is := is.New(t)
+	table, popular := newTestClock().table("m"), contentNamed("popular")
+	for i := range 20 {
+		table.Ended(popular, fmt.Sprint("a", i), "s")
+		table.Ended(popular, fmt.Sprint("b", i), "s")
+		table.Answered(popular)
+		is.Equal(admission(table, popular, "x", others...), "free")
+	}
+}
+
+// A connection that broke is held against a content only once its replica is gone from
+// the list, and not if the content was answered meanwhile.
+func TestABrokenConnectionCountsOnceItsReplicaIsGone(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, bad, good := clock.table("m"), contentNamed("bad"), contentNamed("good")
+	listed := map[string]bool{"a": true, "b": true}
+	sweep := func() { table.Sweep(func(id string) bool { return listed[id] }) }
+	for _, content := range []*Content{bad, good} {
+		table.Broke(content, "a", "s")
+		table.Broke(content, "b", "s")
+	}
+	sweep()
+	is.Equal(table.Suspicion(bad), Unsuspected)
+	table.Answered(good)
+	delete(listed, "a")
+	sweep()
+	is.Equal(table.Suspicion(bad), Suspected)
+	is.Equal(table.Suspicion(good), Unsuspected)
+	clock.pass(settleWithin + 1)
+	sweep()
+	delete(listed, "b") // long after, for another reason
+	sweep()
+	is.Equal(table.Suspicion(bad), Suspected)
+}
+
+// A flood of contents that each end replicas takes bounded memory, and those that are
+// refused outlast those that are merely suspected.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, refused := clock.table("m"), contentNamed("refused")
+	for _, replica := range []string{"a", "b", "c"} {
+		table.Ended(refused, replica, "s")
+	}
+	for i := range capacity + 100 {
+		clock.pass(time.Millisecond)
+		table.Ended(contentNamed(fmt.Sprint(i)), "a", "s")
+	}
+	is.Equal(len(table.entries), capacity)
+	is.Equal(int(table.active.Load()), capacity)
+	is.Equal(table.Suspicion(refused), Quarantined)
+	is.Equal(table.Suspicion(contentNamed("0")), Unsuspected)
+	clock.pass(forgetAfter + 1)
+	table.Sweep(func(string) bool { return true })
+	is.True(table.Quiet())
+	clock.pass(clearedKept + 1)
+	table.Sweep(func(string) bool { return true })
+	is.Equal(len(table.entries), 0)
+}
+
+func TestAnOperatorSeesAndLifts(t *testing.T) {
+	is := is.New(t)
+	table := newTestClock().table("m")
+	content := &Content{Caller: "tenant", Method: "POST", Host: "h", Target: "/t", Body: []byte("body")}
+	for _, replica := range []string{"c", "a", "b"} {
+		table.Ended(content, replica, "s")
+	}
+	is.Equal(admission(table, content, "x", others...), "refused")
+	list := table.List()
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Label, Label{Service: "s", Caller: "tenant", Method: "POST", Host: "h", Target: "/t", Bytes: 4})
+	is.Equal(list[0].Ended, map[string]int{"a": 1, "b": 1, "c": 1})
+	is.True(list[0].Refused)
+	is.Equal(list[0].TurnedAway, uint64(1))
+	digest, err := ParseDigest(list[0].Digest)
+	is.NoErr(err)
+	is.True(table.Lift(digest))
+	is.True(!table.Lift(digest))
+	is.Equal(len(table.List()), 0)
+	is.Equal(admission(table, content, "a", others...), "free")
+}
+
+// Whatever daemons see and in whatever order they tell each other, all hold the same
+// against a content in the end, and no answer is forgotten.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := newTestClock()
+		content := contentNamed("c")
+		tables := []*Table{clock.table("m0"), clock.table("m1"), clock.table("m2")}
+		said := [][]Entry{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			at := tables[rapid.IntRange(0, len(tables)-1).Draw(t, "at")]
+			clock.pass(rapid.SampledFrom([]time.Duration{0, time.Millisecond, sameEnd}).Draw(t, "pause"))
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				at.Ended(content, rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "replica"), "s")
+			case 2:
+				at.Answered(content)
+			default:
+				if len(said) > 0 {
+					at.Merge(rapid.SampledFrom(said).Draw(t, "told"), "peer")
+				}
+			}
+			said = append(said, at.entriesOf([]Digest{content.Digest()}))
+		}
+		for range 2 {
+			for _, from := range tables {
+				for _, to := range tables {
+					to.Merge(from.entriesOf([]Digest{content.Digest()}), "peer")
+				}
+			}
+		}
+		for _, each := range tables[1:] {
+			one, two := tables[0].entries[content.Digest()], each.entries[content.Digest()]
+			if (one == nil) != (two == nil) {
+				t.Fatalf("%v is known at one daemon only", content.Target)
+			}
+			if one != nil && (one.Epoch != two.Epoch || !maps.Equal(one.Ended, two.Ended) || one.Keeper != two.Keeper || one.Retried != two.Retried) {
+				t.Fatalf("%+v and %+v", one.Entry, two.Entry)
+			}
+			if (one != nil && one.active()) == each.Quiet() {
+				t.Fatalf("active is %d for %+v", each.active.Load(), two)
+			}
+		}
+	})
+}
--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/rpc"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -15,6 +16,21 @@
 	ErrRefused = errors.New("relay: refused by the peer")
 )
 
+// Neighbours returns the machines to which this daemon passes on what all should learn:
+// in the ring of all names those 1, 2, 4, 8 and so on places ahead. If each daemon passes
+// news on to its own, all have it after as many steps as the number of daemons has binary
+// digits, and each keeps as many connections; a daemon that is gone is gone round.
+func (j *Journal) Neighbours() []string {
+	names := j.peers.names()
+	own, _ := slices.BinarySearch(names, j.options.Name)
+	var chosen []string
+	for ahead := 1; ahead <= len(names); ahead *= 2 {
+		// Names has all but this daemon, so that the next one stands in its place.
+		chosen = append(chosen, names[(own+ahead-1)%len(names)])
+	}
+	return chosen
+}
+
 // Register lets peers call the methods of a receiver, which are those of net/rpc, under
 // a name. It is called before Serve.
 func (j *Journal) Register(name string, receiver any) { j.receivers[name] = receiver }
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -147,6 +149,13 @@
 	return len(p.known)
 }
 
+// names returns the names of all peers, in order.
+func (p *peers) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.known))
+}
+
 // any reports whether there is a peer that may be asked now.
 func (p *peers) any() bool { return len(p.candidates(time.Now())) > 0 }
 
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -86,7 +86,9 @@
 	for _, each := range job.items {
 		waits := each.state == itemWaiting && !now.Before(each.notBefore)
 		runs := each.state == itemRunning
-		if !waits && !runs {
+		if !waits && !runs || waits && job.blocked(each) {
+			// A refused item waits until it is older than its route lets it grow, or until
+			// its batch ends: only its replicas may say that it failed.
 			continue
 		}
 		service := serviceOf(found, each)
--- a/internal/runner/handed_test.go
+++ b/internal/runner/handed_test.go
@@ -16,6 +16,7 @@
 	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
 	"woodworks/internal/ledger"
+	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
 )
@@ -31,7 +32,7 @@
 	logger := zap.NewNop()
 	table := replica.NewTable(time.Second, logger)
 	table.Replace([]replica.Entry{{ID: "engine", Service: "s", Slots: 4}})
-	forwarder := &forward.Forwarder{Names: headers.Names{}, Table: table, Logger: logger}
+	forwarder := &forward.Forwarder{Names: headers.Names{}, Quarantine: quarantine.New("m", time.Now, logger), Table: table, Logger: logger}
 	return New(ctx, self, ledger.New(ctx, log, logger), forwarder, configured{configuration: configuration}, nil, NewAssigner(log, dealtTo(self), self, logger), logger)
 }
 
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -15,6 +15,7 @@
 	"woodworks/internal/batch"
 	"woodworks/internal/eventstream"
 	"woodworks/internal/forward"
+	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
 )
@@ -134,6 +135,21 @@
 	}
 }
 
+// blocked reports whether the item must not run now for its content's sake. The mutex is
+// held.
+func (job *job) blocked(each *item) bool {
+	table := job.runner.forwarder.Quarantine
+	return !table.Quiet() && table.Blocked(job.contentOf(each))
+}
+
+// contentOf is what the item asks a replica for. The mutex is held.
+func (job *job) contentOf(each *item) *quarantine.Content {
+	if each.content == nil {
+		each.content = &quarantine.Content{Caller: job.submission.Tenant, Method: http.MethodPost, Host: job.submission.Host, Target: each.Path, Body: each.Body}
+	}
+	return each.content
+}
+
 // take adds an event of a run to an item's text, unless another run goes on with it.
 func (job *job) take(each *item, run int, event eventstream.Event, version int64, found *route.Route) error {
 	job.mutex.Lock()
@@ -191,9 +207,12 @@
 func (job *job) retryItem(each *item, chosen replica.Replica, found *route.Route, cause error) {
 	table := job.runner.table
 	var status *forward.StatusError
+	var quarantined *forward.QuarantinedError
 	pause := failedPause
 	dead := ""
 	switch {
+	case errors.As(cause, &quarantined):
+		pause = quarantined.RetryAfter
 	case errors.Is(cause, forward.ErrDeclined), errors.Is(cause, errTooOld):
 		table.Declined(chosen.ID)
 	case errors.As(cause, &status):
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -12,6 +12,7 @@
 
 	"woodworks/internal/batch"
 	"woodworks/internal/ledger"
+	"woodworks/internal/quarantine"
 	"woodworks/internal/route"
 	"woodworks/internal/scheduling"
 )
@@ -40,7 +41,9 @@
 	index int
 	batch.Item
 	header http.Header
-	state  itemState
+	// content names what the item asks for, nil until it is needed.
+	content *quarantine.Content
+	state   itemState
 	// cost is the expected length of the answer, in tokens.
 	cost int64
 	// notBefore delays an item, for example after a failure.
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -87,7 +87,9 @@
 		// The batch ended meanwhile, which says nothing of the replica.
 		return
 	}
+	var quarantined *forward.QuarantinedError
 	switch {
+	case errors.As(err, &quarantined):
 	case errors.Is(err, forward.ErrDeclined):
 		job.runner.table.Declined(to.ID)
 	case err != nil:
--- a/internal/runner/standby_test.go
+++ b/internal/runner/standby_test.go
@@ -15,6 +15,7 @@
 	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
 	"woodworks/internal/ledger"
+	"woodworks/internal/quarantine"
 	"woodworks/internal/route"
 )
 
@@ -34,7 +35,7 @@
 // newAccepter is a daemon "b/1" whose batches the group gives to another one.
 func newAccepter(ctx context.Context, log journal.Journal, owner string) *Runner {
 	logger := zap.NewNop()
-	forwarder := &forward.Forwarder{Names: headers.Names{}, Logger: logger}
+	forwarder := &forward.Forwarder{Names: headers.Names{}, Quarantine: quarantine.New("m", time.Now, logger), Logger: logger}
 	return New(ctx, "b/1", ledger.New(ctx, log, logger), forwarder, unaware{}, nil, NewAssigner(log, dealtTo(owner), "b/1", logger), logger)
 }
 
--- a/internal/standalone/protocol.go
+++ b/internal/standalone/protocol.go
@@ -8,7 +8,10 @@
 //	running, err := node.New(settings, standalone.Connect, logger)
 package standalone
 
-import "woodworks/internal/headers"
+import (
+	"woodworks/internal/gateway"
+	"woodworks/internal/headers"
+)
 
 // HeaderNames are the product's own names for what a message tells of a request.
 func HeaderNames() headers.Names {
@@ -23,6 +26,7 @@
 		TokenUsage:    "Woodworks-Token-Usage",
 		LengthHint:    "Woodworks-Length-Hint",
 		WaitMs:        "Woodworks-Wait-Ms",
+		Quarantined:   gateway.QuarantinedHeader,
 	}
 }
 
