Soak: requests that end their replicas, on four ways in

Callers ask for one content for 15 s, at any daemon, every 0.2 to 0.6 s; a replica that runs it ends without a word and is back 2 s later under another id. The rule: from 4 s after the third end on (the contact bound and a second for the machine that all share) at most three runs, those aside that disturbed daemons send. Told: how the plain requests of the other callers ended.

--- a/Makefile
+++ b/Makefile
@@ -36,19 +36,21 @@
 DURATION ?= 60s
 
 # Real daemons on the platform's stand-ins under faults from outside; SOAKFLAGS takes
-# --schedule, --daemons, --callers and --reader.
+# --schedule, --crashing, --daemons, --callers and --reader.
 soak:
 	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
 	./target/woodworks-soak --seed $(SEED) --duration $(DURATION) $(SOAKFLAGS)
 
-# Two short soaks at once with a fixed seed, of all faults and of planned work in
-# series, that assert safety only.
+# Three short soaks at once with a fixed seed, of all faults, of planned work in series,
+# and of requests that end their replicas, that assert safety only.
 soak-smoke:
 	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
 	@mkdir -p out
 	@./target/woodworks-soak --seed 1 --duration 8s --safety-only > out/soak-mixed.log 2>&1 & mixed=$$!; \
+	./target/woodworks-soak --seed 1 --duration 12s --schedule planned --crashing all --safety-only --folder out/soak-crashing > out/soak-crashing.log 2>&1 & crashing=$$!; \
 	./target/woodworks-soak --seed 1 --duration 6s --schedule series --safety-only --folder out/soak-series; series=$$?; \
-	wait $$mixed; mixed=$$?; cat out/soak-mixed.log; exit $$((mixed > series ? mixed : series))
+	wait $$mixed; mixed=$$?; wait $$crashing; crashing=$$?; cat out/soak-mixed.log out/soak-crashing.log; \
+	exit $$((mixed + series + crashing))
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/cmd/woodworks-soak/main.go
+++ b/cmd/woodworks-soak/main.go
@@ -30,7 +30,7 @@
 	program, folder := "target/woodworks", "out/soak"
 	seed := uint64(time.Now().UnixNano() % 1_000_000)
 	duration := time.Minute
-	schedule, reader := soak.ScheduleMixed, ""
+	schedule, reader, crashing := soak.ScheduleMixed, "", ""
 	daemons, callers := 0, 0
 	safetyOnly := false
 	flaggy.SetName("woodworks-soak")
@@ -41,6 +41,7 @@
 	flaggy.Duration(&duration, "d", "duration", "how long faults are injected")
 	flaggy.Bool(&safetyOnly, "", "safety-only", "do not fail for a rule that was not put to the test")
 	flaggy.String(&schedule, "", "schedule", "mixed: all faults at random; planned: only planned stops and configurations; series: planned work of all kinds that overlaps")
+	flaggy.String(&crashing, "", "crashing", "on which way requests come that end their replicas: safe, once, stream, item or all; empty for none")
 	flaggy.Int(&daemons, "", "daemons", "how many daemons run; 0 takes the default")
 	flaggy.Int(&callers, "", "callers", "how many callers keep their connections; 0 takes the default")
 	flaggy.String(&reader, "", "reader", "how the first daemon's output is read: slow, or closes; empty takes a file")
@@ -49,7 +50,7 @@
 	defer stop()
 	fmt.Printf("soak: seed %d, %v of faults\n", seed, duration)
 	outcome, err := soak.Run(ctx, soak.Options{Program: program, Folder: filepath.Join(folder, fmt.Sprint(seed)), Seed: seed, Duration: duration,
-		Schedule: schedule, Daemons: daemons, Callers: callers, Reader: reader, Output: os.Stdout})
+		Schedule: schedule, Daemons: daemons, Callers: callers, Crashing: crashing, Reader: reader, Output: os.Stdout})
 	switch {
 	case err != nil:
 		fmt.Fprintln(os.Stderr, "woodworks-soak:", err)
