A request refused for its content's sake is explained by its id

Each answer of the quarantine to a request leaves a line with the request, the content, the replica and the reason; explain follows a request's content to the ends at other daemons, and takes a content's digest as an id.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -1,5 +1,5 @@
 // Package explain finds in the daemons' logs what befell one request, item, batch,
-// replica, service or window of usage, or how a daemon was stopped, and puts it in the
+// replica, service, content or window of usage, or how a daemon was stopped, and puts it in the
 // order of time over all machines.
 //
 // # Usage
@@ -33,14 +33,15 @@
 )
 
 // linkKeys are the fields by which lines belong together.
-var linkKeys = []string{"request", "item", "reward", "batch", "replica", "window", "service"}
+var linkKeys = []string{"request", "item", "reward", "batch", "replica", "window", "service", "content"}
 
-// batchEvents and replicaEvents are the lines that explain an item or a request
-// although they do not name it.
+// batchEvents, replicaEvents and contentEvents are the lines that explain an item or a
+// request although they do not name it.
 var (
 	batchEvents = map[string]bool{"batch owned": true, "batch left": true, "batch account": true, "batch released": true, "batch taken over": true, "batch not taken over": true, "results not listed yet": true, "results listed": true,
 		"items given back": true, "batch let go unbegun": true}
 	replicaEvents = map[string]bool{"replica listed": true, "replica state changed": true, "replica gone from the list": true, "replica failed": true, "order": true, "weights": true}
+	contentEvents = map[string]bool{"replica ended under a content": true, "content learned of": true, "content cleared": true, "suspect runs alone": true}
 	// contextEvents are told of each node that a line of the story comes from.
 	contextEvents = map[string]bool{"started": true, "stopping": true, "stopped": true, "dependency lost": true, "dependency regained": true,
 		"configuration in force": true, "lease claimed": true, "lease lost": true, "log lines dropped": true, "log lines left out": true}
@@ -120,7 +121,7 @@
 	inOrder(lines)
 	stops := stopsOf(lines)
 	own, batches, replicas := directLines(lines, id)
-	story := related(lines, own, batches, replicas)
+	story := related(lines, own, batches, replicas, contentsOf(own))
 	story = append(story, linesOfStops(stops, id, story)...)
 	if len(story) == 0 && isNode(lines, id) {
 		_, err := fmt.Fprintf(output, "%s: no planned stop is in these logs\n", id)
@@ -217,9 +218,19 @@
 	return own, batches, replicas
 }
 
-// related are the lines of the story: those that name the id, and what was said
-// of its batch, its replicas and its daemons in the meantime.
-func related(lines []*line, own map[*line]bool, batches, replicas map[string]bool) []*line {
+// contentsOf are the contents that lines name.
+func contentsOf(lines map[*line]bool) map[string]bool {
+	contents := map[string]bool{}
+	for each := range lines {
+		contents[each.get("content")] = true
+	}
+	delete(contents, "")
+	return contents
+}
+
+// related are the lines of the story: those that name the id, what was said of its
+// content, and what was said of its batch, its replicas and its daemons in the meantime.
+func related(lines []*line, own map[*line]bool, batches, replicas, contents map[string]bool) []*line {
 	first, last := "", ""
 	nodes := map[string]bool{}
 	for each := range own {
@@ -239,6 +250,7 @@
 		case batchEvents[each.event] && batches[each.get("batch")]:
 		case each.event == eventRequest && each.get("outcome") == "accepted" && (batches[each.get("request")] || batches[each.get("batch")]):
 		case within && replicaEvents[each.event] && replicas[each.get("replica")] && nodes[each.node]:
+		case contentEvents[each.event] && contents[each.get("content")]:
 		case within && contextEvents[each.event] && nodes[each.node]:
 		default:
 			continue
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// A request that was refused for its content's sake is explained by the replicas that ended
+// before, under other requests at other daemons.
+func TestARefusedContentIsExplained(t *testing.T) {
+	is := is.New(t)
+	const logs = "time=2026-01-01T00:00:01.000Z level=info event=\"offer failed\" node=edge-1 request=r1 content=c0 replica=a process=gone\n" +
+		"time=2026-01-01T00:00:01.001Z level=warn event=\"replica ended under a content\" node=edge-1 content=c0 replica=a ends=1\n" +
+		"time=2026-01-01T00:00:02.001Z level=warn event=\"replica ended under a content\" node=edge-2 content=c0 replica=b ends=3\n" +
+		"time=2026-01-01T00:00:02.001Z level=warn event=\"replica ended under a content\" node=edge-2 content=other replica=b ends=1\n" +
+		"time=2026-01-01T00:00:05.000Z level=info event=\"suspect asked to run\" node=edge-3 request=r9 content=c0 replica=d refused=\"3 replicas ended\"\n" +
+		"time=2026-01-01T00:00:05.001Z level=info event=request node=edge-3 request=r9 status=503 outcome=quarantined reason=\"3 replicas ended\"\n"
+	var told strings.Builder
+	is.NoErr(Explain(&told, "r9", strings.NewReader(logs)))
+	is.True(strings.Contains(told.String(), "content=c0 replica=a ends=1"))
+	is.True(strings.Contains(told.String(), "content=c0 replica=b ends=3"))
+	is.True(!strings.Contains(told.String(), "other"))
+	is.True(strings.Contains(told.String(), "r9: request on edge-3: quarantined, because: 3 replicas ended"))
+	told.Reset()
+	is.NoErr(Explain(&told, "c0", strings.NewReader(logs)))
+	is.True(strings.Contains(told.String(), "request=r1"))
+}
+
 func TestAnUnknownIDIsAnError(t *testing.T) {
 	is := is.New(t)
 	is.True(errors.Is(Explain(&strings.Builder{}, "nobody", strings.NewReader(logs)), ErrNotFound))
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 )
@@ -52,25 +54,35 @@
 	}
 }
 
-// admit asks whether a content may run at a replica now. If so, release must be called
-// when the run is over and what it showed is noted.
-func (forwarder *Forwarder) admit(content *quarantine.Content, chosen replica.Replica) (release func(), err *QuarantinedError) {
-	free := func() {}
+// admit asks whether a request may be sent to a replica now, for its content's sake. If
+// so, release must be called when the run is over and what it showed is noted.
+func (forwarder *Forwarder) admit(requestID string, content *quarantine.Content, chosen replica.Replica) (release func(), refused *QuarantinedError) {
 	if forwarder.Quarantine.Quiet() {
-		return free, nil
+		return func() {}, nil
 	}
 	switch got := forwarder.Quarantine.Admit(content, chosen.ID, forwarder.others(chosen)).(type) {
 	case quarantine.Alone:
-		return got.End, nil
+		release = got.End
 	case quarantine.Wait:
-		return nil, &QuarantinedError{RetryAfter: suspectPause, over: got.Over}
+		refused = &QuarantinedError{RetryAfter: suspectPause, over: got.Over}
 	case quarantine.Elsewhere:
-		return nil, &QuarantinedError{RetryAfter: suspectPause, Elsewhere: true}
+		refused = &QuarantinedError{RetryAfter: suspectPause, Elsewhere: true}
 	case quarantine.Refused:
-		return nil, &QuarantinedError{Ended: got.Ended, RetryAfter: got.RetryAfter, Final: got.Final}
+		refused = &QuarantinedError{Ended: got.Ended, RetryAfter: got.RetryAfter, Final: got.Final}
 	default: // quarantine.Free
-		return free, nil
+		return func() {}, nil
+	}
+	forwarder.Logger.Info("suspect asked to run", zap.String("request", requestID), zap.String("content", content.Digest().Short()),
+		zap.String("replica", chosen.ID), zap.String("service", chosen.Service), zap.Bool("alone", refused == nil), zap.NamedError("refused", errorOf(refused)))
+	return release, refused
+}
+
+// errorOf keeps a nil *QuarantinedError a nil error.
+func errorOf(err *QuarantinedError) error {
+	if err == nil {
+		return nil
 	}
+	return err
 }
 
 // suspectPause is when a content should be asked for again that other runs keep waiting:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -344,7 +344,7 @@
 		if chosen, found = run.choose(); !found {
 			return replica.Replica{}, nil, false
 		}
-		release, err := run.forwarder.admit(contentOf(run.call), chosen)
+		release, err := run.forwarder.admit(run.call.RequestID, contentOf(run.call), chosen)
 		switch {
 		case err == nil:
 			return chosen, release, true
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -103,7 +103,7 @@
 		header[http.CanonicalHeaderKey(names.DeadlineMs)] = []string{strconv.FormatInt(request.Deadline.Milliseconds(), 10)}
 	}
 	content := request.content()
-	release, refused := forwarder.admit(content, chosen)
+	release, refused := forwarder.admit(request.RequestID, content, chosen)
 	if refused != nil {
 		return nil, refused
 	}
