--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -327,3 +327,29 @@
 		t.Cleanup(func() { _ = conn.Close() })
 	}
 }
+
+// A replica whose offers fail is passed over for a while, and that is logged. The end of
+// an offer cancels its context, and was taken for the caller's leaving: in 28 logs of
+// runs with thousands of failed offers stood not one line of a replica that failed, and
+// it stayed the first choice.
+func TestAReplicaThatFailsIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	f := newFloor(t, 1, cuts)
+	_, err := f.call(t, once)
+	is.True(err != nil)
+	seen, listed := f.forwarder.Table.Get("a")
+	is.True(listed)
+	is.True(seen.AvoidUntil.After(time.Now()))
+}
+
+// What the caller cut says nothing of the replica.
+func TestACutOfferIsNotHeldAgainstItsReplica(t *testing.T) {
+	is := is.New(t)
+	f := newFloor(t, 1, hangs)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := f.forwarder.Do(ctx, &Call{RequestID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"r"}}, Services: []string{"s"}, MaxAttempts: 1})
+	is.True(err != nil)
+	seen, _ := f.forwarder.Table.Get("a")
+	is.True(seen.AvoidUntil.IsZero())
+}
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -37,9 +37,11 @@
 	outcome := offerOutcome(ctx, err)
 	forwarder.Observe(chosen.Service, outcome, time.Since(started))
 	if err != nil {
+		// The end below cancels the offer's context, which then says nothing of the caller.
+		cut := ctx.Err() != nil
 		forwarder.explain(ctx, failedOffer{requestID: call.RequestID, content: contentOf(call), chosen: chosen, outcome: outcome, ran: ran, after: time.Since(started), err: err})
 		end()
-		if ctx.Err() == nil {
+		if !cut {
 			forwarder.learn(chosen, err)
 		}
 		return attempt{err: err, ran: ran, replica: chosen.ID}
@@ -89,8 +91,7 @@
 		return
 	}
 	forwarder.Table.Failed(chosen.ID)
-	forwarder.Logger.Info("replica failed", zap.String("replica", chosen.ID), zap.String("service", chosen.Service),
-		zap.String("address", chosen.Address), zap.Error(err))
+	forwarder.Logger.Info("replica failed", zap.String("replica", chosen.ID), zap.String("service", chosen.Service), zap.Error(err))
 }
 
 // exchange sends the call and reads the answer, whole if it is short.
