--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	fence, until, may := held.Fence()
+//	fence, left, may := held.Fence()
 //	err := driver.ReportUsage(ctx, duty.Authority{Holder: name, Fence: fence}, report)
 //
 // A driver translates and does no more; who calls it sees to the lease, to the order of
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,7 +56,7 @@
 var orderPauses = backoff.Bounds{First: firstPause, Longest: longestPause}
 
 // List tells how far the list of replicas can be relied upon.
-type List interface{ LastContact() time.Time }
+type List interface{ Silence() time.Duration }
 
 // Parts are what a manager works with.
 type Parts struct {
@@ -165,7 +165,7 @@
 
 // settled reports whether the list of replicas has been followed for a while.
 func (m *Manager) settled(now time.Time) bool {
-	if now.Sub(m.List.LastContact()) > freshList {
+	if m.List.Silence() > freshList {
 		m.unsettledAt = now
 	}
 	return now.Sub(m.unsettledAt) >= settledList
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -46,19 +46,19 @@
 	return s.answer
 }
 
-func (s *stage) LastContact() time.Time {
+func (s *stage) Silence() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.contact.IsZero() {
-		return time.Now()
+		return 0
 	}
-	return s.contact
+	return time.Since(s.contact)
 }
 
-func (s *stage) Fence() (int64, time.Time, bool) {
+func (s *stage) Fence() (int64, time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fence, time.Now().Add(time.Second), s.held
+	return s.fence, time.Second, s.held
 }
 
 func (s *stage) set(change func()) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/headers"
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
@@ -82,8 +83,11 @@
 	// MayRetry, if not nil, is asked before a further replica is offered the
 	// call, with the number of offers so far.
 	MayRetry func(offers int) bool
+	// Left, if not nil, is how long the caller still waits. It counts the time in which
+	// this machine was suspended, which the end of a context does not.
+	Left func() time.Duration
 	// Ran, if not nil, is told of each replica that ran the call or may have run it,
-	// with when the call was sent there.
+	// with when the call was sent there, by the forwarder's clock.
 	Ran func(sentAt time.Time)
 
 	content *quarantine.Content
@@ -158,6 +162,8 @@
 	Table *replica.Table
 	Names headers.Names
 	Zone  string
+	// Clock is the clock by which callers wait, nil for that of the machine.
+	Clock bootclock.Clock
 	// Quarantine knows the contents under which replicas have ended.
 	Quarantine *quarantine.Table
 	Logger     *zap.Logger
@@ -166,6 +172,14 @@
 	Observe func(service, outcome string, took time.Duration)
 }
 
+// now reads the clock by which callers wait.
+func (forwarder *Forwarder) now() time.Time {
+	if forwarder.Clock == nil {
+		return bootclock.Now()
+	}
+	return forwarder.Clock()
+}
+
 // Do sends the call until a replica has answered, the attempts are used up or
 // the context has ended.
 func (forwarder *Forwarder) Do(ctx context.Context, call *Call) (*Answer, error) {
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -98,12 +98,15 @@
 func (forwarder *Forwarder) exchange(ctx context.Context, call *Call, chosen replica.Replica) (answer *Answer, sentAt time.Time, ran bool, err error) {
 	header := call.Header.Clone()
 	header[http.CanonicalHeaderKey(forwarder.Names.ExpectReplica)] = []string{chosen.ID}
-	if deadline, bounded := ctx.Deadline(); bounded {
-		header[http.CanonicalHeaderKey(forwarder.Names.DeadlineMs)] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
+	if left, bounded := leftOf(ctx, call); bounded {
+		if left <= 0 {
+			return nil, sentAt, false, errors.Wrap(upstream.ErrNotSent, errTimeUp.Error())
+		}
+		header[http.CanonicalHeaderKey(forwarder.Names.DeadlineMs)] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 	}
 	response, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
 		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body,
-		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID, Sending: func() { sentAt = time.Now() },
+		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID, Sending: func() { sentAt = forwarder.now() },
 	})
 	if err != nil {
 		return nil, sentAt, !errors.Is(err, upstream.ErrNotSent), err
@@ -125,6 +128,16 @@
 	return answer, sentAt, true, err
 }
 
+// leftOf is how long a replica may work on a call, and false if nothing bounds that.
+func leftOf(ctx context.Context, call *Call) (time.Duration, bool) {
+	deadline, bounded := ctx.Deadline()
+	left := time.Until(deadline)
+	if call.Left != nil {
+		return min(left, call.Left()), bounded
+	}
+	return left, bounded
+}
+
 // restEnded notes how the rest of a long answer ended, nil being its proper end.
 func (forwarder *Forwarder) restEnded(ctx context.Context, call *Call, chosen replica.Replica, err error) {
 	if err == nil {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/identity"
 	"woodworks/internal/journal"
 	"woodworks/internal/periodic"
@@ -42,7 +43,7 @@
 	topics  []string
 	logger  *zap.Logger
 
-	lastContact journal.Contact
+	lastContact *journal.Contact
 	leaving     atomic.Bool
 
 	mutex      sync.Mutex
@@ -57,7 +58,7 @@
 
 // New returns a membership that asks for a share of the topics' partitions.
 func New(log journal.Journal, member string, topics []string, logger *zap.Logger) *Member {
-	return &Member{journal: log, member: member, topics: topics, logger: logger}
+	return &Member{journal: log, member: member, topics: topics, logger: logger, lastContact: journal.NewContact(bootclock.Now)}
 }
 
 // Partitions returns the partitions dealt to this daemon.
@@ -74,8 +75,11 @@
 	return member.generation
 }
 
-// LastContact is when the journal last answered.
-func (member *Member) LastContact() time.Time { return member.lastContact.Last() }
+// SetClock sets the clock by which Silence goes. It is called before Run.
+func (member *Member) SetClock(now bootclock.Clock) { member.lastContact = journal.NewContact(now) }
+
+// Silence is how long ago the journal last answered.
+func (member *Member) Silence() time.Duration { return member.lastContact.Silence() }
 
 // Run stays in the group until the context ends or Leave is called. It takes
 // the last run of this machine out of the group first, as that one is over.
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"woodworks/internal/bootclock/clocktest"
 	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
 )
@@ -111,14 +112,16 @@
 }
 
 // The last contact was kept as a time of day: a clock set ahead by 2 s made a daemon that
-// stayed in the group all along call itself not ready. A time that keeps its reading of
-// the steady clock differs from itself without it. Times of a bubble of synctest have none.
-func TestTheLastContactIsOfTheSteadyClock(t *testing.T) {
+// stayed in the group all along call itself not ready. By the steady clock, one that had
+// been suspended for a minute called itself ready.
+func TestASuspendedMemberHasHeardNothing(t *testing.T) {
 	is := is.New(t)
+	clock := clocktest.New()
 	member := New(journaltest.New(), "a/1", topics, zap.NewNop())
-	is.True(time.Since(member.LastContact()) > 24*time.Hour) // there was none
+	member.SetClock(clock.Now)
+	is.True(member.Silence() > 24*time.Hour) // there was none
 	member.join(t.Context())
-	last := member.LastContact()
-	is.True(time.Since(last) < 24*time.Hour)
-	is.True(last != last.Round(0)) // without a steady clock's reading
+	is.True(member.Silence() < time.Minute)
+	clock.Suspend(time.Hour)
+	is.True(member.Silence() >= time.Hour)
 }
--- a/internal/ingress/batches.go
+++ b/internal/ingress/batches.go
@@ -75,7 +75,7 @@
 
 // serveResults answers with results from a position on.
 func (asked *request) serveResults(call BatchCall) {
-	wait := max(call.Wait-time.Since(asked.arrived), 0)
+	wait := max(call.Wait-asked.held(), 0)
 	page, err := asked.handler.Results.Results(asked.request.Context(), results.Query{BatchID: call.BatchID, Tenant: asked.tenantName(), After: call.After, Wait: wait})
 	if err != nil {
 		asked.refuse(err.Error(), storeRetryAfter)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/forward"
 	"woodworks/internal/headers"
 	"woodworks/internal/results"
@@ -78,6 +79,8 @@
 	// ConfigurationAge is how long ago it was last confirmed that the configuration is
 	// the newest.
 	ConfigurationAge func() time.Duration
+	// Clock is the clock by which clients wait, nil for that of the machine.
+	Clock bootclock.Clock
 	// Retries, if not nil, bounds offers to further replicas.
 	Retries Retries
 	// Stop, if not nil, is the planned stop of the daemon.
@@ -108,7 +111,7 @@
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	handler.inFlight.Add(1)
 	defer handler.inFlight.Add(-1)
-	asked := &request{handler: handler, writer: writer, request: incoming, arrived: time.Now(), id: incoming.Header.Get(handler.Names.RequestID)}
+	asked := &request{handler: handler, writer: writer, request: incoming, arrived: handler.now(), id: incoming.Header.Get(handler.Names.RequestID)}
 	asked.logger = handler.Logger.With(zap.String("request", asked.id))
 	configuration := handler.Configuration()
 	if configuration == nil {
@@ -195,6 +198,17 @@
 	}
 }
 
+// now reads the clock by which clients wait.
+func (handler *Handler) now() time.Time {
+	if handler.Clock == nil {
+		return bootclock.Now()
+	}
+	return handler.Clock()
+}
+
+// held is how long ago the request came.
+func (asked *request) held() time.Duration { return asked.handler.now().Sub(asked.arrived) }
+
 // timeLeft is how long the request may still be held.
 func (asked *request) timeLeft() time.Duration {
 	left := defaultTimeout
@@ -206,7 +220,7 @@
 	if asked.route != nil && asked.route.Kind != route.Batch && asked.route.Timeout > 0 {
 		left = min(left, asked.route.Timeout)
 	}
-	return left - time.Since(asked.arrived) - answerMargin
+	return left - asked.held() - answerMargin
 }
 
 func (asked *request) bounded() (context.Context, context.CancelFunc) {
@@ -223,7 +237,7 @@
 		Header: asked.headerOnward(configuration), Body: body, Caller: asked.tenantName(), Services: asked.route.Order(asked.id),
 		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable, HedgeAfter: asked.route.HedgeAfter,
 	}
-	call.Ran = asked.ran
+	call.Left, call.Ran = asked.timeLeft, asked.ran
 	if retries := asked.handler.Retries; retries != nil {
 		retries.Began(asked.route)
 		call.MayRetry = func(offers int) bool { return retries.May(asked.route, offers) }
@@ -340,7 +354,7 @@
 	if asked.route != nil {
 		name = asked.route.Name
 	}
-	took := time.Since(asked.arrived)
+	took := asked.held()
 	asked.handler.Observer.Request(name, strconv.Itoa(status), outcome, took)
 	asked.logger.Info("request", zap.String("route", name), zap.String("tenant", asked.tenantName()), zap.Int("status", status), zap.String("outcome", outcome),
 		zap.String("reason", reason), zap.String("replica", asked.replica), zap.Int("attempts", asked.attempts), zap.Duration("took", took))
--- a/internal/ingress/refuse_test.go
+++ b/internal/ingress/refuse_test.go
@@ -18,7 +18,6 @@
 	"woodworks/internal/forward"
 	"woodworks/internal/route"
 	"woodworks/internal/runner"
-	"woodworks/internal/shutdown"
 )
 
 // secondsOf is the Retry-After of an answer.
@@ -70,7 +69,7 @@
 	for name, one := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			asked, recorder := askedOf(t.Context(), shutdown.New(), route.Batch, time.Minute)
+			asked, recorder := askedOf(t.Context(), newStop(), route.Batch, time.Minute)
 			asked.notKept(one.err)
 			is.Equal(recorder.Code, one.status)
 			if one.status == http.StatusServiceUnavailable {
@@ -86,7 +85,7 @@
 	configuration, err := route.New(route.Declared{Version: 1, Routes: []route.Route{{
 		Name: "r", Host: "h", PathPrefix: "/x/", Kind: route.Safe, Timeout: 100 * time.Millisecond, Shares: []route.Share{{Service: "s", Weight: 1}}}}})
 	is.NoErr(err)
-	server := httptest.NewServer(&Handler{Codec: plainCodec{}, Observer: noObserver{}, Logger: zap.NewNop(), Configuration: func() *route.Configuration { return configuration }})
+	server := httptest.NewServer(&Handler{Clock: time.Now, Codec: plainCodec{}, Observer: noObserver{}, Logger: zap.NewNop(), Configuration: func() *route.Configuration { return configuration }})
 	defer server.Close()
 	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
 	is.NoErr(err)
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -19,7 +19,7 @@
 	if asked.handler.Stop == nil {
 		return true
 	}
-	left, bounded := asked.handler.Stop.Left(time.Now())
+	left, bounded := asked.handler.Stop.Left()
 	needed := asked.timeNeeded()
 	if !bounded || needed <= left {
 		return true
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -20,7 +20,7 @@
 // answer goes.
 func askedOf(ctx context.Context, stop *shutdown.Stop, kind route.Kind, timeout time.Duration) (*request, *httptest.ResponseRecorder) {
 	recorder := httptest.NewRecorder()
-	handler := &Handler{Codec: plainCodec{}, Observer: noObserver{}, Stop: stop}
+	handler := &Handler{Clock: time.Now, Codec: plainCodec{}, Observer: noObserver{}, Stop: stop}
 	return &request{
 		handler: handler, writer: recorder, request: httptest.NewRequest(http.MethodPost, "/x", nil).WithContext(ctx),
 		arrived: time.Now(), logger: zap.NewNop(), route: &route.Route{Kind: kind, Timeout: timeout},
@@ -51,7 +51,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				stop := shutdown.New()
+				stop := newStop()
 				if each.after >= 0 {
 					stop.Begin(grace)
 					time.Sleep(each.after)
@@ -72,7 +72,7 @@
 // client has left is not.
 func TestAnInterruptedRequestIsAnsweredWithWhatIsCertain(t *testing.T) {
 	answered := func(failure *forward.Failure) int {
-		stop := shutdown.New()
+		stop := newStop()
 		ctx, release := stop.Bound(t.Context())
 		defer release()
 		stop.Interrupt()
@@ -86,7 +86,7 @@
 	is.Equal(answered(&forward.Failure{Certainty: forward.MayHaveRun}), http.StatusBadGateway)
 	left, leave := context.WithCancel(t.Context())
 	leave()
-	asked, _ := askedOf(left, shutdown.New(), route.Unsafe, time.Minute)
+	asked, _ := askedOf(left, newStop(), route.Unsafe, time.Minute)
 	defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
 	asked.explain(&forward.Failure{Certainty: forward.NotRun})
 }
@@ -95,13 +95,13 @@
 func TestTheHandlerTurnsLateRequestsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		stop := shutdown.New()
+		stop := newStop()
 		stop.Begin(8 * time.Second)
 		time.Sleep(4 * time.Second)
 		configuration, err := route.New(route.Declared{Version: 1, Routes: []route.Route{{
 			Name: "r", Host: "example.com", PathPrefix: "/x/", Kind: route.Stream, Timeout: time.Minute, Shares: []route.Share{{Service: "s", Weight: 1}}}}})
 		is.NoErr(err)
-		handler := &Handler{Codec: plainCodec{}, Observer: noObserver{}, Logger: zap.NewNop(), Stop: stop, Configuration: func() *route.Configuration { return configuration }}
+		handler := &Handler{Clock: time.Now, Codec: plainCodec{}, Observer: noObserver{}, Logger: zap.NewNop(), Stop: stop, Configuration: func() *route.Configuration { return configuration }}
 		recorder, late := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x/1", nil)
 		handler.ServeHTTP(recorder, late)
 		is.Equal(recorder.Code, http.StatusServiceUnavailable)
@@ -112,7 +112,7 @@
 // not look complete.
 func TestAnInterruptedStreamIsAnsweredIfItHasNotBegun(t *testing.T) {
 	interrupted := func(ran int, began bool) (status int, panicked any) {
-		stop := shutdown.New()
+		stop := newStop()
 		ctx, release := stop.Bound(t.Context())
 		defer release()
 		stop.Interrupt()
@@ -132,3 +132,10 @@
 	_, panicked = interrupted(1, true)
 	is.Equal(panicked, http.ErrAbortHandler)
 }
+
+// newStop is a stop that has not begun, by the clock of the test.
+func newStop() *shutdown.Stop {
+	stop := shutdown.New()
+	stop.SetClock(time.Now)
+	return stop
+}
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -125,7 +125,7 @@
 	forwarder.Table.Started(chosen.ID)
 	defer forwarder.Table.Ended(chosen.ID)
 	relaying.asking.Deadline = relaying.timeLeft() + answerMargin
-	sentAt := time.Now()
+	sentAt := relaying.handler.now()
 	stream, err := forwarder.OpenStream(ctx, relaying.asking, chosen)
 	var quarantined *forward.QuarantinedError
 	if errors.As(err, &quarantined) {
--- /dev/null
+++ b/internal/ingress/suspend_test.go
@@ -0,0 +1,80 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/bootclock/clocktest"
+	"woodworks/internal/forward"
+	"woodworks/internal/headers"
+	"woodworks/internal/quarantine"
+	"woodworks/internal/replica"
+	"woodworks/internal/route"
+	"woodworks/internal/upstream"
+)
+
+// suspending is a body during which the machine is suspended.
+type suspending struct {
+	io.Reader
+	clock *clocktest.Clock
+	sleep time.Duration
+}
+
+func (s *suspending) Read(buffer []byte) (int, error) {
+	s.clock.Suspend(s.sleep)
+	s.sleep = 0
+	return s.Reader.Read(buffer)
+}
+
+// A machine is suspended while it reads a request. The client's time has passed meanwhile:
+// by a clock that stands still the request was sent on with all of it, and a replica worked
+// for a client that had long left. It is refused, as it has not run.
+func TestARequestWhoseTimeWasSleptAwayIsNotSent(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		sleep        time.Duration
+		status       int
+		mostDeadline time.Duration
+	}{
+		{"awake", 0, http.StatusOK, 2 * time.Second},
+		{"some time left", time.Second, http.StatusOK, time.Second},
+		{"none left", 3 * time.Second, http.StatusServiceUnavailable, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			told := ""
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				told = r.Header.Get("Deadline")
+				w.Header().Set("Signature", "s")
+			}))
+			t.Cleanup(server.Close)
+			table := replica.NewTable(time.Second, zap.NewNop())
+			table.Set(replica.Entry{ID: "a", Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 1})
+			clock := clocktest.New()
+			names := headers.Names{RequestID: "Id", ExpectReplica: "Expect-Replica", NotExecuted: "Not-Executed", DeadlineMs: "Deadline", Stamp: "Signature"}
+			configuration, err := route.New(route.Declared{Version: 1, Routes: []route.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: route.Unsafe,
+				Shares: []route.Share{{Service: "s", Weight: 1}}}}})
+			is.NoErr(err)
+			handler := &Handler{Clock: clock.Now, Names: names, Codec: plainCodec{}, Observer: noObserver{}, Logger: zap.NewNop(),
+				Configuration: func() *route.Configuration { return configuration },
+				Forwarder: &forward.Forwarder{Pool: upstream.NewPool(upstream.Options{ConnectTimeout: time.Second}), Table: table, Names: names, Clock: clock.Now,
+					Quarantine: quarantine.New("m", clock.Now, zap.NewNop()), Logger: zap.NewNop(), Observe: func(string, string, time.Duration) {}}}
+			asked := httptest.NewRequest(http.MethodPost, "/x", &suspending{strings.NewReader("body"), clock, c.sleep})
+			asked.Host = "h"
+			asked.Header.Set("Deadline", "2000")
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, asked)
+			is.Equal(recorder.Code, c.status)
+			deadline, _ := time.ParseDuration(told + "ms")
+			is.True(deadline <= c.mostDeadline)
+			is.Equal(told != "", c.status == http.StatusOK)
+		})
+	}
+}
--- a/internal/journal/contact.go
+++ b/internal/journal/contact.go
@@ -1,27 +1,40 @@
 package journal
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
+
+	"woodworks/internal/bootclock"
 )
 
-// Contact is when something last answered, the zero time before it ever did. It is safe
-// for concurrent use.
+// neverHeard is the silence of what has never answered.
+const neverHeard = time.Duration(math.MaxInt64)
+
+// Contact is when something last answered. It is safe for concurrent use.
 //
-// It keeps a time.Time, not a number: only that has the steady clock's reading, by which
-// the time since is right although the time of day was set meanwhile.
-type Contact struct{ last atomic.Pointer[time.Time] }
+// It goes by a clock that the time of day doesn't move and that a suspended machine's
+// sleep does: after one, nothing is known to be as it was.
+type Contact struct {
+	now  bootclock.Clock
+	last atomic.Pointer[time.Time]
+}
+
+// NewContact returns a contact before the first answer.
+func NewContact(now bootclock.Clock) *Contact { return &Contact{now: now} }
 
 // Note notes an answer.
 func (c *Contact) Note() {
-	now := time.Now()
+	now := c.now()
 	c.last.Store(&now)
 }
 
-// Last returns when it was.
-func (c *Contact) Last() time.Time {
-	if last := c.last.Load(); last != nil {
-		return *last
+// Silence returns how long ago the last answer was, longer than any bound if there was
+// none.
+func (c *Contact) Silence() time.Duration {
+	last := c.last.Load()
+	if last == nil {
+		return neverHeard
 	}
-	return time.Time{}
+	return c.now().Sub(*last)
 }
--- a/internal/journal/follow.go
+++ b/internal/journal/follow.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/periodic"
 )
 
@@ -48,7 +49,7 @@
 	mostPace time.Duration
 
 	synced      atomic.Bool
-	lastContact Contact
+	lastContact *Contact
 	outage      outage
 }
 
@@ -65,7 +66,7 @@
 // NewKeyedFollower returns a follower; Run starts it. ContactBound is the time
 // within which the handler must be up to date after an outage.
 func NewKeyedFollower(log Journal, partition Partition, handler KeyedHandler, contactBound time.Duration, logger *zap.Logger) *KeyedFollower {
-	return &KeyedFollower{journal: log, partition: partition, handler: handler, pace: unpaced,
+	return &KeyedFollower{journal: log, partition: partition, handler: handler, pace: unpaced, lastContact: NewContact(bootclock.Now),
 		mostPace: time.Duration(mostPaceShare * float64(contactBound)),
 		wait:     time.Duration(waitShare * float64(contactBound)), slack: time.Duration(slackShare * float64(contactBound)), logger: logger.With(zap.String("topic", partition.Topic))}
 }
@@ -77,10 +78,11 @@
 // Synced reports whether a full read has ever succeeded.
 func (follower *KeyedFollower) Synced() bool { return follower.synced.Load() }
 
-// LastContact is when the last read was answered.
-func (follower *KeyedFollower) LastContact() time.Time {
-	return follower.lastContact.Last()
-}
+// SetClock sets the clock by which Silence goes. It is called before Run.
+func (follower *KeyedFollower) SetClock(now bootclock.Clock) { follower.lastContact = NewContact(now) }
+
+// Silence is how long ago the last read was answered.
+func (follower *KeyedFollower) Silence() time.Duration { return follower.lastContact.Silence() }
 
 // Run follows the partition until the context ends.
 func (follower *KeyedFollower) Run(ctx context.Context) {
--- a/internal/lease/act.go
+++ b/internal/lease/act.go
@@ -16,22 +16,18 @@
 
 // Held lets its holder act.
 type Held interface {
-	// Fence returns the fence under which this daemon may act now, and until when.
-	Fence() (fence int64, until time.Time, may bool)
+	// Fence returns the fence under which this daemon may act now, and for how long.
+	Fence() (fence int64, left time.Duration, may bool)
 }
 
 // Act makes one call in the name of a lease: it ends within the timeout, and well before
 // the lease does. It returns ErrNotHeld without a call if the lease does not allow one.
 func Act(ctx context.Context, held Held, timeout time.Duration, call func(ctx context.Context, fence int64) error) error {
-	fence, until, may := held.Fence()
-	if !may || time.Until(until) < actMargin {
+	fence, left, may := held.Fence()
+	if !may || left < actMargin {
 		return ErrNotHeld
 	}
-	latest := until.Add(-actMargin / 2)
-	if soon := time.Now().Add(timeout); soon.Before(latest) {
-		latest = soon
-	}
-	bounded, cancel := context.WithDeadline(ctx, latest)
+	bounded, cancel := context.WithTimeout(ctx, min(timeout, left-actMargin/2))
 	defer cancel()
 	return call(bounded, fence)
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,11 +1,12 @@
 // Package lease elects one holder for a duty by claims in a journal partition.
 //
 // A claim's offset is its fence: it is unique and only rises. A holder acts
-// only until its lease is over by its own steady clock, counted from when it
-// sent its last acknowledged renewal. A successor acts only once that time and
+// only until its lease is over by its own clock, counted from when it sent its
+// last acknowledged renewal. A successor acts only once that time and
 // the quiet time must be over, counted from when it read the last record. It
 // claims the lease just before that: until then the holder may come back.
-// Neither relies on the time of day.
+// Neither relies on the time of day. The clock counts the time in which the machine
+// is suspended: to a holder that slept, a lease that others saw run out would look valid.
 package lease
 
 import (
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/journal"
 	"woodworks/internal/periodic"
 )
@@ -66,6 +68,7 @@
 	// quiet is how long after another holder's last possible act this daemon
 	// must wait before its first.
 	quiet  time.Duration
+	now    bootclock.Clock
 	logger *zap.Logger
 
 	mutex sync.Mutex
@@ -89,9 +92,12 @@
 // New returns a lease on the partition. Holder names this run of the daemon,
 // machine the machine it runs on.
 func New(log journal.Journal, partition journal.Partition, holder, machine string, quiet time.Duration, logger *zap.Logger) *Lease {
-	return &Lease{journal: log, partition: partition, holder: holder, machine: machine, quiet: quiet, logger: logger, reclaiming: true}
+	return &Lease{journal: log, partition: partition, holder: holder, machine: machine, quiet: quiet, now: bootclock.Now, logger: logger, reclaiming: true}
 }
 
+// SetClock sets the clock by which the lease runs out. It is called before Run.
+func (lease *Lease) SetClock(now bootclock.Clock) { lease.now = now }
+
 // SetCandidate says whether this daemon should claim the lease when it is free.
 func (lease *Lease) SetCandidate(candidate bool) {
 	lease.mutex.Lock()
@@ -99,15 +105,15 @@
 	lease.candidate = candidate
 }
 
-// Fence returns the fence under which this daemon may act now, and until when.
-func (lease *Lease) Fence() (fence int64, until time.Time, may bool) {
+// Fence returns the fence under which this daemon may act now, and for how long.
+func (lease *Lease) Fence() (fence int64, left time.Duration, may bool) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	now := time.Now()
+	now := lease.now()
 	if !lease.held || now.Before(lease.actFrom) || !now.Before(lease.actUntil) {
-		return 0, time.Time{}, false
+		return 0, 0, false
 	}
-	return lease.fence, lease.actUntil, true
+	return lease.fence, lease.actUntil.Sub(now), true
 }
 
 // Held reports whether this daemon holds the lease, even if it may not act yet.
@@ -164,7 +170,7 @@
 func (lease *Lease) Withdraw(ctx context.Context) {
 	lease.mutex.Lock()
 	lease.resigning, lease.candidate = true, false
-	idle := lease.held && time.Now().Before(lease.actFrom)
+	idle := lease.held && lease.now().Before(lease.actFrom)
 	lease.mutex.Unlock()
 	if idle {
 		lease.Resign(ctx)
@@ -202,7 +208,7 @@
 
 func (lease *Lease) append(ctx context.Context, kind claimKind, end int64) (journal.Appended, error) {
 	lease.mutex.Lock()
-	active := !time.Now().Before(lease.actFrom)
+	active := !lease.now().Before(lease.actFrom)
 	lease.mutex.Unlock()
 	encoded, err := cbor.Marshal(entry{Kind: kind, Holder: lease.holder, Machine: lease.machine, Active: active})
 	if err != nil {
@@ -218,7 +224,7 @@
 	lease.mutex.Lock()
 	end := lease.next
 	lease.mutex.Unlock()
-	sent := time.Now()
+	sent := lease.now()
 	appended, err := lease.append(ctx, renewed, end)
 	if err == nil {
 		lease.mutex.Lock()
@@ -248,7 +254,7 @@
 	defer lease.mutex.Unlock()
 	for _, record := range records {
 		lease.next++
-		lease.last, lease.lastAt, lease.any = record, time.Now(), true
+		lease.last, lease.lastAt, lease.any = record, lease.now(), true
 		if record.Holder != lease.holder && lease.held {
 			lease.held = false
 			lease.logger.Info("lease lost", zap.Int64("fence", lease.fence), zap.String("to", record.Holder))
@@ -286,10 +292,10 @@
 	from, seen := lease.next, lease.any
 	wait := time.Duration(0)
 	if seen {
-		wait = min(max(time.Until(lease.freeAt()), 0), longestWait)
+		wait = min(max(lease.freeAt().Sub(lease.now()), 0), longestWait)
 	}
 	lease.mutex.Unlock()
-	asked := time.Now()
+	asked := lease.now()
 	records, err := lease.read(ctx, from, wait)
 	if err != nil {
 		lease.lostContact()
@@ -302,7 +308,7 @@
 		if len(records) > 0 {
 			lease.last = records[len(records)-1]
 		}
-		lease.lastAt, lease.any = time.Now(), true
+		lease.lastAt, lease.any = lease.now(), true
 		lease.mutex.Unlock()
 		return
 	}
@@ -320,7 +326,7 @@
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	if lease.any {
-		lease.lastAt = time.Now()
+		lease.lastAt = lease.now()
 	}
 }
 
@@ -345,14 +351,14 @@
 	actFrom := lease.lastAt.Add(Duration + margin + lease.quiet)
 	switch {
 	case end == 0 || lease.last.Machine == lease.machine && lease.last.Active:
-		actFrom = time.Now()
+		actFrom = lease.now()
 	case lease.last.Kind == resigned && lease.last.Machine != lease.machine:
 		actFrom = lease.lastAt.Add(lease.quiet + margin)
 	}
 	lease.actFrom = actFrom
 	before := lease.last.Holder
 	lease.mutex.Unlock()
-	sent := time.Now()
+	sent := lease.now()
 	appended, err := lease.append(ctx, claimed, end)
 	if err != nil {
 		periodic.Pause(ctx, retryPause)
@@ -361,7 +367,7 @@
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	lease.held, lease.fence, lease.next = true, appended.Offset+1, appended.End
-	lease.last, lease.lastAt = entry{Kind: claimed, Holder: lease.holder, Machine: lease.machine}, time.Now()
+	lease.last, lease.lastAt = entry{Kind: claimed, Holder: lease.holder, Machine: lease.machine}, lease.now()
 	lease.actUntil = sent.Add(Duration)
-	lease.logger.Info("lease claimed", zap.Int64("fence", lease.fence), zap.String("from", before), zap.Duration("act_in", time.Until(actFrom)))
+	lease.logger.Info("lease claimed", zap.Int64("fence", lease.fence), zap.String("from", before), zap.Duration("act_in", actFrom.Sub(lease.now())))
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
+	"woodworks/internal/bootclock/clocktest"
 	"woodworks/internal/journal"
 	"woodworks/internal/journal/journaltest"
 	"woodworks/internal/testseed"
@@ -72,6 +73,7 @@
 // run is one run of a daemon that acts whenever it may.
 type run struct {
 	lease *Lease
+	clock *clocktest.Clock
 	stop  context.CancelFunc
 	done  sync.WaitGroup
 }
@@ -84,7 +86,8 @@
 // becomes a candidate while it runs begins to watch up to renewEvery later.
 func startAs(ctx context.Context, log journal.Journal, machine string, number int, acts *history, candidate bool) *run {
 	bounded, cancel := context.WithCancel(ctx)
-	started := &run{lease: New(log, duty, fmt.Sprintf("%s/%d", machine, number), machine, quiet, zap.NewNop()), stop: cancel}
+	started := &run{lease: New(log, duty, fmt.Sprintf("%s/%d", machine, number), machine, quiet, zap.NewNop()), stop: cancel, clock: clocktest.New()}
+	started.lease.SetClock(started.clock.Now)
 	started.lease.SetCandidate(candidate)
 	started.done.Add(2)
 	go func() {
--- /dev/null
+++ b/internal/lease/suspend_test.go
@@ -0,0 +1,80 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+)
+
+// write appends a record of another machine.
+func write(t *testing.T, log journal.Journal, kind claimKind) {
+	t.Helper()
+	encoded, err := cbor.Marshal(entry{Kind: kind, Holder: "other/1", Machine: "other", Active: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(t.Context(), journal.Append{Partition: duty, Records: [][]byte{encoded}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// count is how many acts there were.
+func (h *history) count() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.acts)
+}
+
+// A holder's machine is suspended for longer than its lease. Others have waited for its
+// end, claimed it and acted. By a clock that stands still meanwhile the lease looked valid
+// for another second to the one that woke, and two gave orders at a time.
+func TestAHolderThatWasSuspendedActsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log, acts := journaltest.New(), &history{}
+		holder := startAs(ctx, log, "a", 1, acts, true)
+		time.Sleep(2 * time.Second)
+		is.True(mayAct(holder))
+		acted := acts.count()
+		write(t, log, claimed)
+		holder.clock.Suspend(Duration + margin + quiet)
+		is.True(!mayAct(holder))
+		err := Act(ctx, holder.lease, time.Second, func(context.Context, int64) error { return nil })
+		is.True(errors.Is(err, ErrNotHeld))
+		time.Sleep(Duration)
+		is.True(!holder.lease.Held())
+		is.True(acts.count() <= acted+1) // the act that was due as the machine fell asleep
+		holder.kill()
+	})
+}
+
+// A candidate that was suspended takes the last record that it read for old. The holder has
+// renewed its lease all along: the candidate reads on before it claims.
+func TestACandidateThatWasSuspendedReadsOnFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log, acts := journaltest.New(), &history{}
+		write(t, log, claimed)
+		candidate := startAs(ctx, log, "a", 1, acts, true)
+		for range 20 {
+			time.Sleep(renewEvery)
+			write(t, log, renewed)
+			candidate.clock.Suspend(Duration + margin + quiet)
+		}
+		is.Equal(acts.count(), 0)
+		is.True(!candidate.lease.Held())
+		candidate.kill()
+	})
+}
--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/backoff"
+	"woodworks/internal/bootclock"
 	"woodworks/internal/demand"
 	"woodworks/internal/engine"
 	"woodworks/internal/lease"
@@ -300,7 +301,7 @@
 		return err
 	}
 	ordered := time.Now()
-	waits := stopwatch{}
+	waits := stopwatch{now: bootclock.Now}
 	waits.pause(bounded, syncer.expectedTime())
 	for bounded.Err() == nil {
 		report, err = syncer.report(bounded, each)
--- a/internal/modelsync/stopwatch.go
+++ b/internal/modelsync/stopwatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/periodic"
 )
 
@@ -14,12 +15,16 @@
 // stopwatch notes whether the process stood still in one of its waits. What was timed
 // meanwhile says nothing of others: a holder that was frozen for four seconds under seven
 // changes took all of them for slowed, and changed weights two at a time from then on.
-type stopwatch struct{ stalled bool }
+type stopwatch struct {
+	// now also counts the time in which the machine is suspended.
+	now     bootclock.Clock
+	stalled bool
+}
 
 func (s *stopwatch) pause(ctx context.Context, wait time.Duration) {
-	began := time.Now()
+	began := s.now()
 	periodic.Pause(ctx, wait)
-	s.note(wait, time.Since(began))
+	s.note(wait, s.now().Sub(began))
 }
 
 // note takes a wait into account.
--- a/internal/modelsync/width_test.go
+++ b/internal/modelsync/width_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
 	"pgregory.net/rapid"
+	"woodworks/internal/bootclock/clocktest"
 )
 
 var testStart = time.Unix(1_800_000_000, 0)
@@ -108,3 +111,17 @@
 		is.Equal(watch.stalled, stalled)
 	}
 }
+
+// A machine that was suspended in a wait stood still as well, though no timer saw it.
+func TestASuspensionIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := clocktest.New()
+		watch := stopwatch{now: clock.Now}
+		watch.pause(t.Context(), pollPause)
+		is.True(!watch.stalled)
+		time.AfterFunc(pollPause/2, func() { clock.Suspend(4 * time.Second) })
+		watch.pause(t.Context(), pollPause)
+		is.True(watch.stalled)
+	})
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/duty"
 	"woodworks/internal/fleet"
 	"woodworks/internal/journal"
@@ -35,7 +36,7 @@
 	if !drivers.Duties.Duties().Usage || windows.Length <= 0 {
 		return
 	}
-	clock := wallclock.New()
+	clock := wallclock.New(bootclock.Now)
 	pace := journal.SharedWritePace(drivers.Journal, usageWriteShare, node.daemons)
 	node.usage = usage.NewRecorder(drivers.Journal, node.identity, windows, pace, clock, node.logger)
 	node.handler.Ran = node.usage.Ran
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,7 +245,7 @@
 // configurationAge is how long ago it was last confirmed that the configuration is the
 // newest.
 func (node *Node) configurationAge() time.Duration {
-	return time.Since(node.operatorFollower.LastContact())
+	return node.operatorFollower.Silence()
 }
 
 func (node *Node) registerMetrics() {
@@ -258,7 +258,7 @@
 		}
 		return 0
 	})
-	node.metrics.Gauge("journal_silence_seconds", "Time since the journal last answered.", func() float64 { return time.Since(node.lastContact()).Seconds() })
+	node.metrics.Gauge("journal_silence_seconds", "Time since the journal last answered.", func() float64 { return node.silence().Seconds() })
 	node.metrics.Counter("items_started_total", "Attempts at items sent to replicas.", func() float64 { return float64(node.runner.Started()) })
 	node.metrics.Counter("engine_orders_total", "Orders given to engines.", func() float64 { return float64(node.syncer.Orders()) })
 	if node.relay != nil {
@@ -322,9 +322,9 @@
 	periodic.Every(ctx, sweepInterval, func(context.Context) {
 		now := time.Now()
 		node.closeExpired(now)
-		node.pool.Sweep(now)
+		node.pool.Sweep()
 		node.ledger.Sweep(now)
-		node.table.Sweep(now)
+		node.table.Sweep()
 		node.quarantine.table.Sweep(node.listed)
 		node.lease.SetCandidate(isCandidate(node.member.Partitions(), node.partitions))
 	})
@@ -362,14 +362,9 @@
 	return node.relay.Daemons()
 }
 
-func (node *Node) lastContact() time.Time {
-	last := node.member.LastContact()
-	for _, follower := range []*journal.KeyedFollower{node.operatorFollower, node.replicaFollower} {
-		if contact := follower.LastContact(); contact.After(last) {
-			last = contact
-		}
-	}
-	return last
+// silence is how long ago the journal last answered.
+func (node *Node) silence() time.Duration {
+	return min(node.member.Silence(), node.operatorFollower.Silence(), node.replicaFollower.Silence())
 }
 
 // ready reports whether clients should come here, and why not.
@@ -384,7 +379,7 @@
 		return false, "no configuration is known"
 	case !node.replicaFollower.Synced():
 		return false, "the list of replicas has not been read"
-	case time.Since(node.lastContact()) > contactLimit:
+	case node.silence() > contactLimit:
 		return false, "the journal is silent"
 	}
 	return true, ""
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"woodworks/internal/bootclock"
 )
 
 // Entry is one replica as the platform lists it.
@@ -96,6 +98,8 @@
 	// removedGrace is how long a replica that left the list may still get work
 	// if its service has no other.
 	removedGrace time.Duration
+	// now is the clock by which that grace ends.
+	now bootclock.Clock
 
 	mutex   sync.Mutex
 	entries map[string]*listed
@@ -108,9 +112,13 @@
 // NewTable returns an empty table. DrainBound is how long after a replica has
 // left the list new work may still reach it.
 func NewTable(drainBound time.Duration, logger *zap.Logger) *Table {
-	return &Table{logger: logger, removedGrace: drainBound / 2, entries: map[string]*listed{}, services: map[string]map[string]*listed{}, learned: map[string]*experience{}, changed: make(chan struct{})}
+	return &Table{logger: logger, removedGrace: drainBound / 2, now: bootclock.Now, entries: map[string]*listed{}, services: map[string]map[string]*listed{}, learned: map[string]*experience{}, changed: make(chan struct{})}
 }
 
+// SetClock sets the clock by which replicas count as just removed. It is called before
+// any other method.
+func (table *Table) SetClock(now bootclock.Clock) { table.now = now }
+
 // Replace sets the whole list.
 func (table *Table) Replace(entries []Entry) {
 	table.mutex.Lock()
@@ -182,7 +190,7 @@
 	}
 	delete(table.entries, id)
 	delete(table.services[before.Service], id)
-	before.learned.goneAt, before.learned.last = time.Now(), before.Entry
+	before.learned.goneAt, before.learned.last = table.now(), before.Entry
 	return append(changes, change{before: &before.Entry})
 }
 
@@ -242,13 +250,13 @@
 // is held.
 func (table *Table) justRemoved(service string) []Replica {
 	var found []Replica
-	now := time.Now()
+	now, awake := table.now(), time.Now()
 	for _, learned := range table.learned {
 		if learned.goneAt.IsZero() || now.Sub(learned.goneAt) > table.removedGrace {
 			continue
 		}
 		if learned.last.Service == service && !learned.last.Draining {
-			found = append(found, (&listed{Entry: learned.last, learned: learned}).view(now))
+			found = append(found, (&listed{Entry: learned.last, learned: learned}).view(awake))
 		}
 	}
 	return found
@@ -394,9 +402,10 @@
 }
 
 // Sweep forgets replicas that have long left the list.
-func (table *Table) Sweep(now time.Time) {
+func (table *Table) Sweep() {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	now := table.now()
 	for id, learned := range table.learned {
 		if !learned.goneAt.IsZero() && learned.inFlight == 0 && now.Sub(learned.goneAt) > forgetAfter {
 			delete(table.learned, id)
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 
+	"woodworks/internal/bootclock/clocktest"
 	"woodworks/internal/testseed"
 )
 
@@ -26,7 +27,9 @@
 func TestReplicasThatVanishTogetherGetWorkForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		clock := clocktest.New()
 		table := NewTable(drainBound, zap.NewNop())
+		table.SetClock(clock.Now)
 		table.Replace([]Entry{entry("a"), entry("b")})
 		table.Replace(nil)
 		is.Equal(len(table.Replicas("s")), 2)
@@ -36,6 +39,19 @@
 	})
 }
 
+// The grace of replicas that vanished passes while the machine is suspended: by then their
+// addresses may be others'.
+func TestReplicasThatVanishedGetNothingAfterASuspension(t *testing.T) {
+	is := is.New(t)
+	clock := clocktest.New()
+	table := NewTable(drainBound, zap.NewNop())
+	table.SetClock(clock.Now)
+	table.Replace([]Entry{entry("a"), entry("b")})
+	table.Replace(nil)
+	clock.Suspend(drainBound)
+	is.Equal(len(table.Replicas("s")), 0)
+}
+
 func TestARemovedReplicaGetsNothingWhileOthersAreThere(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(drainBound, zap.NewNop())
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -31,6 +31,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"woodworks/internal/bootclock"
 )
 
 // ErrInterrupted is the cause of a context that the end of a stop has ended.
@@ -97,6 +99,9 @@
 	ending    context.Context
 	interrupt context.CancelCauseFunc
 
+	// now is the clock by which the platform counts the grace.
+	now bootclock.Clock
+
 	mu   sync.Mutex
 	at   time.Time
 	plan Plan
@@ -105,9 +110,12 @@
 // New returns a stop that has not begun.
 func New() *Stop {
 	ending, interrupt := context.WithCancelCause(context.Background())
-	return &Stop{begun: make(chan struct{}), ending: ending, interrupt: interrupt}
+	return &Stop{begun: make(chan struct{}), ending: ending, interrupt: interrupt, now: bootclock.Now}
 }
 
+// SetClock sets the clock by which the stop's time runs. It is called before Begin.
+func (s *Stop) SetClock(now bootclock.Clock) { s.now = now }
+
 // defaultGrace divides a stop that has not begun.
 const defaultGrace = 2 * time.Minute
 
@@ -126,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.at.IsZero() {
-		s.at, s.plan = time.Now(), PlanOf(grace)
+		s.at, s.plan = s.now(), PlanOf(grace)
 		close(s.begun)
 	}
 	return s.plan
@@ -137,13 +145,17 @@
 
 // Left returns how long a request that comes now may take, and false if no stop bounds
 // it.
-func (s *Stop) Left(now time.Time) (time.Duration, bool) {
+func (s *Stop) Left() (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.at.IsZero() || now.Sub(s.at) < s.plan.AsEver {
+	if s.at.IsZero() {
+		return 0, false
+	}
+	since := s.now().Sub(s.at)
+	if since < s.plan.AsEver {
 		return 0, false
 	}
-	return s.plan.Interrupt - now.Sub(s.at), true
+	return s.plan.Interrupt - since, true
 }
 
 // Interrupt ends the contexts of all requests under way and of those to come.
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
 	"pgregory.net/rapid"
+	"woodworks/internal/bootclock/clocktest"
 )
 
 // Whatever the grace, there is time to take requests, time to finish them and time to
@@ -32,24 +34,39 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		stop := New()
-		_, bounded := stop.Left(time.Now())
+		stop.SetClock(time.Now)
+		_, bounded := stop.Left()
 		is.True(!bounded)
 		plan := stop.Begin(8 * time.Second)
 		time.Sleep(plan.AsEver - time.Millisecond)
-		_, bounded = stop.Left(time.Now())
+		_, bounded = stop.Left()
 		is.True(!bounded)
 		time.Sleep(time.Millisecond)
-		left, bounded := stop.Left(time.Now())
+		left, bounded := stop.Left()
 		is.True(bounded)
 		is.Equal(left, plan.Interrupt-plan.AsEver)
 		is.Equal(stop.Begin(time.Second), plan)
 	})
 }
 
+// The platform goes on counting a stop's grace while the machine is suspended.
+func TestAStopsTimePassesInASuspension(t *testing.T) {
+	is := is.New(t)
+	clock := clocktest.New()
+	stop := New()
+	stop.SetClock(clock.Now)
+	plan := stop.Begin(8 * time.Second)
+	clock.Suspend(plan.Interrupt)
+	left, bounded := stop.Left()
+	is.True(bounded)
+	is.True(left <= 0)
+}
+
 // A caller that leaves is told apart from a stop that ends, whichever comes first.
 func TestAnInterruptionIsToldFromACallerThatLeft(t *testing.T) {
 	is := is.New(t)
 	stop := New()
+	stop.SetClock(time.Now)
 	caller, leave := context.WithCancel(context.Background())
 	left, release := stop.Bound(caller)
 	defer release()
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -183,7 +183,7 @@
 	switch {
 	case err == io.EOF:
 		if answer.wholeAt.IsZero() {
-			answer.wholeAt = time.Now()
+			answer.wholeAt = answer.conn.pool.now()
 		}
 	case err != nil:
 		answer.failed = true
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -48,7 +48,7 @@
 	conn, err := pool.dial(bounded, address)
 	switch {
 	case err == nil:
-		pool.put(conn, time.Now().Add(restOf(http.Header{})))
+		pool.put(conn, pool.now().Add(restOf(http.Header{})))
 		return Alive
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Gone
--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -28,7 +28,7 @@
 					_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 2\r\n\r\nok")
 				}
 			}()
-			pool := NewPool(Options{})
+			pool := NewPool(Options{Clock: time.Now})
 			conn := newConnection(pool, "peer", near)
 			answer, err := conn.exchange(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
 			is.NoErr(err)
--- /dev/null
+++ b/internal/upstream/suspend_test.go
@@ -0,0 +1,34 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woodworks/internal/bootclock/clocktest"
+)
+
+// A peer goes on counting how long a connection rests while this machine is suspended. The
+// connection looked as if it might still be used, and a request that can't be repeated
+// was sent on one that the peer was about to close.
+func TestAConnectionRestsWhileTheMachineIsSuspended(t *testing.T) {
+	is := is.New(t)
+	clock := clocktest.New()
+	pool := NewPool(Options{Clock: clock.Now})
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() }) // it is not read any more
+	none, cancel := context.WithCancel(t.Context())
+	cancel() // a connection that is not there is not made
+	pool.put(newConnection(pool, "peer", near), clock.Now().Add(restOf(http.Header{"Keep-Alive": {"timeout=2"}})))
+	clock.Suspend(time.Second)
+	kept, err := pool.take(none, "peer")
+	is.NoErr(err)
+	pool.put(kept, clock.Now().Add(time.Second))
+	clock.Suspend(time.Second)
+	_, err = pool.take(none, "peer")
+	is.True(err != nil)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"woodworks/internal/bootclock"
 	"woodworks/internal/sourceaddr"
 )
 
@@ -65,12 +66,16 @@
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection counts as broken.
 	UnackedTimeout time.Duration
+	// Clock is the clock by which connections rest, nil for that of the machine. A peer
+	// goes on counting while this machine is suspended.
+	Clock bootclock.Clock
 }
 
 // Pool holds idle connections to any number of peers.
 type Pool struct {
 	options Options
 	dialer  *net.Dialer
+	now     bootclock.Clock
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -98,7 +103,11 @@
 
 // NewPool returns an empty pool.
 func NewPool(options Options) *Pool {
-	return &Pool{options: options, dialer: NewDialer(options), idle: map[string][]*connection{}, open: map[string]int{}}
+	now := options.Clock
+	if now == nil {
+		now = bootclock.Now
+	}
+	return &Pool{options: options, dialer: NewDialer(options), now: now, idle: map[string][]*connection{}, open: map[string]int{}}
 }
 
 // Open returns how many connections to a peer are open.
@@ -124,7 +133,8 @@
 }
 
 // Sweep closes connections that have rested as long as they may.
-func (pool *Pool) Sweep(now time.Time) {
+func (pool *Pool) Sweep() {
+	now := pool.now()
 	var expired []*connection
 	pool.mutex.Lock()
 	for address, resting := range pool.idle {
@@ -169,7 +179,7 @@
 		if conn == nil {
 			return pool.dial(ctx, address)
 		}
-		if time.Now().Before(conn.restUntil) && conn.quiet() {
+		if pool.now().Before(conn.restUntil) && conn.quiet() {
 			return conn, nil
 		}
 		conn.close()
--- a/internal/usage/recorder.go
+++ b/internal/usage/recorder.go
@@ -60,7 +60,7 @@
 	if tenant == "" {
 		return
 	}
-	window := windowOf(r.clock.Now().Add(-time.Since(at)), r.windows)
+	window := windowOf(r.clock.Now().Add(-r.clock.Since(at)), r.windows)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	addTo(r.counts, window, map[string]int64{tenant: 1})
--- a/internal/usage/telling_test.go
+++ b/internal/usage/telling_test.go
@@ -22,7 +22,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		core, logs := observer.New(zap.InfoLevel)
-		recorder := NewRecorder(journaltest.New(), "a/1", windows, func() time.Duration { return 0 }, wallclock.New(), zap.New(core))
+		recorder := NewRecorder(journaltest.New(), "a/1", windows, func() time.Duration { return 0 }, wallclock.New(time.Now), zap.New(core))
 		ctx, cancel := context.WithCancel(t.Context())
 		go recorder.Run(ctx)
 		const requests = 40
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -161,8 +161,9 @@
 	bounded, cancel := context.WithCancel(ctx)
 	run := fmt.Sprintf("%s/%d", machine, start)
 	started := &daemon{stop: cancel}
-	clock := wallclock.New()
+	clock := wallclock.New(time.Now)
 	started.lease = lease.New(log, journal.Partition{Topic: "duty"}, run, machine, 3*time.Second, zap.NewNop())
+	started.lease.SetClock(time.Now)
 	started.lease.SetCandidate(true)
 	started.recorder = NewRecorder(log, run, windows, func() time.Duration { return 0 }, clock, zap.NewNop())
 	reporter := NewReporter(read, started.lease, driver, machine, windows, clock, zap.NewNop())
@@ -223,7 +224,7 @@
 func TestARequestCountsWhereItBegan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		recorder := NewRecorder(journaltest.New(), "a/1", windows, func() time.Duration { return 0 }, wallclock.New(), zap.NewNop())
+		recorder := NewRecorder(journaltest.New(), "a/1", windows, func() time.Duration { return 0 }, wallclock.New(time.Now), zap.NewNop())
 		sentAt := time.Now()
 		window := windowOf(sentAt, windows)
 		time.Sleep(windows.Length + time.Second)
--- a/internal/wallclock/wallclock.go
+++ b/internal/wallclock/wallclock.go
@@ -6,13 +6,15 @@
 //
 // # Usage
 //
-//	clock := wallclock.New()
+//	clock := wallclock.New(bootclock.Now)
 //	window := clock.Now().UnixMilli() / length.Milliseconds()
 package wallclock
 
 import (
 	"sync"
 	"time"
+
+	"woodworks/internal/bootclock"
 )
 
 const (
@@ -28,6 +30,8 @@
 	// read returns the reading of a clock that never jumps and the machine's time of
 	// day at the same moment.
 	read func() (steady time.Duration, wall time.Time)
+	// steady is the clock that never jumps.
+	steady bootclock.Clock
 
 	mu sync.Mutex
 	// offset is what is added to the steady reading, as a time of day.
@@ -37,13 +41,14 @@
 	jumpedAt time.Duration
 }
 
-// New returns a clock that starts at the machine's time of day.
-func New() *Clock {
-	began := time.Now()
+// New returns a clock that starts at the machine's time of day. The clock that it is
+// given never jumps, and goes on while the machine is suspended: the time of day does so
+// too, and what it gained meanwhile is no jump.
+func New(steady bootclock.Clock) *Clock {
+	began := steady()
 	return newClock(func() (time.Duration, time.Time) {
-		now := time.Now()
-		return now.Sub(began), now.Round(0)
-	})
+		return steady().Sub(began), time.Now().Round(0)
+	}).on(steady)
 }
 
 func newClock(read func() (time.Duration, time.Time)) *Clock {
@@ -51,6 +56,15 @@
 	return &Clock{read: read, offset: wall.Add(-steady), jumpedAt: -1}
 }
 
+// on sets the clock that never jumps.
+func (c *Clock) on(steady bootclock.Clock) *Clock {
+	c.steady = steady
+	return c
+}
+
+// Since returns how long ago a moment of the clock that never jumps was.
+func (c *Clock) Since(moment time.Time) time.Duration { return c.steady().Sub(moment) }
+
 // Now returns the time of day.
 func (c *Clock) Now() time.Time {
 	c.mu.Lock()
--- a/internal/wallclock/wallclock_test.go
+++ b/internal/wallclock/wallclock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -57,3 +58,20 @@
 		is.Equal(c.Now(), m.wall)
 	}
 }
+
+// The time of day goes on while a machine is suspended. A steady clock that does not made
+// of it a jump, which is followed only after a minute.
+func TestASuspensionIsNoJump(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		// Of a bubble of synctest, whose time is that of the day, the machine has slept half.
+		c := New(time.Now)
+		began := time.Now()
+		time.Sleep(10 * time.Second)
+		is.Equal(c.Now().Sub(began), 10*time.Second)
+		asleep := New(func() time.Time { return began.Add(time.Since(began) / 2) }) // stands still for half of it
+		time.Sleep(10 * time.Second)
+		is.True(time.Until(asleep.Now()) < -jump)
+		is.Equal(c.Since(began), 20*time.Second)
+	})
+}
