--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -40,18 +40,21 @@
 	}
 }
 
-// Await waits for the run that decides on the content, if there is one, and reports
-// whether the content may be asked for again.
+// Await waits a little for the run that decides on the content, if there is one, and
+// reports whether the content may be asked for again.
 func (err *QuarantinedError) Await(ctx context.Context) bool {
 	if err.over == nil {
 		return false
 	}
+	late := time.NewTimer(decisionWait)
+	defer late.Stop()
 	select {
 	case <-err.over:
 		return true
+	case <-late.C:
 	case <-ctx.Done():
-		return false
 	}
+	return false
 }
 
 // admit asks whether a request may be sent to a replica now, for its content's sake. If
@@ -85,6 +88,11 @@
 	return err
 }
 
+// decisionWait is how long a request waits for another run of its content to decide. Most
+// plain requests take a tenth of it; a text may take seconds, and who waits for one is told
+// at once to come back.
+const decisionWait = 300 * time.Millisecond
+
 // suspectPause is when a content should be asked for again that other runs keep waiting:
 // most requests to plain services are over by then.
 const suspectPause = 100 * time.Millisecond
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -370,6 +370,7 @@
 			return replica.Replica{}, nil, false
 		}
 	}
+	run.lastReason = errTimeUp.Error()
 	return replica.Replica{}, nil, false
 }
 
--- a/internal/quarantine/admission.go
+++ b/internal/quarantine/admission.go
@@ -21,11 +21,7 @@
 type Admission interface{ admission() }
 
 // Free lets the content run as any other.
-type Free struct {
-	// Suspected says that a replica has ended under it, and that it has had no answer
-	// since: no second replica should be asked while the first is silent.
-	Suspected bool
-}
+type Free struct{}
 
 // Alone lets the content run at the one replica asked for, once, with no other suspect
 // from here beside it. End must be called when the run is over, after what it showed was
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -24,23 +24,25 @@
 	Label Label `cbor:"6,keyasint" json:"request"`
 }
 
-// Label is what an operator is told of a content.
+// Label is what an operator is told of a content: the beginning of each text, of labelBytes
+// at most.
 type Label struct {
 	Service string `cbor:"1,keyasint" json:"service"`
 	Caller  string `cbor:"2,keyasint" json:"caller,omitempty"`
 	Method  string `cbor:"3,keyasint" json:"method"`
 	Host    string `cbor:"4,keyasint" json:"host"`
-	// Target is the beginning of the path, of labelBytes at most.
-	Target string `cbor:"5,keyasint" json:"target"`
-	Bytes  int    `cbor:"6,keyasint" json:"body_bytes"`
+	Target  string `cbor:"5,keyasint" json:"target"`
+	Bytes   int    `cbor:"6,keyasint" json:"body_bytes"`
 }
 
-// labelBytes bounds the path in a label, as an entry must fit a record.
+// labelBytes bounds each text of a label: callers choose some of them, and an entry must
+// fit a record.
 const labelBytes = 256
 
 func labelOf(content *Content, service string) Label {
-	return Label{Service: service, Caller: content.Caller, Method: content.Method, Host: content.Host,
-		Target: content.Target[:min(len(content.Target), labelBytes)], Bytes: len(content.Body)}
+	head := func(text string) string { return text[:min(len(text), labelBytes)] }
+	return Label{Service: head(service), Caller: head(content.Caller), Method: head(content.Method), Host: head(content.Host),
+		Target: head(content.Target), Bytes: len(content.Body)}
 }
 
 // ends is how often a replica ended under the content.
--- a/internal/quarantine/keep.go
+++ b/internal/quarantine/keep.go
@@ -13,8 +13,9 @@
 
 const (
 	topic = "woodworks.quarantine"
-	// keepInterval is the time between two looks for what the journal does not have.
-	keepInterval = 250 * time.Millisecond
+	// keepInterval is the time between two looks for what the journal does not have. A
+	// refusal that is not there when all machines lose power costs three replicas more.
+	keepInterval = 50 * time.Millisecond
 	// keepInstead is how long a daemon leaves a change to the one that made it to write.
 	keepInstead = 4 * time.Second
 	keepTimeout = time.Second
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -29,7 +29,7 @@
 	// tellFor is how long a neighbour that does not answer is tried. One that is away for
 	// longer learns from the journal what is refused.
 	tellFor = time.Minute
-	// toldAtOnce bounds the entries of one call, of 1 KiB each at most.
+	// toldAtOnce bounds the entries of one call, of 3 KiB each at most.
 	toldAtOnce = 128
 )
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -84,7 +84,7 @@
 	// clearedKept is how long a cleared content is remembered, so that what another daemon
 	// tells late of its earlier epoch changes nothing.
 	clearedKept = 10 * time.Minute
-	// capacity bounds the contents remembered, each of 1 KiB at most with its label. At
+	// capacity bounds the contents remembered, each of 3 KiB at most with its label. At
 	// three ends each, that many mean 12,000 crashes within forgetAfter.
 	capacity = 4096
 )
@@ -164,7 +164,7 @@
 	now := t.now()
 	found.usedAt = now
 	if found.ends() < aloneFrom {
-		return Free{Suspected: true}
+		return Free{}
 	}
 	if refused, is := t.refuse(found, now, others); is {
 		found.turnedAway++
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -30,7 +30,7 @@
 func admission(t *Table, content *Content, replica string, others ...string) string {
 	switch got := t.Admit(content, replica, others).(type) {
 	case Free:
-		if got.Suspected {
+		if t.Suspicion(content) == Suspected {
 			return "suspected"
 		}
 		return "free"
