--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -40,7 +40,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -74,19 +73,6 @@
 	refusedRetryAfter = time.Minute
 	// busyRetryAfter is what a caller is told whose content may soon run alone.
 	busyRetryAfter = time.Second
-	// forgetAfter is how long after its last end a content is remembered. One that still
-	// comes then begins anew, so that a fault which was mended without a word to
-	// the operator of this service is found mended within a day.
-	forgetAfter = 24 * time.Hour
-	// settleWithin is how long a broken connection may turn out to be the end of its
-	// replica: an entry lapses three heartbeats after its process, a few seconds.
-	settleWithin = 8 * time.Second
-	// clearedKept is how long a cleared content is remembered, so that what another daemon
-	// tells late of its earlier epoch changes nothing.
-	clearedKept = 10 * time.Minute
-	// capacity bounds the contents remembered, each of 3 KiB at most with its label. At
-	// three ends each, that many mean 12,000 crashes within forgetAfter.
-	capacity = 4096
 )
 
 // Table is what a daemon knows of contents under which replicas have ended. It is safe
@@ -234,118 +220,6 @@
 	}
 }
 
-// Ended notes that a replica of a service ended while it ran the content.
-func (t *Table) Ended(content *Content, replica, service string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found := t.entry(content.Digest())
-	found.label(content, service)
-	t.ended(found, replica)
-}
-
-// Broke notes that the connection to a replica ended while it ran the content, and that
-// its process may have.
-func (t *Table) Broke(content *Content, replica, service string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found := t.entry(content.Digest())
-	found.label(content, service)
-	t.change(found, func() {
-		if found.broke == nil {
-			found.broke = map[string]time.Time{}
-		}
-		if len(found.broke) < endedKept {
-			found.broke[replica] = t.now()
-		}
-	})
-}
-
-// ended adds a replica to those that ended under a content. The mutex is held.
-func (t *Table) ended(found *known, replica string) {
-	added := false
-	t.change(found, func() {
-		delete(found.broke, replica)
-		added = found.addEnd(replica, t.now())
-		if added && found.refused() && found.Keeper == "" {
-			found.Keeper = t.machine
-		}
-	})
-	if !added {
-		return
-	}
-	found.ownChange = true
-	t.logger.Warn("replica ended under a content", zap.String("content", found.Digest.Short()), zap.String("replica", replica),
-		zap.String("service", found.Label.Service), zap.Strings("ended", found.replicas()), zap.Int("ends", found.ends()), zap.Int64("epoch", found.Epoch), zap.Bool("refused", found.refused()),
-		zap.String("host", found.Label.Host), zap.String("target", found.Label.Target), zap.String("caller", found.Label.Caller))
-	t.tell(found)
-}
-
-// Answered notes that a replica gave the content a whole answer: it does not end what
-// runs it.
-func (t *Table) Answered(content *Content) {
-	if t.Quiet() {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found := t.entries[content.Digest()]
-	switch {
-	case found == nil:
-	case len(found.Ended) > 0:
-		t.clear(found, "answered")
-	case len(found.broke) > 0:
-		t.change(found, func() { found.broke = nil })
-	}
-}
-
-// Lift clears a content for an operator. It reports whether there was something to clear.
-func (t *Table) Lift(digest Digest) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found := t.entries[digest]
-	if found == nil || len(found.Ended) == 0 {
-		return false
-	}
-	t.clear(found, "lifted by an operator")
-	return true
-}
-
-// clear begins a new epoch of a content. The mutex is held.
-func (t *Table) clear(found *known, reason string) {
-	t.logger.Info("content cleared", zap.String("content", found.Digest.Short()), zap.String("reason", reason), zap.Strings("ended", found.replicas()), zap.Int("ends", found.ends()),
-		zap.Int64("epoch", found.Epoch), zap.Bool("refused", found.refused()), zap.Uint64("turned_away", found.turnedAway))
-	t.change(found, func() {
-		found.Entry = Entry{Digest: found.Digest, Epoch: found.Epoch + 1, Label: found.Label}
-		found.broke, found.seenAt, found.turnedAway = nil, nil, 0
-	})
-	found.ownChange = true
-	t.tell(found)
-}
-
-// Merge takes in what another daemon knows of contents. What is news is told on.
-func (t *Table) Merge(entries []Entry, from string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, told := range entries {
-		if found := t.entry(told.Digest); t.merge(found, told, from) {
-			t.tell(found)
-		}
-	}
-}
-
-// merge takes in what is known elsewhere of one content, and reports whether it was news.
-// The mutex is held.
-func (t *Table) merge(found *known, told Entry, from string) bool {
-	news := false
-	t.change(found, func() { news = found.merge(told, t.now()) })
-	if !news {
-		return false
-	}
-	t.logger.Info("content learned of", zap.String("content", found.Digest.Short()), zap.String("from", from), zap.Strings("ended", found.replicas()), zap.Int("ends", found.ends()),
-		zap.Int64("epoch", found.Epoch), zap.Bool("refused", found.refused()), zap.String("keeper", found.Keeper))
-	return true
-}
-
 // entry returns the entry of a content, made if there is none. The mutex is held.
 func (t *Table) entry(digest Digest) *known {
 	found := t.entries[digest]
@@ -375,69 +249,6 @@
 	found.keepAfter = found.usedAt.Add(keepInstead)
 }
 
-// forget drops an entry. The mutex is held.
-func (t *Table) forget(found *known, reason string) {
-	if found.active() {
-		t.active.Add(-1)
-		t.logger.Info("content forgotten", zap.String("content", found.Digest.Short()), zap.String("reason", reason), zap.Strings("ended", found.replicas()), zap.Int("ends", found.ends()),
-			zap.Bool("refused", found.refused()), zap.Uint64("turned_away", found.turnedAway))
-	}
-	delete(t.entries, found.Digest)
-	delete(t.changed, found.Digest)
-}
-
-// forgetOne makes room: of the contents with the fewest ends the one that was not used
-// for longest goes. The mutex is held.
-func (t *Table) forgetOne() {
-	var least *known
-	for _, each := range t.entries {
-		if each.deciding == nil && (least == nil || each.lessThan(least)) {
-			least = each
-		}
-	}
-	if least != nil {
-		t.forget(least, "too many")
-	}
-}
-
-// lessThan orders entries by how little is lost with them.
-func (k *known) lessThan(other *known) bool {
-	if k.ends() != other.ends() {
-		return k.ends() < other.ends()
-	}
-	return k.usedAt.Before(other.usedAt)
-}
-
-// Sweep decides on broken connections by which replicas are still listed, and forgets
-// what is old.
-func (t *Table) Sweep(listed func(replica string) bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	for _, found := range t.entries {
-		t.settle(found, now, listed)
-		switch {
-		case found.deciding != nil:
-		case len(found.Ended) > 0 && now.Sub(found.endedAt) > forgetAfter:
-			t.clear(found, "long ago")
-		case !found.active() && found.journaled == nil && now.Sub(found.usedAt) > clearedKept:
-			t.forget(found, "cleared")
-		}
-	}
-}
-
-// settle decides on the broken connections of an entry. The mutex is held.
-func (t *Table) settle(found *known, now time.Time, listed func(replica string) bool) {
-	for replica, at := range found.broke {
-		switch {
-		case !listed(replica):
-			t.ended(found, replica)
-		case now.Sub(at) > settleWithin:
-			t.change(found, func() { delete(found.broke, replica) })
-		}
-	}
-}
-
 // tell has the other daemons told of an entry. The mutex is held.
 func (t *Table) tell(found *known) {
 	t.changed[found.Digest] = true
@@ -468,47 +279,3 @@
 	}
 	return entries
 }
-
-// Listing is what an operator is told of a content.
-type Listing struct {
-	Digest string `json:"digest"`
-	Entry
-	Refused bool `json:"refused"`
-	// TurnedAway counts the tries that this daemon refused.
-	TurnedAway uint64 `json:"turned_away"`
-	// SinceEndMs is how long ago a replica last ended under it, in milliseconds.
-	SinceEndMs int64 `json:"since_end_ms"`
-}
-
-// List returns the suspected contents, those with the most ends first.
-func (t *Table) List() []Listing {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	list := []Listing{}
-	for _, found := range t.entries {
-		if len(found.Ended) > 0 {
-			list = append(list, Listing{Digest: found.Digest.String(), Entry: found.copied(), Refused: found.refused(),
-				TurnedAway: found.turnedAway, SinceEndMs: t.now().Sub(found.endedAt).Milliseconds()})
-		}
-	}
-	slices.SortFunc(list, func(a, b Listing) int {
-		return cmp.Or(cmp.Compare(b.ends(), a.ends()), cmp.Compare(a.Digest, b.Digest))
-	})
-	return list
-}
-
-// Count returns how many contents are suspected, how many of them are refused, and how
-// many tries were turned away.
-func (t *Table) Count() (suspected, refused int, turnedAway uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, found := range t.entries {
-		if len(found.Ended) > 0 {
-			suspected++
-		}
-		if found.refused() {
-			refused++
-		}
-	}
-	return suspected, refused, t.turnedAway.Load()
-}
