--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,7 +125,7 @@
 	// relay and peerFollower are nil where the settings name no address for peers.
 	relay          *relay.Journal
 	peerFollower   *journal.KeyedFollower
-	quarantine     *quarantined
+	quarantine     *quarantineParts
 	assigner       *runner.Assigner
 	lease          *lease.Lease
 	syncer         *modelsync.Syncer
@@ -191,7 +191,7 @@
 	node.replicaFollower = journal.NewKeyedFollower(drivers.Journal, drivers.ReplicaRecords, operation.NewDirectory(drivers.Decoder, node.table, logger), contact, logger)
 	node.operatorFollower.SetPace(journal.SharedPace(drivers.Journal, operatorReadShare, node.daemons))
 	node.replicaFollower.SetPace(journal.SharedPace(drivers.Journal, replicaReadShare, node.daemons))
-	node.quarantine = newQuarantined(node, drivers.Journal)
+	node.quarantine = newQuarantine(node, drivers.Journal)
 	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Quarantine: node.quarantine.table, Logger: logger, Observe: node.metrics.Attempt}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
 	node.member = group.New(drivers.Journal, node.identity, append(ledger.TopicNames(), runner.RunnersTopic), logger)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -9,8 +9,8 @@
 	"woodworks/internal/quarantine"
 )
 
-// quarantined are the parts that keep contents under which replicas end from further ones.
-type quarantined struct {
+// quarantineParts are the parts that keep contents under which replicas end from further ones.
+type quarantineParts struct {
 	table    *quarantine.Table
 	keeper   *quarantine.Keeper
 	follower *journal.KeyedFollower
@@ -18,10 +18,10 @@
 	spreader *quarantine.Spreader
 }
 
-// newQuarantined makes the parts. The relay is there already, if there is one.
-func newQuarantined(node *Node, log journal.Journal) *quarantined {
+// newQuarantine makes the parts. The relay is there already, if there is one.
+func newQuarantine(node *Node, log journal.Journal) *quarantineParts {
 	table := quarantine.New(node.settings.Name, bootclock.Now, node.logger)
-	made := &quarantined{table: table, keeper: quarantine.NewKeeper(table, log, node.relay != nil, node.logger)}
+	made := &quarantineParts{table: table, keeper: quarantine.NewKeeper(table, log, node.relay != nil, node.logger)}
 	contact := node.settings.Timing.ContactBound.Std()
 	if node.relay != nil {
 		// Peers tell what is new; the journal is for what this daemon has missed.
@@ -35,7 +35,7 @@
 }
 
 // run keeps the table up to date until the context ends.
-func (q *quarantined) run(ctx context.Context) {
+func (q *quarantineParts) run(ctx context.Context) {
 	if q.spreader != nil {
 		go q.spreader.Run(ctx)
 	}
@@ -43,7 +43,7 @@
 	q.follower.Run(ctx)
 }
 
-func (q *quarantined) registerMetrics(registry *metrics.Metrics) {
+func (q *quarantineParts) registerMetrics(registry *metrics.Metrics) {
 	registry.Gauge("contents_suspected", "Contents of requests under which replicas have ended without an answer since.", func() float64 {
 		suspected, _, _ := q.table.Count()
 		return float64(suspected)
