Ends of replicas outlast all daemons, not only refusals

Now each content that is suspected for 0.3 s is written; bystanders of an end are answered before that and cost no write.

--- a/internal/quarantine/keep.go
+++ b/internal/quarantine/keep.go
@@ -13,9 +13,12 @@
 
 const (
 	topic = "woodworks.quarantine"
-	// keepInterval is the time between two looks for what the journal does not have. A
-	// refusal that is not there when all machines lose power costs three replicas more.
+	// keepInterval is the time between two looks for what the journal does not have. An
+	// end that is not there when all machines lose power costs a replica more.
 	keepInterval = 50 * time.Millisecond
+	// suspectedFor is how long a content must be merely suspected to be written: most are
+	// bystanders, whose next run answers within this time.
+	suspectedFor = 300 * time.Millisecond
 	// keepInstead is how long a daemon leaves a change to the one that made it to write.
 	keepInstead = 4 * time.Second
 	keepTimeout = time.Second
@@ -28,22 +31,22 @@
 	return journal.Partition{Topic: log.KeyedTopic(topic)}
 }
 
-// Keeper keeps refused contents in the journal, so that they outlast every process, and
-// learns from it what was refused before this one started. It implements
-// journal.KeyedHandler.
+// Keeper keeps suspected contents in the journal, so that what is held against them
+// outlasts every process, and learns from it what was before this one started. It
+// implements journal.KeyedHandler.
 type Keeper struct {
 	table   *Table
 	journal journal.Journal
-	// all has every suspected content kept: daemons that do not reach each other count
+	// atOnce has every end written at once: daemons that do not reach each other count
 	// ends through the journal.
-	all    bool
+	atOnce bool
 	logger *zap.Logger
 }
 
 // NewKeeper returns the keeper of a table. Reached says that daemons tell each other of
-// suspected contents, so that only refused ones need the journal.
+// suspected contents, so that the journal is only for what lasts.
 func NewKeeper(table *Table, log journal.Journal, reached bool, logger *zap.Logger) *Keeper {
-	return &Keeper{table: table, journal: log, all: !reached, logger: logger}
+	return &Keeper{table: table, journal: log, atOnce: !reached, logger: logger}
 }
 
 // Reset implements journal.KeyedHandler.
@@ -79,14 +82,14 @@
 func (k *Keeper) Run(ctx context.Context) {
 	failing := false
 	periodic.Every(ctx, keepInterval, func(ctx context.Context) {
-		due := k.table.toKeep(k.all)
+		due := k.table.toKeep(k.atOnce)
 		if len(due) == 0 {
 			return
 		}
 		err := k.write(ctx, due)
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
-			k.logger.Info("refused contents kept", zap.Bool("failing", failing), zap.Int("contents", len(due)), zap.Error(err))
+			k.logger.Info("suspected contents kept", zap.Bool("failing", failing), zap.Int("contents", len(due)), zap.Error(err))
 		}
 	})
 }
@@ -116,7 +119,7 @@
 }
 
 // toKeep returns the entries that this daemon should write to the journal now.
-func (t *Table) toKeep(all bool) []Entry {
+func (t *Table) toKeep(atOnce bool) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -125,7 +128,7 @@
 		if len(due) == keepAtOnce {
 			break
 		}
-		if found.lacksKeeping(all) && (found.ownChange || !now.Before(found.keepAfter)) {
+		if found.lacksKeeping() && found.keepDue(now, atOnce) {
 			due = append(due, found.copied())
 		}
 	}
@@ -134,15 +137,26 @@
 
 // lacksKeeping reports whether the journal has something else of the content than it
 // should have.
-func (k *known) lacksKeeping(all bool) bool {
-	wanted := k.refused() || all && len(k.Ended) > 0
+func (k *known) lacksKeeping() bool {
 	switch {
-	case !wanted:
+	case len(k.Ended) == 0:
 		return k.journaled != nil
 	case k.journaled == nil:
 		return true
 	default:
-		return k.journaled.Epoch != k.Epoch || k.journaled.Retried != k.Retried || all && k.journaled.ends() != k.ends()
+		return k.journaled.Epoch != k.Epoch || k.journaled.Retried != k.Retried || k.journaled.ends() != k.ends()
+	}
+}
+
+// keepDue reports whether this daemon should write the entry now.
+func (k *known) keepDue(now time.Time, atOnce bool) bool {
+	switch {
+	case !k.ownChange:
+		return !now.Before(k.keepAfter)
+	case atOnce, k.refused(), len(k.Ended) == 0:
+		return true
+	default:
+		return now.Sub(k.endedAt) >= suspectedFor
 	}
 }
 
