--- a/internal/quarantine/keep.go
+++ b/internal/quarantine/keep.go
@@ -13,8 +13,9 @@
 
 const (
 	topic = "woodworks.quarantine"
-	// keepInterval is the time between two looks for what the journal does not have. An
-	// end that is not there when all machines lose power costs a replica more.
+	// keepInterval is the time between two looks for what the journal does not have, while
+	// it lacks something. An end that is not there when all machines lose power costs a
+	// replica more.
 	keepInterval = 50 * time.Millisecond
 	// suspectedFor is how long a content must be merely suspected to be written: most are
 	// bystanders, whose next run answers within this time.
@@ -22,6 +23,9 @@
 	// keepInstead is how long a daemon leaves a change to the one that made it to write.
 	keepInstead = 4 * time.Second
 	keepTimeout = time.Second
+	// failedPause is the pause after a write that failed: in an outage of the journal each
+	// daemon tries once a second.
+	failedPause = time.Second
 	// keepAtOnce bounds the records of one append.
 	keepAtOnce = 32
 )
@@ -41,6 +45,8 @@
 	// ends through the journal.
 	atOnce bool
 	logger *zap.Logger
+	// failing says that the last write failed. It is Run's alone.
+	failing bool
 }
 
 // NewKeeper returns the keeper of a table. Reached says that daemons tell each other of
@@ -80,18 +86,43 @@
 
 // Run writes what the journal lacks until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	failing := false
-	periodic.Every(ctx, keepInterval, func(ctx context.Context) {
-		due := k.table.toKeep(k.atOnce)
-		if len(due) == 0 {
+	for {
+		select {
+		case <-ctx.Done():
 			return
+		case <-k.table.unkept:
 		}
-		err := k.write(ctx, due)
-		if (err != nil) != failing && ctx.Err() == nil {
-			failing = err != nil
-			k.logger.Info("suspected contents kept", zap.Bool("failing", failing), zap.Int("contents", len(due)), zap.Error(err))
+		for k.writeDue(ctx) {
+			periodic.Pause(ctx, k.pause())
 		}
-	})
+	}
+}
+
+// pause is the time until the next look.
+func (k *Keeper) pause() time.Duration {
+	if k.failing {
+		return failedPause
+	}
+	return keepInterval
+}
+
+// writeDue writes what is due now, and reports whether the journal will still lack
+// something.
+func (k *Keeper) writeDue(ctx context.Context) bool {
+	due, lacking := k.table.toKeep(k.atOnce)
+	if len(due) > 0 {
+		k.note(k.write(ctx, due), len(due))
+	}
+	return lacking && ctx.Err() == nil
+}
+
+// note logs that writes begin to fail, and that they succeed again.
+func (k *Keeper) note(err error, contents int) {
+	if (err != nil) == k.failing {
+		return
+	}
+	k.failing = err != nil
+	k.logger.Info("suspected contents kept", zap.Bool("failing", k.failing), zap.Int("contents", contents), zap.Error(err))
 }
 
 // write appends the entries, or drops those that have no ended replicas any more. What
@@ -118,21 +149,30 @@
 	return nil
 }
 
-// toKeep returns the entries that this daemon should write to the journal now.
-func (t *Table) toKeep(atOnce bool) []Entry {
+// toKeep returns the entries that this daemon should write to the journal now, and whether
+// the journal lacks any.
+func (t *Table) toKeep(atOnce bool) (due []Entry, lacking bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	var due []Entry
 	for _, found := range t.entries {
-		if len(due) == keepAtOnce {
-			break
+		if !found.lacksKeeping() {
+			continue
 		}
-		if found.lacksKeeping() && found.keepDue(now, atOnce) {
+		lacking = true
+		if len(due) < keepAtOnce && found.keepDue(now, atOnce) {
 			due = append(due, found.copied())
 		}
 	}
-	return due
+	return due, lacking
+}
+
+// wakeKeeper has the journal looked after. The mutex is held.
+func (t *Table) wakeKeeper() {
+	select {
+	case t.unkept <- struct{}{}:
+	default:
+	}
 }
 
 // lacksKeeping reports whether the journal has something else of the content than it
@@ -178,6 +218,7 @@
 	found := t.entry(entry.Digest)
 	t.merge(found, entry, "journal")
 	found.journaled = &entry
+	t.wakeKeeper()
 }
 
 // dropped takes in that the journal has no entry of a content any more: it was cleared.
@@ -205,6 +246,7 @@
 func (t *Table) drop(found *known) {
 	before := found.journaled
 	found.journaled = nil
+	t.wakeKeeper()
 	if before != nil && before.Epoch == found.Epoch && len(found.Ended) > 0 {
 		t.clear(found, "cleared in the journal")
 	}
--- a/internal/quarantine/spread_test.go
+++ b/internal/quarantine/spread_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,6 +114,20 @@
 	d.alone = cut
 }
 
+// made is how many calls daemons made to each other.
+func (f *fleet) made() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// forget drops the daemons, which have stopped.
+func (f *fleet) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons = map[string]*daemon{}
+}
+
 var poison = contentNamed("poison")
 
 // end has three daemons see a replica end under the content, one each.
@@ -164,8 +179,8 @@
 					time.Sleep(time.Millisecond)
 				}
 				is.Equal(knowing(daemons), len(daemons))
-				is.True(f.calls <= c.mostCalls)
-				t.Logf("%d daemons know after %v, %d calls between peers", len(daemons), time.Since(began), f.calls)
+				is.True(f.made() <= c.mostCalls)
+				t.Logf("%d daemons know after %v, %d calls between peers", len(daemons), time.Since(began), f.made())
 				cancel()
 				synctest.Wait()
 			})
@@ -196,7 +211,7 @@
 			each.stop()
 		}
 		synctest.Wait()
-		f.daemons = map[string]*daemon{}
+		f.forget()
 		again := f.startAll(6, true)
 		time.Sleep(contactBound / 10)
 		is.Equal(knowing(again), len(again))
@@ -249,7 +264,7 @@
 			each.stop()
 		}
 		synctest.Wait()
-		f.daemons = map[string]*daemon{}
+		f.forget()
 		again := f.startAll(3, true)
 		for _, each := range again {
 			is.Equal(each.table.Suspicion(poison), OnlyAlone)
@@ -267,3 +282,33 @@
 		synctest.Wait()
 	})
 }
+
+// In an outage of the journal each daemon that has something to write tries once a second;
+// nothing is asked of it where there is nothing to write.
+func TestAnOutageOfTheJournalIsNotPressed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx)
+		daemons := f.startAll(3, true)
+		var appends atomic.Int64
+		f.log.SetBefall(func(call journaltest.Call) journaltest.Fault {
+			if call == journaltest.Append {
+				appends.Add(1)
+			}
+			return journaltest.Refuse
+		})
+		time.Sleep(10 * time.Second)
+		is.Equal(appends.Load(), int64(0))
+		end(daemons...)
+		time.Sleep(10 * time.Second)
+		is.True(appends.Load() >= 10)
+		is.True(appends.Load() <= 3*11)
+		f.log.SetBefall(nil)
+		time.Sleep(2 * failedPause)
+		is.True(len(f.log.Records(Partition(f.log))) > 0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -91,14 +91,15 @@
 	// alone counts the runs alone from here at each replica.
 	alone map[string]int
 	// changed are the contents to tell other daemons of; wake says that there are some.
-	changed map[Digest]bool
-	wake    chan struct{}
+	// unkept says that the journal may lack something.
+	changed      map[Digest]bool
+	wake, unkept chan struct{}
 }
 
 // New returns an empty table of a machine.
 func New(machine string, now bootclock.Clock, logger *zap.Logger) *Table {
 	return &Table{machine: machine, now: now, logger: logger, entries: map[Digest]*known{}, alone: map[string]int{},
-		changed: map[Digest]bool{}, wake: make(chan struct{}, 1)}
+		changed: map[Digest]bool{}, wake: make(chan struct{}, 1), unkept: make(chan struct{}, 1)}
 }
 
 // Quiet reports whether no content is suspected.
@@ -236,9 +237,9 @@
 
 // change makes a change of an entry and brings what hangs on it up to date. The mutex is
 // held.
-func (t *Table) change(found *known, make func()) {
+func (t *Table) change(found *known, apply func()) {
 	was := found.active()
-	make()
+	apply()
 	is := found.active()
 	switch {
 	case is && !was:
@@ -248,6 +249,7 @@
 	}
 	found.usedAt = t.now()
 	found.keepAfter = found.usedAt.Add(keepInstead)
+	t.wakeKeeper()
 }
 
 // tell has the other daemons told of an entry. The mutex is held.
