--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -69,6 +69,7 @@
 	// second is the one in which reads were counted last, inSecond how many.
 	second   int64
 	inSecond int
+	outlet   outlet
 }
 
 // Usage is what a journal's callers used of it.
@@ -148,9 +149,7 @@
 
 // countBytes counts the bytes of records read. The mutex is held.
 func (j *Journal) countBytes(records [][]byte) {
-	for _, record := range records {
-		j.usage.ReadBytes += len(record)
-	}
+	j.usage.ReadBytes += sizeOf(records)
 }
 
 // fault returns what befalls a call; hanging calls have already hung.
@@ -270,6 +269,9 @@
 		}
 		j.mutex.Unlock()
 		if len(read.Records) > 0 || request.Wait == 0 {
+			if err := j.outlet.send(ctx, sizeOf(read.Records)); err != nil {
+				return journal.Records{}, err
+			}
 			return read, nil
 		}
 		select {
--- /dev/null
+++ b/internal/results/restart_test.go
@@ -0,0 +1,134 @@
+package results
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/identity"
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/ledger"
+)
+
+// The fleet of the test below, as it is after a loss of power of all machines.
+const (
+	restartDaemons = 91
+	// restartBatches and restartBytes are the batches of the last minute, and the texts of
+	// each: four trainers with some 150 texts every 4 s.
+	restartBatches = 36
+	restartBytes   = 2 << 20
+	// restartJournal and restartLink are what the journal and the weakest machines' links
+	// carry, in bytes a second.
+	restartJournal = 80e6
+	restartLink    = 45e6 / 8
+	// restartAnswered is within which time every batch must have been told, which leaves
+	// clients the rest of their 7.5 s for a step.
+	restartAnswered = 4 * time.Second
+	// restartPrompt is within which time a short read, as of a configuration, must be
+	// answered all the while: it must be in force within 3 s.
+	restartPrompt = time.Second
+)
+
+// newRestarted returns daemons that have just started before a journal that holds
+// batches of long texts, each of them behind a weak link.
+func newRestarted(ctx context.Context, t *testing.T) *daemons {
+	d := &daemons{log: journaltest.New(), dark: map[string]bool{}, dealt: map[journal.Partition]int{}}
+	d.log.Partitions = 16
+	d.log.Granted = journal.Grants{ReadBytesPerSecond: restartJournal}
+	d.log.RecordBytes = 256 << 10
+	d.ledgers = []*ledger.Ledger{ledger.New(ctx, d.log, zap.NewNop())}
+	const results = 32
+	for i := range restartBatches {
+		id := fmt.Sprintf("b%d", i)
+		d.accept(t, id, results)
+		for item := range results {
+			text := make([]byte, restartBytes/results)
+			d.append(t, id, batch.Listed(id, []batch.Result{{Item: item, Outcome: batch.Done, Text: text}}))
+		}
+	}
+	d.log.Limit(restartJournal)
+	d.ledgers = nil
+	for i := range restartDaemons {
+		run := identity.New(fmt.Sprintf("m%d", i), time.Now())
+		batches := ledger.New(ctx, d.log.Behind(restartLink), zap.NewNop())
+		d.runs, d.ledgers = append(d.runs, run), append(d.ledgers, batches)
+		d.readers = append(d.readers, NewReader(batches, d, d, d.log.Grants(), run, zap.NewNop()))
+	}
+	for _, topic := range ledger.TopicNames() {
+		for number := range d.log.Partitions {
+			name := journal.Partition{Topic: topic, Number: number}
+			d.dealt[name] = len(d.dealt) % restartDaemons
+			d.ledgers[d.dealt[name]].Partition(name).Follow()
+		}
+	}
+	return d
+}
+
+// readWhole asks for a batch page by page, each time at another daemon, until all its
+// results have been told.
+func (d *daemons) readWhole(ctx context.Context, id string, random *rand.Rand) {
+	for after, total := 0, 1; after < total && ctx.Err() == nil; {
+		page, err := d.readers[random.IntN(len(d.readers))].Results(ctx, Query{BatchID: id, After: after})
+		if err != nil || !page.Found {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		after, total = page.Next, page.Total
+	}
+}
+
+// After a start of all daemons at once every batch is asked for at any of them. When each
+// read what it was asked for, 91 daemons asked for 6.8 GB of a journal that sends 80 MB a
+// second: no read came to an end before it was given up, and nobody learned anything for
+// as long as clients asked. What daemons read for questions stays within half of what the
+// journal sends, whatever there is to read, and the rest is left to those who hold a
+// partition for all.
+func TestAllBatchesAreToldSoonAfterAllDaemonsStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		d := newRestarted(ctx, t)
+		d.log.ResetUsage()
+		asking, stop := context.WithTimeout(ctx, 2*restartAnswered)
+		defer stop()
+		began := time.Now()
+		var clients, prompt sync.WaitGroup
+		prompt.Go(func() {
+			configuration := journal.Partition{Topic: "configuration"}
+			for asking.Err() == nil {
+				before := time.Now()
+				appended, err := d.log.Append(ctx, journal.Append{Partition: configuration, Records: [][]byte{make([]byte, 1024)}})
+				if err != nil {
+					t.Error(err)
+				}
+				_, err = d.log.Read(asking, journal.Read{Partition: configuration, From: appended.Offset})
+				if took := time.Since(before); took > restartPrompt || err != nil && asking.Err() == nil {
+					t.Errorf("a short read took %v: %v", took, err)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+		for i := range 2 * restartBatches {
+			clients.Go(func() { d.readWhole(asking, fmt.Sprintf("b%d", i%restartBatches), rand.New(rand.NewPCG(7, uint64(i)))) })
+		}
+		clients.Wait()
+		took := time.Since(began)
+		read := d.log.Usage().ReadBytes
+		stop()
+		prompt.Wait()
+		t.Logf("%d batches told after %v, %d MB read", restartBatches, took, read>>20)
+		is.True(took < restartAnswered)
+		own := float64(read - restartBatches*restartBytes)
+		is.True(own < (ownReadShare+0.05)*restartJournal*took.Seconds())
+	})
+}
--- a/internal/results/results_test.go
+++ b/internal/results/results_test.go
@@ -35,8 +35,10 @@
 
 	mu     sync.Mutex
 	holder int
-	dark   map[string]bool
-	asked  int
+	// dealt, if not nil, names the holder of each partition in place of holder.
+	dealt map[journal.Partition]int
+	dark  map[string]bool
+	asked int
 }
 
 func newDaemons(ctx context.Context, count int) *daemons {
@@ -64,9 +66,12 @@
 var scarce = journal.Grants{ReadBytesPerSecond: 1}
 
 // OwnerOf implements Holders.
-func (d *daemons) OwnerOf(context.Context, journal.Partition) (string, bool) {
+func (d *daemons) OwnerOf(_ context.Context, partition journal.Partition) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.dealt != nil {
+		return d.runs[d.dealt[partition]], true
+	}
 	if d.holder < 0 {
 		return "", false
 	}
