Daemons read partitions within a budget; reads that break off count

A follower shares the reads of those who catch up, page by page, and whole records before a cut count.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -144,6 +144,8 @@
 // they neither retry nor cache.
 type Journal interface {
 	Append(ctx context.Context, request Append) (Appended, error)
+	// Read returns records together with an error where an answer broke off after them:
+	// they count, so that a reader goes on behind them.
 	Read(ctx context.Context, request Read) (Records, error)
 	// Newest reads the newest record of each key of a keyed partition, from
 	// the key after afterKey on.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -75,6 +75,11 @@
 	return journal.Partition{Topic: topicPrefix + strconv.Itoa(index/perTopic), Number: index % perTopic}
 }
 
+// PageBytes is how many bytes a read of a partition brings at most.
+func (ledger *Ledger) PageBytes() int {
+	return max(pageBytes, pageRecords*ledger.journal.MaxRecordBytes())
+}
+
 // Of returns the partition that holds a batch.
 func (ledger *Ledger) Of(batchID string) *Partition { return ledger.Partition(ledger.Locate(batchID)) }
 
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -16,11 +16,11 @@
 const (
 	// readTimeout bounds a read that is not held.
 	readTimeout = 1500 * time.Millisecond
-	// readBytes bounds the answer to such a read: a link of 60 Mbit/s takes 35 ms for
-	// it. Each answer is folded, so that a read that fails costs no more than this.
-	readBytes = 256 << 10
-	// readRecords is how many of the longest records an answer has room for at least.
-	readRecords = 2
+	// pageBytes bounds the answer to a read: a link of 60 Mbit/s takes 35 ms for it. Each
+	// answer is folded, so that a read that fails costs no more than this.
+	pageBytes = 256 << 10
+	// pageRecords is how many of the longest records an answer has room for at least.
+	pageRecords = 2
 	followWait  = time.Second
 	// followSlack is what a held read may take beyond its wait.
 	followSlack = 1500 * time.Millisecond
@@ -54,12 +54,16 @@
 	// lastRead is when a read was last answered after which the fold held all.
 	lastRead  time.Time
 	appending bool
+	// end is the highest end of the partition that a read has told, noEnd before.
+	end int64
+	// readBytes and readRecords are what reads have brought of the partition so far.
+	readBytes, readRecords int64
 	// missed says that records were removed before they were folded here.
 	missed bool
 }
 
 func newPartition(ledger *Ledger, name journal.Partition) *Partition {
-	return &Partition{ledger: ledger, name: name, state: batch.NewState(), changed: make(chan struct{})}
+	return &Partition{ledger: ledger, name: name, state: batch.NewState(), changed: make(chan struct{}), end: noEnd}
 }
 
 // Name returns the journal partition.
@@ -154,26 +158,28 @@
 	}
 }
 
-// readOnce reads from the fold's offset on and folds what comes.
+// readOnce reads a page from the fold's offset on and folds what comes, also of an answer
+// that broke off.
 func (partition *Partition) readOnce(ctx context.Context, wait time.Duration) (journal.Records, error) {
 	partition.mutex.Lock()
 	from := partition.next
 	partition.mutex.Unlock()
-	timeout, maxBytes := readTimeout, max(readBytes, readRecords*partition.ledger.journal.MaxRecordBytes())
+	timeout := readTimeout
 	if wait > 0 {
-		timeout, maxBytes = wait+followSlack, 0
+		timeout = wait + followSlack
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	read, err := partition.ledger.journal.Read(bounded, journal.Read{Partition: partition.name, From: from, Wait: wait, MaxBytes: maxBytes})
+	read, err := partition.ledger.journal.Read(bounded, journal.Read{Partition: partition.name, From: from, Wait: wait, MaxBytes: partition.ledger.PageBytes()})
 	var trimmed *journal.TrimmedError
 	if errors.As(err, &trimmed) {
 		return partition.skipTrimmed(from, trimmed.First), nil
 	}
+	partition.fold(from, read.Records)
+	partition.noteRead(read)
 	if err != nil {
 		return journal.Records{}, err
 	}
-	partition.fold(from, read.Records)
 	partition.mutex.Lock()
 	if partition.next >= read.End {
 		partition.lastRead = time.Now()
@@ -182,6 +188,57 @@
 	return read, nil
 }
 
+// noteRead counts what a read brought.
+func (partition *Partition) noteRead(read journal.Records) {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	for _, record := range read.Records {
+		partition.readBytes += int64(len(record))
+	}
+	partition.readRecords += int64(len(read.Records))
+	partition.end = max(partition.end, read.End)
+}
+
+// ReadPage reads the next page of the partition, and returns how many bytes came.
+func (partition *Partition) ReadPage(ctx context.Context) (bytes int, err error) {
+	before := partition.ReadBytes()
+	_, err = partition.readOnce(ctx, 0)
+	if err != nil {
+		err = errors.Wrap(ErrBehind, err.Error())
+	}
+	return int(partition.ReadBytes() - before), err
+}
+
+// ReadBytes is how many bytes reads have brought of the partition so far.
+func (partition *Partition) ReadBytes() int64 {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	return partition.readBytes
+}
+
+// Missing returns how many bytes the fold lacks, by the mean of the records read so far, and
+// false if nothing has been read yet.
+func (partition *Partition) Missing() (bytes int, known bool) {
+	partition.mutex.Lock()
+	defer partition.mutex.Unlock()
+	switch {
+	case partition.end == noEnd:
+		return 0, false
+	case partition.next >= partition.end:
+		return 0, true
+	case partition.readRecords == 0:
+		return partition.ledger.PageBytes(), true
+	default:
+		return int((partition.end - partition.next) * partition.readBytes / partition.readRecords), true
+	}
+}
+
+// behind reports whether the fold is known to lack records, or has not been read at all.
+func (partition *Partition) behind() bool {
+	missing, known := partition.Missing()
+	return missing > 0 || !known
+}
+
 // skipTrimmed moves the fold over records that are gone. The batches already
 // folded stay known; of those only in the trimmed records nothing is known.
 func (partition *Partition) skipTrimmed(from, first int64) journal.Records {
@@ -254,9 +311,17 @@
 	}
 }
 
+// follow holds a read at the partition's end. As long as the fold lacks more it shares the
+// reads of those who catch up, so that nothing is read twice.
 func (partition *Partition) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, err := partition.readOnce(ctx, followWait); err != nil {
+		var err error
+		if partition.behind() {
+			err = partition.CatchUp(ctx)
+		} else {
+			_, err = partition.readOnce(ctx, followWait)
+		}
+		if err != nil {
 			periodic.Pause(ctx, followPause)
 		}
 	}
--- a/internal/results/results.go
+++ b/internal/results/results.go
@@ -4,9 +4,10 @@
 // the partition holds the fold; any other would have to read the partition from its
 // beginning to answer a single question. With hundreds of daemons nearly every question
 // comes to one without the fold, so that such reads would be most of what the journal
-// serves, and after a restart of all daemons more than it can. Where the daemons are too
-// many for the journal's bandwidth, a reader therefore asks the daemon that watches the
-// partition, and reads the journal itself only if that one cannot be asked.
+// serves, and after a restart of all daemons more than it can. A reader therefore reads by
+// itself only what its share of the journal's bandwidth allows, by what the partition is
+// seen to hold, and else asks the daemon that watches the partition. If that one cannot be
+// asked, it reads the journal at the pace of its share.
 //
 // What a caller is told is never older than what any daemon told before: whoever
 // answers that there is nothing has begun a read of the journal after the question.
@@ -49,15 +50,6 @@
 	// warmFor is how long after its last read a fold is brought up to date here: little
 	// is missing of it, while a partition that is followed is read every second.
 	warmFor = 2 * time.Second
-	// partitionBytes is what a partition holds that is read from its beginning, about:
-	// 0.7 MB by the middle of a day of 8 trainers, 1.4 MB at its end. Daemons read
-	// partitions by themselves where a half of the journal's bandwidth (ownReadShare) gives
-	// each of them that much in ownReadTime; else they leave it to the holder. Twelve and
-	// 84 daemons may, 295 may not. Where daemons may, the journal is the better way: what
-	// the holder tells crosses zones each time.
-	partitionBytes = 1 << 20
-	ownReadShare   = 0.5
-	ownReadTime    = 4 * time.Second
 	// pageBytes bounds the texts of one page of results, in bytes.
 	pageBytes = 900 << 10
 	// holderWait is how long a question waits until it is known who watches the
@@ -128,9 +120,10 @@
 	batches *ledger.Ledger
 	holders Holders
 	peers   Peers
-	grants  journal.Grants
-	self    string
-	logger  *zap.Logger
+	// budget is nil where this daemon always reads by itself.
+	budget *readBudget
+	self   string
+	logger *zap.Logger
 	// cold has a place for each question that may read a partition from its beginning.
 	cold chan struct{}
 }
@@ -138,7 +131,11 @@
 // NewReader returns a reader of the batches for the run named self. Without peers, nil,
 // it reads the journal itself, as it does where the journal's grants allow for it.
 func NewReader(batches *ledger.Ledger, holders Holders, peers Peers, grants journal.Grants, self string, logger *zap.Logger) *Reader {
-	return &Reader{batches: batches, holders: holders, peers: peers, grants: grants, self: self, logger: logger, cold: make(chan struct{}, coldReads)}
+	made := &Reader{batches: batches, holders: holders, peers: peers, self: self, logger: logger, cold: make(chan struct{}, coldReads)}
+	if peers != nil && grants.ReadBytesPerSecond > 0 {
+		made.budget = newReadBudget(grants.ReadBytesPerSecond, peers.Daemons)
+	}
+	return made
 }
 
 // Results returns a page of results: at least one if there is one at the position, or
@@ -164,7 +161,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+answerWithin)
 	defer cancel()
 	partition := r.batches.Of(batchID)
-	if r.readsByItself() || time.Since(partition.LastRead()) < warmFor {
+	if time.Since(partition.LastRead()) < warmFor || r.affords(ctx, partition) {
 		return here(ctx, wait)
 	}
 	holder, known := r.holder(ctx, partition.Name())
@@ -175,12 +172,16 @@
 	if err == nil || ctx.Err() != nil {
 		return answer, err
 	}
-	r.logger.Info("partition read for a question", zap.String("batch", batchID), zap.String("topic", partition.Name().Topic),
-		zap.Int("partition", partition.Name().Number), zap.String("holder", holder), zap.String("reason", err.Error()))
 	if err := r.admitCold(ctx); err != nil {
 		return answer, err
 	}
 	defer func() { <-r.cold }()
+	missing, _ := partition.Missing()
+	r.logger.Info("partition read for a question", zap.String("batch", batchID), zap.String("topic", partition.Name().Topic),
+		zap.Int("partition", partition.Name().Number), zap.String("holder", holder), zap.Int("missing", missing), zap.String("reason", err.Error()))
+	if err := r.readPaced(ctx, partition); err != nil {
+		return answer, err
+	}
 	return here(ctx, max(wait-time.Since(began), 0))
 }
 
@@ -215,16 +216,6 @@
 	}
 }
 
-// readsByItself reports whether this daemon's share of the journal's bandwidth lets it
-// read partitions for questions.
-func (r *Reader) readsByItself() bool {
-	if r.peers == nil || r.grants.ReadBytesPerSecond <= 0 {
-		return true
-	}
-	share := r.grants.ReadBytesPerSecond * ownReadShare / float64(r.peers.Daemons())
-	return share*ownReadTime.Seconds() >= partitionBytes
-}
-
 // holder returns the run that watches a partition. Just after a start it waits a little
 // until that is known.
 func (r *Reader) holder(ctx context.Context, name journal.Partition) (string, bool) {
