--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -172,7 +172,7 @@
 	if known.Resting {
 		return false
 	}
-	if known.Declining && p.inFlight[engine] > known.InFlight {
+	if known.Declining && p.inFlight[engine] > known.InFlight+known.Others {
 		return false
 	}
 	return p.inFlight[engine] < slotsOf(known)
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -30,6 +30,8 @@
 	// Slots is how many requests it runs at a time, InFlight how many of ours are
 	// under way there.
 	Slots, InFlight int
+	// Others is how many requests of other owners are under way there, as these told.
+	Others int
 	// Pace is the mean time between the events of a text, 0 if unknown.
 	Pace time.Duration
 	// Resting engines get nothing for now: they failed or declined a moment ago.
@@ -120,8 +122,8 @@
 	made := &planner{Snapshot: snapshot, byID: make(map[string]int, len(snapshot.Engines)), pools: map[class]*pool{}}
 	made.inFlight, made.loads = make([]int, len(snapshot.Engines)), make([]float64, len(snapshot.Engines))
 	for i, engine := range snapshot.Engines {
-		made.inFlight[i] = engine.InFlight
-		made.loads[i] = float64(engine.InFlight) * loadOf(0)
+		made.inFlight[i] = engine.InFlight + engine.Others
+		made.loads[i] = float64(made.inFlight[i]) * loadOf(0)
 		made.byID[engine.ID] = i
 	}
 	for i := range snapshot.Items {
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -241,3 +241,15 @@
 		})
 	}
 }
+
+// Owners that share engines see each other's requests: without, the second of two bursts
+// waits in the queue of the engine that both take for free.
+func TestRequestsOfOtherOwnersTakeRoom(t *testing.T) {
+	is := is.New(t)
+	engine := func(id string, pace time.Duration, others int) Engine {
+		return Engine{ID: id, Slots: 2, Others: others, Pace: pace, Versions: map[string]int64{testModel: 1}}
+	}
+	item := Item{Model: testModel, Remaining: 100}
+	decisions := Plan(Snapshot{Engines: []Engine{engine("fast", 20*time.Millisecond, 2), engine("slow", 50*time.Millisecond, 1)}, Items: []Item{item, item}})
+	is.Equal(decisions, []Decision{Start{Item: 0, Engine: 1}})
+}
