Lease tests: runs that are to be candidates are so from their beginning

Cause, as traced before for another test of this file: the run's first turns may come before the test's SetCandidate; it then forgets what it read and looks 0.4 s later, 0.15 s after the test.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -198,13 +198,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		first := start(ctx, log, "a", 1, acts)
-		first.lease.SetCandidate(true)
+		first := startAs(ctx, log, "a", 1, acts, true)
 		time.Sleep(time.Second)
 		is.True(mayAct(first))
 		first.kill()
-		other := start(ctx, log, "b", 1, acts)
-		other.lease.SetCandidate(true)
+		other := startAs(ctx, log, "b", 1, acts, true)
 		again := start(ctx, log, "a", 2, acts)
 		time.Sleep(time.Second)
 		is.True(mayAct(again))
@@ -226,12 +224,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		first := start(ctx, log, "a", 1, acts)
-		first.lease.SetCandidate(true)
+		first := startAs(ctx, log, "a", 1, acts, true)
 		time.Sleep(time.Second)
 		is.True(mayAct(first))
-		other := start(ctx, log, "b", 1, acts)
-		other.lease.SetCandidate(true)
+		other := startAs(ctx, log, "b", 1, acts, true)
 		time.Sleep(time.Second)
 		first.kill()
 		time.Sleep(Duration + margin + quiet/2)
@@ -253,10 +249,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		first := start(ctx, log, "a", 1, acts)
-		first.lease.SetCandidate(true)
-		other := start(ctx, log, "b", 1, acts)
-		other.lease.SetCandidate(true)
+		first := startAs(ctx, log, "a", 1, acts, true)
+		other := startAs(ctx, log, "b", 1, acts, true)
 		time.Sleep(2 * time.Second)
 		gone, standby := first, other
 		if mayAct(other) {
@@ -280,12 +274,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		first := start(ctx, log, "a", 1, acts)
-		first.lease.SetCandidate(true)
+		first := startAs(ctx, log, "a", 1, acts, true)
 		time.Sleep(time.Second)
 		first.kill()
-		second := start(ctx, log, "b", 1, acts)
-		second.lease.SetCandidate(true)
+		second := startAs(ctx, log, "b", 1, acts, true)
 		time.Sleep(Duration + margin + quiet - claimLead/2)
 		is.True(second.lease.Held())
 		is.True(!mayAct(second))
@@ -309,11 +301,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		first := start(ctx, log, "a", 1, acts)
-		first.lease.SetCandidate(true)
+		first := startAs(ctx, log, "a", 1, acts, true)
 		time.Sleep(time.Second)
-		other := start(ctx, log, "b", 1, acts)
-		other.lease.SetCandidate(true)
+		other := startAs(ctx, log, "b", 1, acts, true)
 		first.lease.Withdraw(ctx)
 		time.Sleep(3 * time.Second)
 		is.True(mayAct(first)) // until it resigns
@@ -339,11 +329,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		first := start(ctx, log, "a", 1, acts)
-		first.lease.SetCandidate(true)
+		first := startAs(ctx, log, "a", 1, acts, true)
 		time.Sleep(time.Second)
-		other := start(ctx, log, "b", 1, acts)
-		other.lease.SetCandidate(true)
+		other := startAs(ctx, log, "b", 1, acts, true)
 		// Between two renewals, so that the one made here meets none of the holder's.
 		time.Sleep(time.Second + renewEvery/2)
 		first.lease.mutex.Lock()
@@ -392,8 +380,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log, acts := journaltest.New(), &history{}
-		holder := start(ctx, log, "a", 1, acts)
-		holder.lease.SetCandidate(true)
+		holder := startAs(ctx, log, "a", 1, acts, true)
 		for outage := 3 * time.Second; outage < 8*time.Second; outage += 170 * time.Millisecond {
 			time.Sleep(2 * time.Second)
 			is.True(mayAct(holder))
