A new owner reads its batch alone

Cause: the owner of a new batch, and the daemon that accepted it, each read the batch's partition from the beginning before anything is started.

The holder of the partition's fold tells where a batch begins, and the fold by which a batch is run begins there. Without an answer all is as before. A batch that came twice or has ended is not begun anew.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -109,6 +109,8 @@
 // Batch is the folded state of one batch. Readers must not change it.
 type Batch struct {
 	Submission
+	// Offset is where the batch begins in its partition: no earlier record is about it.
+	Offset int64
 	// Owner is the daemon that runs the batch, "" after a release.
 	Owner string
 	// Handed are the items that the owner before said it would still finish when it
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -6,19 +6,30 @@
 type State struct {
 	batches   map[string]*Batch
 	fragments map[string]*fragments
+	// next is the offset of the next record.
+	next int64
 }
 
 // fragments are the parts of one long record seen so far.
 type fragments struct {
-	next  int
-	bytes []byte
+	// offset is that of the first part.
+	offset int64
+	next   int
+	bytes  []byte
 }
 
 // NewState returns the state before the first record.
-func NewState() *State {
-	return &State{batches: map[string]*Batch{}, fragments: map[string]*fragments{}}
+func NewState() *State { return NewStateAt(0) }
+
+// NewStateAt returns a state that knows nothing of the records before an offset. Of a batch
+// it knows all if it begins no later than the batch does, see Batch.Offset.
+func NewStateAt(offset int64) *State {
+	return &State{batches: map[string]*Batch{}, fragments: map[string]*fragments{}, next: offset}
 }
 
+// Skip passes over the records before an offset, which are gone.
+func (state *State) Skip(offset int64) { state.next = offset }
+
 // Get returns a batch.
 func (state *State) Get(id string) (*Batch, bool) {
 	found, ok := state.batches[id]
@@ -38,18 +49,25 @@
 // Apply folds the next record. A record that is malformed or not valid in this
 // state changes nothing: the same holds for every reader.
 func (state *State) Apply(encoded []byte) {
+	offset := state.next
+	state.next++
+	state.apply(encoded, offset)
+}
+
+// apply folds a record that begins at an offset.
+func (state *State) apply(encoded []byte, offset int64) {
 	entry, err := decode(encoded)
 	if err != nil {
 		return
 	}
 	if entry.Kind == kindFragment {
-		if whole := state.join(entry); whole != nil {
-			state.Apply(whole)
+		if whole, begins := state.join(entry, offset); whole != nil {
+			state.apply(whole, begins)
 		}
 		return
 	}
 	if entry.Kind == kindAccepted {
-		state.accept(entry)
+		state.accept(entry, offset)
 		return
 	}
 	if known := state.batches[entry.BatchID]; known != nil {
@@ -57,30 +75,29 @@
 	}
 }
 
-// join adds a fragment and returns the whole record once it has all parts.
-// Parts come in order, as one append is all or nothing and in one piece.
-func (state *State) join(entry record) []byte {
+// join adds a fragment and returns the whole record once it has all parts, with the offset
+// of the first one. Parts come in order, as one append is all or nothing and in one piece.
+func (state *State) join(entry record, offset int64) (whole []byte, begins int64) {
 	parts := state.fragments[entry.Key]
 	if parts == nil {
-		parts = &fragments{}
+		parts = &fragments{offset: offset}
 		state.fragments[entry.Key] = parts
 	}
 	if entry.Index != parts.next {
-		return nil
+		return nil, 0
 	}
 	parts.bytes = append(parts.bytes, entry.Part...)
 	parts.next++
 	if parts.next < entry.Count {
-		return nil
+		return nil, 0
 	}
-	whole := parts.bytes
 	delete(state.fragments, entry.Key)
-	return whole
+	return parts.bytes, parts.offset
 }
 
 // accept makes a batch exist. A second acceptance of the same id is a repeat
 // of the first one and changes nothing.
-func (state *State) accept(entry record) {
+func (state *State) accept(entry record, offset int64) {
 	if entry.Submission == nil || entry.Submission.ID != entry.BatchID {
 		return
 	}
@@ -89,6 +106,7 @@
 	}
 	state.batches[entry.BatchID] = &Batch{
 		Submission: *entry.Submission,
+		Offset:     offset,
 		Owner:      entry.Owner,
 		Listed:     make([]bool, len(entry.Submission.Items)),
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,13 +89,20 @@
 	defer ledger.mutex.Unlock()
 	partition := ledger.partitions[name]
 	if partition == nil {
-		partition = newPartition(ledger, name)
+		partition = newPartition(ledger, name, 0)
 		ledger.partitions[name] = partition
 	}
 	partition.usedAt = time.Now()
 	return partition
 }
 
+// From returns a fold of its own that begins at an offset of a partition. It knows all of
+// the batches that begin there or later, and nothing of those before, so that it is for who
+// runs one batch, and never for who tells callers what there is.
+func (ledger *Ledger) From(name journal.Partition, offset int64) *Partition {
+	return newPartition(ledger, name, offset)
+}
+
 // Known returns the partitions whose folds are held.
 func (ledger *Ledger) Known() []*Partition {
 	ledger.mutex.Lock()
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -25,6 +25,9 @@
 	// followSlack is what a held read may take beyond its wait.
 	followSlack = 1500 * time.Millisecond
 	followPause = 200 * time.Millisecond
+	// freshFor is how long after its last read a fold is fresh: little is missing of it,
+	// while a partition that is followed is read every second.
+	freshFor = 2 * time.Second
 	// noEnd stands where a read told no end.
 	noEnd = int64(-1)
 	// appendTimeout bounds one append.
@@ -62,8 +65,8 @@
 	missed bool
 }
 
-func newPartition(ledger *Ledger, name journal.Partition) *Partition {
-	return &Partition{ledger: ledger, name: name, state: batch.NewState(), changed: make(chan struct{}), end: noEnd}
+func newPartition(ledger *Ledger, name journal.Partition, from int64) *Partition {
+	return &Partition{ledger: ledger, name: name, state: batch.NewStateAt(from), next: from, changed: make(chan struct{}), end: noEnd}
 }
 
 // Name returns the journal partition.
@@ -248,6 +251,7 @@
 		partition.ledger.logger.Info("records trimmed before they were read", zap.String("topic", partition.name.Topic),
 			zap.Int("partition", partition.name.Number), zap.Int64("offset", from), zap.Int64("first", first))
 		partition.next, partition.missed = first, true
+		partition.state.Skip(first)
 	}
 	return journal.Records{End: noEnd, First: first}
 }
@@ -260,6 +264,9 @@
 	return partition.missed
 }
 
+// Fresh reports whether the fold held all of the partition a moment ago.
+func (partition *Partition) Fresh() bool { return time.Since(partition.LastRead()) < freshFor }
+
 // LastRead is when the journal last answered a read that brought the fold up to the
 // partition's end. A long partition takes several reads, and what was folded of it
 // before the last of them may be long out of date.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,6 +204,7 @@
 	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, node.demands, logger)
 	node.demandFollower = journal.NewKeyedFollower(drivers.Journal, demand.Partition(drivers.Journal), node.demands, contact, logger)
 	node.results = node.newReader(drivers.Journal.Grants())
+	node.runner.SetLocator(node.results)
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
--- a/internal/results/service.go
+++ b/internal/results/service.go
@@ -10,6 +10,8 @@
 const (
 	methodResults = ServiceName + ".Results"
 	methodItem    = ServiceName + ".Item"
+
+	methodBeginning = ServiceName + ".Beginning"
 )
 
 // ItemQuery asks for the body of an item. Tenant is whose caller asks.
@@ -41,3 +43,11 @@
 	*body, err = s.reader.itemHere(ctx, query)
 	return err
 }
+
+// Beginning answers where a batch begins. It is exported for net/rpc.
+func (s *Service) Beginning(query BeginningQuery, told *Beginning) (err error) {
+	ctx, cancel := context.WithTimeout(s.ctx, catchUpTimeout)
+	defer cancel()
+	*told, err = s.reader.beginningHere(ctx, query)
+	return err
+}
--- /dev/null
+++ b/internal/runner/locate_test.go
@@ -0,0 +1,135 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/batch"
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/ledger"
+)
+
+// holds is a daemon that has the fold of all partitions, or a silent one if it is nil.
+type holds struct{ *ledger.Ledger }
+
+// Beginning implements Locator.
+func (h holds) Beginning(ctx context.Context, batchID string) (offset int64, err error) {
+	if h.Ledger == nil {
+		return 0, errors.New("no answer")
+	}
+	partition := h.Of(batchID)
+	if err := partition.CatchUp(ctx); err != nil {
+		return 0, err
+	}
+	partition.View(func(state *batch.State) {
+		known, found := state.Get(batchID)
+		if !found {
+			err = errors.New("not known")
+			return
+		}
+		offset = known.Offset
+	})
+	return offset, err
+}
+
+// begunAfter is how long after the acceptance of oneItem its owner gives its first sign,
+// with some bytes of other batches in the partition, at an owner behind a link.
+func begunAfter(ctx context.Context, t *testing.T, others int, bytesPerSecond float64, locator Locator) (took time.Duration, owner string) {
+	log := journaltest.New()
+	seen := ledger.New(ctx, log, zap.NewNop())
+	partition := seen.Of("x")
+	release := partition.Follow()
+	defer release()
+	const part = 64 << 10
+	put := func(record []byte) {
+		if _, err := log.Append(ctx, journal.Append{Partition: partition.Name(), Records: [][]byte{record}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range others / part {
+		put(batch.Accepted(&batch.Submission{ID: fmt.Sprintf("other-%d", i), Items: []batch.Item{{ID: "o", Body: make([]byte, part)}}}, "gone/1"))
+	}
+	if h, ok := locator.(holds); ok && h.Ledger == nil {
+		locator = h
+	} else {
+		locator = holds{seen}
+	}
+	chosen := newOwner(ctx, t, log.Behind(bytesPerSecond), "a/1")
+	chosen.SetLocator(locator)
+	accepter := newAccepter(ctx, log.Behind(bytesPerSecond), "a/1")
+	accepter.SetLocator(locator)
+	began := time.Now()
+	submission := batch.Submission{ID: "x", Host: "h", Path: "/p/x", Items: []batch.Item{{ID: "i"}}}
+	if err := accepter.Accept(ctx, &submission); err != nil {
+		t.Fatal(err)
+	}
+	chosen.AdoptWhenSeen("x")
+	for signs := int64(0); signs == 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("nobody has begun")
+		}
+		partition.View(func(state *batch.State) {
+			if known, found := state.Get("x"); found {
+				signs, owner = known.Signs, known.Owner
+			}
+		})
+	}
+	return time.Since(began), owner
+}
+
+// An owner on a weak link begins at once, whatever its batch's partition holds of others.
+// When it read all of them first, the daemon that had accepted the batch took it for gone.
+func TestANewOwnerReadsItsBatchAlone(t *testing.T) {
+	const link, others = 60e6 / 8, 4 << 20
+	for name, each := range map[string]struct {
+		locator Locator
+		most    time.Duration
+		// owner is who begins, "" being any.
+		owner string
+	}{
+		"the holder tells where": {nil, 50 * time.Millisecond, "a/1"},
+		"nobody tells":           {holds{}, 700 * time.Millisecond, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				took, owner := begunAfter(ctx, t, others, link, each.locator)
+				t.Logf("begun after %v by %s", took, owner)
+				is.True(each.owner == "" || owner == each.owner)
+				is.True(took < each.most)
+			})
+		})
+	}
+}
+
+// A batch that came twice, or that has ended, is not begun anew by an owner that reads it
+// alone: its fold begins with the first acceptance.
+func TestABatchReadAloneIsTheFirstOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := journaltest.New()
+		whole := ledger.New(ctx, log, zap.NewNop())
+		partition := whole.Of("x")
+		is.NoErr(partition.Append(ctx, batch.Accepted(&batch.Submission{ID: "before"}, "c/1")))
+		is.NoErr(partition.Append(ctx, batch.Accepted(&twoItems, "c/1")))
+		is.NoErr(partition.Append(ctx, batch.Ended("x", "")))
+		is.NoErr(partition.Append(ctx, batch.Accepted(&twoItems, "a/1")))
+		owner := newOwner(ctx, t, log, "a/1")
+		owner.SetLocator(holds{whole})
+		owner.AdoptWhenSeen("x")
+		batches, _ := owner.Load()
+		is.Equal(batches, 0)
+	})
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,10 +57,12 @@
 	operator  Operator
 	demands   *demand.Publisher
 	assigner  *Assigner
-	history   *history
-	observe   Observer
-	logger    *zap.Logger
-	context   context.Context
+	// locator is nil where nobody tells where batches begin.
+	locator Locator
+	history *history
+	observe Observer
+	logger  *zap.Logger
+	context context.Context
 
 	mutex sync.Mutex
 	jobs  map[string]*job
@@ -94,8 +96,6 @@
 		return errors.Wrap(ErrNotDone, ctx.Err().Error())
 	}
 	partition := runner.ledger.Of(submission.ID)
-	release := partition.Follow()
-	defer release()
 	owner := runner.assigner.Choose(ctx, submission)
 	began := time.Now()
 	if err := runner.appendUntil(ctx, partition, batch.Accepted(submission, owner)); err != nil {
@@ -149,14 +149,14 @@
 
 // AdoptWhenSeen starts a batch once the fold shows that this daemon owns it.
 func (runner *Runner) AdoptWhenSeen(batchID string) {
-	partition := runner.ledger.Of(batchID)
 	if !runner.begin() {
 		// The one who named this daemon did not know that it stops.
-		runner.letGoUnbegun(partition, batchID)
+		runner.letGoUnbegun(runner.ledger.Of(batchID), batchID)
 		return
 	}
 	defer runner.running.Done()
-	defer runner.letGoUnbegun(partition, batchID)
+	defer runner.letGoUnbegun(runner.ledger.Of(batchID), batchID)
+	partition := runner.foldOf(runner.context, batchID)
 	release := partition.Follow()
 	defer release()
 	for runner.context.Err() == nil {
@@ -164,7 +164,7 @@
 			time.Sleep(retryPause)
 			continue
 		}
-		runner.Adopt(batchID)
+		runner.adopt(partition, batchID)
 		return
 	}
 }
@@ -196,10 +196,9 @@
 	return true
 }
 
-// Adopt starts a batch if the fold says that this daemon owns it and it is
-// open.
-func (runner *Runner) Adopt(batchID string) {
-	partition := runner.ledger.Of(batchID)
+// adopt starts a batch if a fold of its partition says that this daemon owns it and it is
+// open. The batch goes by that fold from then on.
+func (runner *Runner) adopt(partition *ledger.Partition, batchID string) {
 	var adopted *job
 	runner.mutex.Lock()
 	_, under := runner.jobs[batchID]
@@ -238,7 +237,7 @@
 		return ErrStopping
 	}
 	defer runner.running.Done()
-	partition := runner.ledger.Of(batchID)
+	partition := runner.foldOf(ctx, batchID)
 	defer runner.letGoUnbegun(partition, batchID)
 	if err := partition.Append(ctx, batch.TakenOver(batchID, from, runner.self)); err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
@@ -246,7 +245,7 @@
 	if err := partition.CatchUp(ctx); err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
-	runner.Adopt(batchID)
+	runner.adopt(partition, batchID)
 	return nil
 }
 
--- a/internal/runner/standby.go
+++ b/internal/runner/standby.go
@@ -24,7 +24,7 @@
 		return
 	}
 	defer runner.running.Done()
-	partition := runner.ledger.Of(batchID)
+	partition := runner.foldOf(runner.context, batchID)
 	release := partition.Follow()
 	defer release()
 	expected := sighting{partition: partition.Name(), batch: batchID, owner: owner, at: time.Now()}
--- a/internal/runner/watch.go
+++ b/internal/runner/watch.go
@@ -128,7 +128,7 @@
 		})
 	})
 	for _, batchID := range own {
-		watcher.runner.Adopt(batchID)
+		watcher.runner.adopt(partition, batchID)
 	}
 	return suspects
 }
