--- a/bench/own-days.sh
+++ b/bench/own-days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days of bench/days on site files and prints a table of rules broken
+# Plays the days of deploy/days on site files and prints a table of rules broken
 # and credit a day.
 #   bench/own-days.sh BENCH SITE SEED...
 # BENCH is the path of the bench program; a day is played once with each seed.
@@ -15,7 +15,7 @@
 }
 mkdir -p out/days
 for seed in "$@"; do
-	for day in bench/days/*.toml; do
+	for day in deploy/days/*.toml; do
 		while [ "$(jobs -rp | wc -l)" -ge "${JOBS:-4}" ]; do wait -n; done
 		play "$day" "$seed" &
 	done
