Owners that share engines hear of each other's requests

Cause: each owner counts its own requests only, so that bursts of several owners fill some engines twice over. Places are shared evenly among owners that wait.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -164,18 +164,36 @@
 
 // OwnerOf returns the member that has a partition, as of a moment ago.
 func (member *Member) OwnerOf(ctx context.Context, partition journal.Partition) (string, bool) {
+	owner, known := member.recentOwners(ctx)[partition]
+	return owner, known
+}
+
+// OwnersOf returns the members that have partitions of a topic, as of a moment ago. One that
+// has some is named as often.
+func (member *Member) OwnersOf(ctx context.Context, topic string) (owners []string) {
+	for partition, owner := range member.recentOwners(ctx) {
+		if partition.Topic == topic {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
+// recentOwners returns who had which partition a moment ago, nil if that can't be learned. The
+// map is never changed.
+func (member *Member) recentOwners(ctx context.Context) map[journal.Partition]string {
 	member.mutex.Lock()
 	fresh := member.ownersOf == member.generation && time.Since(member.ownersAt) < ownersHold
-	owner, known := member.owners[partition]
+	known := member.owners
 	member.mutex.Unlock()
 	if fresh {
-		return owner, known
+		return known
 	}
 	bounded, cancel := context.WithTimeout(ctx, ownersTimeout)
 	defer cancel()
 	rows, err := member.journal.Owners(bounded, name)
 	if err != nil {
-		return "", false
+		return nil
 	}
 	owners := make(map[journal.Partition]string, len(rows))
 	for _, row := range rows {
@@ -184,8 +202,7 @@
 	member.mutex.Lock()
 	defer member.mutex.Unlock()
 	member.owners, member.ownersOf, member.ownersAt = owners, member.generation, time.Now()
-	owner, known = owners[partition]
-	return owner, known
+	return owners
 }
 
 // Alive returns the members that hold partitions now.
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -35,3 +35,15 @@
 	}
 	return replaced
 }
+
+// Started returns when a run began by its machine's time of day, in nanoseconds since 1970,
+// or 0 if its name doesn't say. It orders the runs of one machine unless that time was put
+// back between them.
+func Started(run string) int64 {
+	_, start, _ := strings.Cut(run, separator)
+	parsed, err := strconv.ParseInt(start, 36, 64)
+	if err != nil {
+		return 0
+	}
+	return parsed
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,7 @@
 	// relay and peerFollower are nil where the settings name no address for peers.
 	relay          *relay.Journal
 	peerFollower   *journal.KeyedFollower
+	occupancy      *occupancyParts
 	quarantine     *quarantineParts
 	assigner       *runner.Assigner
 	lease          *lease.Lease
@@ -198,6 +199,7 @@
 	node.assigner = runner.NewAssigner(drivers.Journal, node.member, node.identity, logger)
 	node.runner = runner.New(node.context, node.identity, node.ledger, forwarder, node.operator, demand.NewPublisher(drivers.Journal, logger), node.assigner, logger)
 	node.runner.SetObserver(node.metrics.BatchPart)
+	node.occupancy = newOccupancy(node)
 	node.watcher = runner.NewWatcher(node.runner, node.member)
 	node.demands = demand.NewState()
 	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
@@ -272,6 +274,7 @@
 	}
 	node.registerDutyMetrics()
 	node.quarantine.registerMetrics(node.metrics)
+	node.registerOccupancyMetrics()
 	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
 }
 
@@ -293,7 +296,7 @@
 	}
 	for _, run := range []func(context.Context){
 		node.operatorFollower.Run, node.replicaFollower.Run, node.member.Run, node.watcher.Run,
-		node.runner.Run, node.lease.Run, node.sweep, node.quarantine.run,
+		node.runner.Run, node.lease.Run, node.sweep, node.quarantine.run, node.occupancy.run,
 		func(ctx context.Context) { node.assigner.Run(ctx, node.runner.AdoptWhenSeen) },
 		func(ctx context.Context) { node.syncer.Run(ctx, node.demandFollower.Run) },
 	} {
@@ -325,6 +328,7 @@
 		node.pool.Sweep()
 		node.ledger.Sweep(now)
 		node.table.Sweep()
+		node.occupancy.sweep()
 		node.quarantine.table.Sweep(node.listed)
 		node.lease.SetCandidate(isCandidate(node.member.Partitions(), node.partitions))
 	})
--- /dev/null
+++ b/internal/node/occupancy.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+
+	"woodworks/internal/bootclock"
+	"woodworks/internal/occupancy"
+	"woodworks/internal/runner"
+)
+
+// occupancyParts let the owners of batches know of each other's requests. They are nil where
+// the settings name no address for peers.
+type occupancyParts struct {
+	table     *occupancy.Table
+	publisher *occupancy.Publisher
+}
+
+// newOccupancy makes the parts and has the runner use them.
+func newOccupancy(node *Node) *occupancyParts {
+	if node.relay == nil {
+		return nil
+	}
+	dealt := func(ctx context.Context) []string { return node.member.OwnersOf(ctx, runner.RunnersTopic) }
+	table := occupancy.NewTable(node.identity, bootclock.Now, node.logger)
+	publisher := occupancy.NewPublisher(table, node.relay, node.runner.Occupied, dealt, node.logger)
+	node.runner.ShareEngines(table, publisher.Wake)
+	node.relay.Register(occupancy.ServiceName, occupancy.NewService(table, publisher.Own))
+	return &occupancyParts{table: table, publisher: publisher}
+}
+
+func (o *occupancyParts) run(ctx context.Context) {
+	if o != nil {
+		o.publisher.Run(ctx)
+	}
+}
+
+func (o *occupancyParts) sweep() {
+	if o != nil {
+		o.table.Sweep()
+	}
+}
+
+func (node *Node) registerOccupancyMetrics() {
+	o := node.occupancy
+	if o == nil {
+		return
+	}
+	node.metrics.Gauge("requests_elsewhere", "Requests of other owners believed to be under way at replicas.", func() float64 { return float64(o.table.Counts().Elsewhere) })
+	node.metrics.Counter("occupancy_reports_received_total", "Reports of other owners' requests taken in.", func() float64 { return float64(o.table.Counts().Received) })
+	node.metrics.Counter("occupancy_reports_refused_total", "Reports of other owners' requests that were late, old or too many.", func() float64 { return float64(o.table.Counts().Refused) })
+	node.metrics.Counter("occupancy_reports_expired_total", "Reports of other owners' requests that were not followed by another in time.", func() float64 { return float64(o.table.Counts().Expired) })
+	node.metrics.Counter("occupancy_reports_sent_total", "Reports of own requests sent to other daemons.", func() float64 { return float64(o.publisher.Totals().Sent) })
+	node.metrics.Counter("occupancy_reports_failed_total", "Reports of own requests that were not answered.", func() float64 { return float64(o.publisher.Totals().Failed) })
+	node.metrics.Counter("occupancy_bytes_sent_total", "Bytes of reports of own requests, with their headers.", func() float64 { return float64(o.publisher.Totals().Bytes) })
+}
--- /dev/null
+++ b/internal/occupancy/publish.go
@@ -0,0 +1,379 @@
+package occupancy
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"woodworks/internal/identity"
+)
+
+const (
+	// tellInterval is the least time between two reports: a part of a dispatcher's wait for
+	// a change, and less than what the shortest text takes.
+	tellInterval = 100 * time.Millisecond
+	// repeatInterval is after how long a report is told again though nothing has changed.
+	repeatInterval = reportHolds / 3
+	// bytesPerSecond bounds what a daemon sends, two thirds of the 18 KB that one may need
+	// for all that is no work. With reports of 500 bytes it tells 3 others 8 times, 17 others
+	// 1.4 times and 99 others 0.24 times a second: from some 25 owners on, reports lapse
+	// before the next comes, and an owner knows a part of the others' requests only.
+	bytesPerSecond = 12000
+	// callBytes is what a call takes besides the report: the headers of net/rpc both ways
+	// and of four segments.
+	callBytes = 300
+	// introduceInterval is the time between two reports to a daemon that has no batches but
+	// may get one at any moment.
+	introduceInterval = 2 * time.Second
+	// tellTimeout bounds one call. A report that takes longer is of no use.
+	tellTimeout = 500 * time.Millisecond
+	// askTimeout bounds the question for all that a peer believes, askedAtMost how many
+	// peers it is put to until one answers.
+	askTimeout  = 500 * time.Millisecond
+	askedAtMost = 3
+	// paceRepeat is after how long a pace is told again, paceChange by which part it must
+	// differ to be told before: paces are known to within a few hundredths.
+	paceRepeat = 2 * time.Second
+	paceChange = 0.08
+)
+
+// Peers are the other daemons.
+type Peers interface {
+	// Ask calls a method that another daemon has registered. A peer that is silent is left
+	// alone for a while, and calls to it then fail at once.
+	Ask(ctx context.Context, machine, method string, asked, answer any) error
+}
+
+// Source returns what this daemon has now: the counts, the paces that it has measured
+// lately, and the demands. Run, Number and Sent are left empty.
+type Source func() Report
+
+// Dealt returns the identities of the daemons that may be given batches. It may take as long
+// as a call to the journal.
+type Dealt func(ctx context.Context) []string
+
+// told is a pace as it was told last.
+type told struct {
+	pace uint32
+	at   time.Time
+}
+
+// recipient is a machine that is told.
+type recipient struct {
+	// telling says that a call is under way.
+	telling bool
+	// owner says that it has batches itself, as it answered last.
+	owner  bool
+	toldAt time.Time
+	// heard is the report that it has taken in last, Number 0 if none is known to be.
+	heard Report
+}
+
+// Publisher tells the other owners of this daemon's requests while it has any. It is safe
+// for concurrent use.
+type Publisher struct {
+	table  *Table
+	peers  Peers
+	source Source
+	dealt  Dealt
+	logger *zap.Logger
+	wake   chan struct{}
+
+	mu         sync.Mutex
+	number     uint64
+	recipients map[string]*recipient
+	machines   []string
+	// machinesAt is when the machines were asked for last, asking that they are being.
+	machinesAt time.Time
+	asking     bool
+	active     bool
+	paces      map[Key]told
+	last       Report
+	lastAt     time.Time
+	// rest is how long after lastAt the next report may go.
+	rest   time.Duration
+	totals Totals
+}
+
+// Totals are a publisher's totals: calls made, those that failed, and bytes.
+type Totals struct{ Sent, Failed, Bytes uint64 }
+
+// NewPublisher returns a publisher; Run starts it.
+func NewPublisher(table *Table, peers Peers, source Source, dealt Dealt, logger *zap.Logger) *Publisher {
+	return &Publisher{
+		table: table, peers: peers, source: source, dealt: dealt, logger: logger, wake: make(chan struct{}, 1),
+		recipients: map[string]*recipient{}, paces: map[Key]told{},
+	}
+}
+
+// Wake says that the daemon's own requests may have changed. It never blocks.
+func (p *Publisher) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run tells the others until the context ends. It waits for none of them.
+func (p *Publisher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(p.step(ctx, time.Now()))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-p.wakeUnlessResting():
+		}
+		timer.Stop()
+	}
+}
+
+// wakeUnlessResting returns the channel of Wake, or nil as long as the next report must not go.
+func (p *Publisher) wakeUnlessResting() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active && time.Since(p.lastAt) < p.rest {
+		return nil
+	}
+	return p.wake
+}
+
+// step tells the others if there is something to tell, and returns when to look again at
+// the latest.
+func (p *Publisher) step(ctx context.Context, now time.Time) time.Duration {
+	own := p.source()
+	own.Counts = ordered(own.Counts)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if own.over() && !p.active {
+		return repeatInterval
+	}
+	if rest := p.lastAt.Add(p.rest).Sub(now); p.active && rest > 0 {
+		return rest
+	}
+	if !p.active {
+		p.begin(ctx)
+	}
+	p.refresh(ctx, now)
+	changed := !same(&own, &p.last)
+	if !changed && now.Sub(p.lastAt) < repeatInterval {
+		return tellInterval
+	}
+	sent := p.tell(ctx, own, now)
+	p.last, p.lastAt = own, now
+	p.rest = max(tellInterval, time.Duration(float64(sent)/bytesPerSecond*float64(time.Second)))
+	if own.over() {
+		p.end()
+		return repeatInterval
+	}
+	return max(p.rest, tellInterval)
+}
+
+// begin starts to tell. What the others believe is asked for meanwhile. The mutex is held.
+func (p *Publisher) begin(ctx context.Context) {
+	p.active = true
+	p.logger.Info("begins to tell of its requests", zap.Uint64("report", p.number+1), zap.Int("owners_known", len(p.table.Reporters())))
+	go p.adopt(ctx)
+}
+
+// end ceases to tell. The mutex is held.
+func (p *Publisher) end() {
+	p.active = false
+	p.logger.Info("has told that it has no requests", zap.Uint64("report", p.number), zap.Uint64("calls", p.totals.Sent),
+		zap.Uint64("failed", p.totals.Failed), zap.Uint64("bytes", p.totals.Bytes))
+	p.recipients, p.paces = map[string]*recipient{}, map[Key]told{}
+}
+
+// ordered brings counts in order, those of one key as one.
+func ordered(counts []Count) (made []Count) {
+	slices.SortFunc(counts, func(a, b Count) int { return cmp.Compare(a.Replica, b.Replica) })
+	for _, each := range counts {
+		switch last := len(made) - 1; {
+		case each.Requests == 0:
+		case last >= 0 && made[last].Replica == each.Replica:
+			made[last].Requests += each.Requests
+		default:
+			made = append(made, each)
+		}
+	}
+	return made
+}
+
+// same reports whether two states say the same but for paces.
+func same(a, b *Report) bool {
+	return slices.Equal(a.Counts, b.Counts) && slices.Equal(a.Demands, b.Demands)
+}
+
+// tell sends a report to all that are due, and returns how many bytes that takes. The mutex
+// is held.
+func (p *Publisher) tell(ctx context.Context, own Report, now time.Time) (bytes int) {
+	due := p.due(now, own.over())
+	if len(due) == 0 {
+		return 0
+	}
+	p.number++
+	own.Run, own.Number, own.Sent = p.table.run, p.number, p.table.now().UnixMilli()
+	own.Paces = p.pacesDue(own.Paces, now)
+	own.bounded()
+	for _, machine := range due {
+		to := p.recipients[machine]
+		message, err := encode(basedOn(to.heard, own))
+		if err != nil {
+			p.logger.Error("requests not told", zap.Error(err))
+			return bytes
+		}
+		to.telling, to.toldAt = true, now
+		bytes += len(message.Body) + callBytes
+		go p.tellOne(ctx, machine, to, own, message)
+	}
+	p.totals.Sent += uint64(len(due))
+	p.totals.Bytes += uint64(bytes)
+	return bytes
+}
+
+// basedOn returns a report as it is told to one who has an earlier one.
+func basedOn(heard, own Report) Report {
+	if heard.Number == 0 {
+		return own
+	}
+	if differing := changes(heard.Counts, own.Counts); len(differing) < len(own.Counts) || len(own.Counts) == 0 {
+		own.Counts, own.Base = differing, heard.Number
+	}
+	return own
+}
+
+// due returns the machines to tell now: owners always, others that may become ones now and
+// then. One that has not answered yet is passed over. The mutex is held.
+func (p *Publisher) due(now time.Time, last bool) []string {
+	own := identity.Machine(p.table.run)
+	reporting := p.table.Reporters()
+	owners := map[string]bool{}
+	for _, machine := range reporting {
+		owners[machine] = true
+	}
+	var due []string
+	for _, machine := range slices.Compact(slices.Sorted(slices.Values(append(reporting, p.machines...)))) {
+		if machine == own {
+			continue
+		}
+		to := p.recipients[machine]
+		if to == nil {
+			to = &recipient{}
+			p.recipients[machine] = to
+		}
+		introduce := !last && now.Sub(to.toldAt) >= introduceInterval
+		if !to.telling && (owners[machine] || to.owner || introduce) {
+			due = append(due, machine)
+		}
+	}
+	return due
+}
+
+// pacesDue returns the paces that have changed or were not told for a while. The mutex is held.
+func (p *Publisher) pacesDue(measured []Pacing, now time.Time) (due []Pacing) {
+	for _, each := range measured {
+		before, known := p.paces[each.Replica]
+		difference := max(each.Pace, before.pace) - min(each.Pace, before.pace)
+		if known && now.Sub(before.at) < paceRepeat && float64(difference) < paceChange*float64(before.pace) {
+			continue
+		}
+		p.paces[each.Replica] = told{pace: each.Pace, at: now}
+		due = append(due, each)
+	}
+	return due
+}
+
+func (p *Publisher) tellOne(ctx context.Context, machine string, to *recipient, own Report, message Message) {
+	bounded, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var heard Heard
+	err := p.peers.Ask(bounded, machine, tellMethod, message, &heard)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to.telling, to.owner, to.heard = false, heard.Owner, own
+	if err != nil || heard.Whole {
+		to.heard = Report{}
+	}
+	if err != nil {
+		p.totals.Failed++
+	}
+}
+
+// refresh learns anew which machines may be given batches, without waiting for it. The mutex
+// is held.
+func (p *Publisher) refresh(ctx context.Context, now time.Time) {
+	if p.asking || !p.machinesAt.IsZero() && now.Sub(p.machinesAt) < introduceInterval {
+		return
+	}
+	p.asking, p.machinesAt = true, now
+	go func() {
+		machines := p.dealtMachines(ctx)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !slices.Equal(p.machines, machines) {
+			// Some are to be told though nothing else has changed.
+			p.last = Report{}
+		}
+		p.machines, p.asking = machines, false
+	}()
+}
+
+func (p *Publisher) dealtMachines(ctx context.Context) (machines []string) {
+	for _, run := range p.dealt(ctx) {
+		machines = append(machines, identity.Machine(run))
+	}
+	slices.Sort(machines)
+	return slices.Compact(machines)
+}
+
+// adopt asks one owner for all that it believes: those heard of, or else any that may be one.
+func (p *Publisher) adopt(ctx context.Context) {
+	own := identity.Machine(p.table.run)
+	asked := 0
+	for _, machine := range append(p.table.Reporters(), p.dealtMachines(ctx)...) {
+		if machine == own {
+			continue
+		}
+		if asked++; asked > askedAtMost {
+			return
+		}
+		beliefs, err := p.ask(ctx, machine)
+		if err == nil && len(beliefs.Reports)+len(beliefs.Paces) > 0 {
+			reports := p.table.Adopt(beliefs)
+			p.logger.Info("beliefs adopted", zap.String("from", machine), zap.Int("reports", reports), zap.Int("reports_told", len(beliefs.Reports)), zap.Int("paces", len(beliefs.Paces)))
+			return
+		}
+		p.logger.Info("no beliefs adopted", zap.String("from", machine), zap.Error(err))
+	}
+}
+
+func (p *Publisher) ask(ctx context.Context, machine string) (beliefs Beliefs, err error) {
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var answer Message
+	if err := p.peers.Ask(bounded, machine, askMethod, struct{}{}, &answer); err != nil {
+		return beliefs, errors.Wrap(err, "occupancy: ask")
+	}
+	return beliefs, decode(answer, &beliefs)
+}
+
+// Own returns what this daemon has, as it would be told now, and whether it has batches.
+func (p *Publisher) Own() (Report, bool) {
+	own := p.source()
+	own.Counts = ordered(own.Counts)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own.Run, own.Number, own.Sent = p.table.run, p.number, p.table.now().UnixMilli()
+	return own, !own.over()
+}
+
+// Totals returns the totals since the start.
+func (p *Publisher) Totals() Totals {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.totals
+}
--- /dev/null
+++ b/internal/occupancy/service.go
@@ -0,0 +1,74 @@
+package occupancy
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// ServiceName is the name under which daemons tell each other of their requests, and
+// tellMethod and askMethod what they call there.
+const (
+	ServiceName = "Occupancy"
+	tellMethod  = ServiceName + ".Tell"
+	askMethod   = ServiceName + ".Ask"
+)
+
+// Message is what net/rpc carries: a value in CBOR, which is half as long as by its own
+// codec.
+type Message struct{ Body []byte }
+
+// Heard is the answer to a report.
+type Heard struct {
+	// Owner says that the daemon told has batches itself.
+	Owner bool
+	// Whole says that it has not taken the report, as one that lacks what it is based on
+	// can't: the next one is to be whole.
+	Whole bool
+}
+
+// Service takes in what other daemons tell, and tells what is believed here. Its exported
+// methods are those of net/rpc.
+type Service struct {
+	table *Table
+	own   func() (Report, bool)
+}
+
+// NewService returns the service of a table. Own returns this daemon's own state, if it has
+// batches.
+func NewService(table *Table, own func() (Report, bool)) *Service {
+	return &Service{table: table, own: own}
+}
+
+// Tell takes a report in. It is exported for net/rpc.
+func (s *Service) Tell(told Message, heard *Heard) error {
+	var report Report
+	if err := decode(told, &report); err != nil {
+		return err
+	}
+	heard.Whole = s.table.Merge(report) != Taken
+	_, heard.Owner = s.own()
+	return nil
+}
+
+// Ask answers a daemon that becomes an owner with all that is believed here. It is exported
+// for net/rpc.
+func (s *Service) Ask(_ struct{}, told *Message) error {
+	beliefs := s.table.Beliefs()
+	if own, owner := s.own(); owner {
+		beliefs.Paces = append(beliefs.Paces, own.Paces...)
+		own.Paces = nil
+		beliefs.Reports = append(beliefs.Reports, Relayed{Report: own})
+	}
+	encoded, err := encode(beliefs)
+	*told = encoded
+	return err
+}
+
+func encode(value any) (Message, error) {
+	encoded, err := cbor.Marshal(value)
+	return Message{Body: encoded}, errors.Wrap(err, "occupancy: encode")
+}
+
+func decode(message Message, into any) error {
+	return errors.Wrap(cbor.Unmarshal(message.Body, into), "occupancy: decode")
+}
--- /dev/null
+++ b/internal/occupancy/share.go
@@ -0,0 +1,103 @@
+package occupancy
+
+import (
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+// Unbounded is the allowance of an owner that nobody waits for.
+const Unbounded = math.MaxInt
+
+// yieldTime is for how long an owner leaves room to others that wait for it: they hear of it
+// within some hundred milliseconds. After that it takes what they have not, as what they
+// wait for may be at other engines.
+const yieldTime = 300 * time.Millisecond
+
+// Allowance returns how many more requests an owner may have under way at some engines with
+// slots places in all, so that each owner comes to its part of them: what others of a more
+// urgent rank want comes first, and owners of the same rank get equal parts, or what they
+// want if that is less. An owner that nobody waits for may start as it likes.
+//
+// Without it, an owner whose requests fill all engines would take each place that becomes
+// free before others hear of it, and these would wait until it has nothing left.
+func Allowance(slots int, own Demand, others []Demand) int {
+	var equal []int
+	waits := false
+	for _, each := range others {
+		has, wants := int(each.InFlight), int(each.InFlight+each.Waiting)
+		switch {
+		case each.Waiting == 0 || each.Rank > own.Rank:
+			slots -= has
+		case each.Rank < own.Rank:
+			waits = true
+			slots -= wants
+		default:
+			waits = true
+			equal = append(equal, wants)
+		}
+	}
+	if !waits {
+		return Unbounded
+	}
+	share := evenShare(slots, int(own.InFlight+own.Waiting), equal)
+	return max(share-int(own.InFlight), 0)
+}
+
+// evenShare returns what one gets of some places that it and others want: an equal part, to
+// which is added what others leave of theirs.
+func evenShare(places, wanted int, others []int) int {
+	slices.Sort(others)
+	for i, each := range others {
+		part := places / (len(others) - i + 1)
+		if wanted <= part || each > part {
+			return max(min(wanted, part), 0)
+		}
+		places -= each
+	}
+	return max(min(wanted, places), 0)
+}
+
+// Turn is one owner's view of who may start next at a service's engines. The zero value is
+// ready for use.
+type Turn struct {
+	// since is from when on room was left to others, or zero.
+	since time.Time
+}
+
+// Allow returns how many of the starts that are due may be made now, with an allowance as
+// Allowance returns it. What is left to others for yieldTime is taken in the end.
+func (t *Turn) Allow(now time.Time, allowance, due int) int {
+	switch {
+	case due <= allowance:
+		t.since = time.Time{}
+		return due
+	case t.since.IsZero():
+		t.since = now
+	case now.Sub(t.since) >= yieldTime:
+		t.since = time.Time{}
+		return due
+	}
+	return allowance
+}
+
+// Preference ranks a replica among ones that are as good as each other, from 0 to below 1,
+// in an order that differs from owner to owner: two that start at the same instant, before
+// either can have heard of the other, then seldom choose the same.
+func Preference(owner, replica string) float64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(owner)) // it never fails
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(replica))
+	return float64(mixed(hash.Sum64())>>11) / (1 << 53)
+}
+
+// mixed spreads the differences of the last bytes over all bits, as the end of murmur3 does.
+func mixed(hash uint64) uint64 {
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+	hash *= 0xc4ceb9fe1a85ec53
+	return hash ^ hash>>33
+}
--- /dev/null
+++ b/internal/occupancy/table_test.go
@@ -0,0 +1,254 @@
+package occupancy
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/bootclock/clocktest"
+	"woodworks/internal/testseed"
+)
+
+func init() { testseed.Fix() }
+
+const engine = Key(7)
+
+// reported is a report with some requests at one engine, sent at a time of the sender's clock.
+func reported(run string, number uint64, sent time.Time, requests uint32) Report {
+	return Report{Run: run, Number: number, Sent: sent.UnixMilli(), Counts: []Count{{Replica: engine, Requests: requests}}}
+}
+
+// heard runs a test of a table in virtual time, with the clock of its machine.
+func heard(t *testing.T, test func(is *is.I, table *Table, clock *clocktest.Clock)) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clocktest.New()
+		test(is.New(t), NewTable("self/1", clock.Now, zap.NewNop()), clock)
+	})
+}
+
+// An owner that is cut off, or gone without a word, counts for reportHolds and no longer.
+func TestAReportIsBelievedForAStatedTime(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		is.Equal(table.Merge(reported("a/1", 1, clock.Now(), 3)), Taken)
+		is.Equal(table.Merge(reported("b/1", 1, clock.Now(), 2)), Taken)
+		is.Equal(table.Others(engine), 5)
+		time.Sleep(reportHolds - time.Millisecond)
+		is.Equal(table.Merge(reported("b/1", 2, clock.Now(), 4)), Taken)
+		is.Equal(table.Others(engine), 7)
+		time.Sleep(time.Millisecond)
+		is.Equal(table.Others(engine), 4)
+		is.Equal(table.Reporters(), []string{"b"})
+		is.Equal(table.Counts(), Counts{Received: 3, Expired: 1, Elsewhere: 4})
+	})
+}
+
+// Beliefs grow old while the machine that holds them is suspended.
+func TestBeliefsLapseWhileTheMachineIsSuspended(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		table.Merge(reported("a/1", 1, clock.Now(), 3))
+		clock.Suspend(reportHolds)
+		is.Equal(table.Others(engine), 0)
+	})
+}
+
+// A report that waited for its sender or for this machine to be woken is as old as it is: it
+// is refused if it is over, and else believed for what is left.
+func TestAReportThatWasOnItsWayForLongIsOld(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		ahead := 40 * time.Minute // the sender's clock
+		table.Merge(reported("a/1", 1, clock.Now().Add(ahead), 3))
+		late := reported("a/1", 2, clock.Now().Add(ahead), 4)
+		clock.Suspend(reportHolds / 2)
+		is.Equal(table.Merge(late), Taken)
+		time.Sleep(reportHolds/2 + 2*time.Millisecond)
+		is.Equal(table.Others(engine), 0)
+		late = reported("a/1", 3, clock.Now().Add(ahead), 5)
+		clock.Suspend(2 * reportHolds)
+		is.Equal(table.Merge(late), Refused)
+		is.Equal(table.Others(engine), 0)
+		is.Equal(table.Merge(reported("a/1", 4, clock.Now().Add(ahead), 6)), Taken)
+		is.Equal(table.Others(engine), 6)
+	})
+}
+
+// Doubles and reports that were overtaken change nothing.
+func TestADoubleOrAnOvertakenReportIsRefused(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		first, second := reported("a/1", 1, clock.Now(), 3), reported("a/1", 2, clock.Now(), 1)
+		is.Equal(table.Merge(second), Taken)
+		is.Equal(table.Merge(first), Refused)
+		is.Equal(table.Merge(second), Refused)
+		is.Equal(table.Others(engine), 1)
+		// An empty one ends the belief, and what it has overtaken doesn't bring it back.
+		is.Equal(table.Merge(Report{Run: "a/1", Number: 4, Sent: clock.Now().UnixMilli()}), Taken)
+		is.Equal(table.Merge(reported("a/1", 3, clock.Now(), 9)), Refused)
+		is.Equal(table.Others(engine), 0)
+	})
+}
+
+// A new run replaces what the run before told, whatever the numbers, and late words of that
+// run count no more. A machine whose time of day was put back is heard once the run before has
+// lapsed.
+func TestANewRunReplacesTheOneBefore(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		table.Merge(reported("a/1", 9, clock.Now(), 3))
+		is.Equal(table.Merge(reported("a/2", 1, clock.Now(), 1)), Taken)
+		is.Equal(table.Others(engine), 1)
+		is.Equal(table.Merge(reported("a/1", 10, clock.Now(), 3)), Refused)
+		is.Equal(table.Others(engine), 1)
+		time.Sleep(reportHolds)
+		is.Equal(table.Merge(reported("a/0", 1, clock.Now(), 2)), Taken)
+		is.Equal(table.Others(engine), 2)
+		// What this machine's earlier run told is not another's.
+		is.Equal(table.Merge(reported("self/0", 1, clock.Now(), 2)), Refused)
+	})
+}
+
+// Changes count only on top of the report that they are based on.
+func TestChangesNeedTheirBase(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		change := reported("a/1", 2, clock.Now(), 5)
+		change.Base = 1
+		is.Equal(table.Merge(change), Unfounded)
+		table.Merge(reported("a/1", 1, clock.Now(), 3))
+		is.Equal(table.Merge(change), Taken)
+		is.Equal(table.Others(engine), 5)
+		// After a time without reports the base is still known.
+		time.Sleep(2 * reportHolds)
+		more := Report{Run: "a/1", Number: 3, Base: 2, Sent: clock.Now().UnixMilli(), Counts: []Count{{Replica: engine + 1, Requests: 1}}}
+		is.Equal(table.Merge(more), Taken)
+		is.Equal(table.Others(engine), 5)
+		is.Equal(table.Others(engine+1), 1)
+	})
+}
+
+// What differs between two states, put on top of the first, gives the second.
+func TestChangesMakeTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) []Count {
+			var counts []Count
+			for _, key := range rapid.SliceOfN(rapid.Uint32Range(0, 20), 0, 12).Draw(t, name) {
+				counts = append(counts, Count{Replica: Key(key), Requests: key%4 + uint32(len(counts))})
+			}
+			return ordered(counts)
+		}
+		before, now := draw("before"), draw("now")
+		made := changed(before, changes(before, now))
+		if fmt.Sprint(made) != fmt.Sprint(now) {
+			t.Fatalf("%v with changes is %v, not %v", before, made, now)
+		}
+	})
+}
+
+// The requests believed are always the sum of the reports that hold.
+func TestTheSumIsThatOfTheReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clocktest.New()
+		start := clock.Now()
+		table := NewTable("self/1", clock.Now, zap.NewNop())
+		for number := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			clock.Suspend(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			run := fmt.Sprintf("%c/%d", 'a'+rapid.IntRange(0, 4).Draw(t, "machine"), rapid.IntRange(1, 2).Draw(t, "run"))
+			told := reported(run, uint64(rapid.IntRange(0, number).Draw(t, "number")), start.Add(clock.Now().Sub(start)), uint32(rapid.IntRange(0, 8).Draw(t, "requests")))
+			table.Merge(told)
+			sum := 0
+			for _, known := range table.daemons {
+				if known.holds && clock.Now().Sub(known.at) < reportHolds {
+					sum += int(known.report.Counts[0].Requests)
+				}
+			}
+			if table.Others(engine) != sum || table.Counts().Elsewhere != sum {
+				t.Fatalf("%d at the engine, %d in all, reports say %d", table.Others(engine), table.Counts().Elsewhere, sum)
+			}
+		}
+	})
+}
+
+// A table is bounded in daemons, entries of a report and paces; what holds is not pushed out.
+func TestATableIsBounded(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		long := Report{Run: "long/1", Number: 1, Sent: clock.Now().UnixMilli()}
+		for i := range 2 * longestReport {
+			long.Counts = append(long.Counts, Count{Replica: Key(i), Requests: 1})
+		}
+		table.Merge(long)
+		is.Equal(table.Counts().Elsewhere, longestReport)
+		for i := range 2 * mostDaemons {
+			outcome := table.Merge(reported(fmt.Sprintf("d%d/1", i), 1, clock.Now(), 1))
+			is.Equal(outcome == Taken, i < mostDaemons-1)
+		}
+		time.Sleep(reportHolds)
+		is.Equal(table.Merge(reported("late/1", 1, clock.Now(), 1)), Taken)
+		is.Equal(len(table.daemons), mostDaemons)
+		for i := range mostPaces {
+			table.Adopt(Beliefs{Paces: []Pacing{{Replica: Key(i), Pace: 1}, {Replica: Key(mostPaces + i), Pace: 1}}})
+		}
+		is.Equal(len(table.paces), mostPaces)
+		time.Sleep(max(remembered, paceHolds) + time.Second)
+		table.Sweep()
+		is.Equal(len(table.daemons)+len(table.paces)+len(table.elsewhere), 0)
+	})
+}
+
+// Of the paces told of a replica the one measured last counts, for paceHolds.
+func TestThePaceMeasuredLastCounts(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		tell := func(run string, pace, age time.Duration) {
+			told := Report{Run: run, Number: 1, Sent: clock.Now().UnixMilli(), Paces: []Pacing{MakePacing(engine, pace, age)}}
+			is.Equal(table.Merge(told), Taken)
+		}
+		tell("a/1", 30*time.Millisecond, 2*time.Second)
+		tell("b/1", 40*time.Millisecond, 5*time.Second)
+		pace, age := table.Pace(engine)
+		is.Equal(pace, 30*time.Millisecond)
+		is.Equal(age, 2*time.Second)
+		tell("c/1", 50*time.Millisecond, time.Second)
+		pace, _ = table.Pace(engine)
+		is.Equal(pace, 50*time.Millisecond)
+		time.Sleep(paceHolds)
+		pace, _ = table.Pace(engine)
+		is.Equal(pace, time.Duration(0))
+	})
+}
+
+// A daemon that becomes an owner takes over what another believes, with its age; what it has
+// heard itself stays where that is newer, and it is not told of its own requests.
+func TestBeliefsAreAdopted(t *testing.T) {
+	heard(t, func(is *is.I, table *Table, clock *clocktest.Clock) {
+		table.Merge(reported("a/1", 1, clock.Now(), 3))
+		table.Merge(reported("b/1", 5, clock.Now(), 2))
+		table.Merge(reported("new/1", 1, clock.Now(), 8))
+		table.Adopt(Beliefs{Paces: []Pacing{MakePacing(engine, 20*time.Millisecond, time.Second)}})
+		time.Sleep(reportHolds / 2)
+		newcomer := NewTable("new/2", clock.Now, zap.NewNop())
+		newcomer.Merge(reported("b/1", 6, clock.Now(), 1))
+		is.Equal(newcomer.Adopt(table.Beliefs()), 1)
+		is.Equal(newcomer.Others(engine), 4)
+		pace, _ := newcomer.Pace(engine)
+		is.Equal(pace, 20*time.Millisecond)
+		time.Sleep(reportHolds / 2)
+		is.Equal(newcomer.Others(engine), 1)
+	})
+}
+
+// A report is for one start of a replica where starts are known.
+func TestStartsOfAReplicaAreToldApart(t *testing.T) {
+	is := is.New(t)
+	born := time.Unix(1000, 0)
+	is.Equal(KeyOf("e", born), KeyOf("e", born.UTC()))
+	is.True(KeyOf("e", born) != KeyOf("e", born.Add(time.Second)))
+	is.True(KeyOf("e", born) != KeyOf("e", time.Time{}))
+}
+
+// Who hears of nobody believes nothing.
+func TestANilTableBelievesNothing(t *testing.T) {
+	is := is.New(t)
+	var table *Table
+	pace, _ := table.Pace(engine)
+	is.Equal(table.Others(engine)+len(table.Demands(engine))+int(pace), 0)
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -46,6 +46,8 @@
 	Latency time.Duration
 	// Pace is the mean time between the events of recent streams, 0 if unknown.
 	Pace time.Duration
+	// PaceAt is when the last of these events came, zero if there were none.
+	PaceAt time.Time
 }
 
 const (
@@ -288,7 +290,7 @@
 // view is a replica as it is now.
 func (each *listed) view(now time.Time) Replica {
 	learned := each.learned
-	viewed := Replica{Entry: each.Entry, InFlight: learned.inFlight, AvoidUntil: learned.avoidUntil, Declining: learned.declines > 0, Probing: learned.probing, Latency: learned.latency, Pace: learned.pace.value(now)}
+	viewed := Replica{Entry: each.Entry, InFlight: learned.inFlight, AvoidUntil: learned.avoidUntil, Declining: learned.declines > 0, Probing: learned.probing, Latency: learned.latency, Pace: learned.pace.value(now), PaceAt: learned.pace.at}
 	if now.Sub(learned.reportedAt) <= loadHolds {
 		viewed.Reported = learned.reported
 	}
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -33,9 +33,10 @@
 	if moves {
 		runner.movedAt = now
 	}
-	for _, seen := range runner.views(now) {
+	views := runner.views(now)
+	for service, seen := range views {
 		seen.Settled = !moves
-		for _, decision := range scheduling.Plan(seen.Snapshot) {
+		for _, decision := range runner.sharing.inTurn(service, &seen.Snapshot, scheduling.Plan(seen.Snapshot), now) {
 			switch decision := decision.(type) {
 			case scheduling.Start:
 				runner.start(seen.pending[decision.Item], seen.replicas[decision.Engine])
@@ -45,6 +46,7 @@
 			}
 		}
 	}
+	runner.sharing.dispatched(views)
 }
 
 // views takes a snapshot of each service that has items to start or to move.
@@ -61,7 +63,7 @@
 		seen.Zone = runner.forwarder.Zone
 		seen.replicas = runner.table.Replicas(service)
 		for _, each := range seen.replicas {
-			seen.Engines = append(seen.Engines, engineOf(each, now))
+			seen.Engines = append(seen.Engines, runner.sharing.fill(engineOf(each, now), each, now))
 		}
 	}
 	return views
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -59,8 +59,10 @@
 	assigner  *Assigner
 	history   *history
 	observe   Observer
-	logger    *zap.Logger
-	context   context.Context
+	// sharing is nil where other owners are not heard.
+	sharing *sharing
+	logger  *zap.Logger
+	context context.Context
 
 	mutex sync.Mutex
 	jobs  map[string]*job
--- /dev/null
+++ b/internal/runner/sharing.go
@@ -0,0 +1,200 @@
+package runner
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"woodworks/internal/occupancy"
+	"woodworks/internal/replica"
+	"woodworks/internal/scheduling"
+)
+
+// ownPaceHolds is for how long a pace that this daemon measured goes before one that others
+// have measured since: texts show one every few hundredths of a second.
+const ownPaceHolds = 3 * time.Second
+
+// sharing is what the dispatcher needs to share engines with other owners. A nil one has
+// none to share with.
+type sharing struct {
+	self    string
+	table   *occupancy.Table
+	changed func()
+
+	mu sync.Mutex
+	// demands are what the last dispatch left waiting, by service; turns who starts next.
+	demands map[string]occupancy.Demand
+	turns   map[string]*occupancy.Turn
+}
+
+// ShareEngines lets the runner reckon with what the table holds of other owners. Changed is
+// called whenever the runner's own requests may have changed; it must not block. It is called
+// before Run.
+func (runner *Runner) ShareEngines(table *occupancy.Table, changed func()) {
+	runner.sharing = &sharing{self: runner.self, table: table, changed: changed, demands: map[string]occupancy.Demand{}, turns: map[string]*occupancy.Turn{}}
+}
+
+// keyOf names a replica to other owners.
+func keyOf(each replica.Replica) occupancy.Key { return occupancy.KeyOf(each.ID, time.Time{}) }
+
+// fill adds to an engine what other owners told of it.
+func (s *sharing) fill(engine scheduling.Engine, seen replica.Replica, now time.Time) scheduling.Engine {
+	if s == nil {
+		return engine
+	}
+	key := keyOf(seen)
+	engine.Others = s.table.Others(key)
+	engine.Preference = occupancy.Preference(s.self, seen.ID)
+	if own := now.Sub(seen.PaceAt); seen.Pace == 0 || own > ownPaceHolds {
+		if pace, age := s.table.Pace(key); pace > 0 && (seen.Pace == 0 || age < own) {
+			engine.Pace = pace
+		}
+	}
+	return engine
+}
+
+// inTurn returns the decisions of a service that may be carried out now, as other owners wait
+// for room as well, and notes what is left waiting.
+func (s *sharing) inTurn(service string, seen *scheduling.Snapshot, decisions []scheduling.Decision, now time.Time) []scheduling.Decision {
+	if s == nil {
+		return decisions
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := occupancy.KeyOf(service, time.Time{})
+	own, _ := demandOf(key, seen, nil)
+	due := 0
+	for _, decision := range decisions {
+		if _, start := decision.(scheduling.Start); start {
+			due++
+		}
+	}
+	allowed := s.turnOf(service).Allow(now, occupancy.Allowance(placesOf(seen), own, s.table.Demands(key)), due)
+	kept := firstStarts(decisions, allowed)
+	demand, first := demandOf(key, seen, kept)
+	if allowed == due && hasRoomFor(first, seen, kept) {
+		// What waits beside room waits for something else, as for weights.
+		demand.Waiting = 0
+	}
+	s.demands[service] = demand
+	return kept
+}
+
+// turnOf returns the turn of a service. The mutex is held.
+func (s *sharing) turnOf(service string) *occupancy.Turn {
+	turn := s.turns[service]
+	if turn == nil {
+		turn = &occupancy.Turn{}
+		s.turns[service] = turn
+	}
+	return turn
+}
+
+// firstStarts returns the decisions without the starts after so many.
+func firstStarts(decisions []scheduling.Decision, starts int) (kept []scheduling.Decision) {
+	for _, decision := range decisions {
+		if _, start := decision.(scheduling.Start); start {
+			if starts--; starts < 0 {
+				continue
+			}
+		}
+		kept = append(kept, decision)
+	}
+	return kept
+}
+
+// placesOf returns how many requests the engines of a snapshot run at a time.
+func placesOf(seen *scheduling.Snapshot) (places int) {
+	for i := range seen.Engines {
+		places += seen.Engines[i].Places()
+	}
+	return places
+}
+
+// demandOf returns what an owner has and still wants after some decisions, with the most
+// urgent item that waits, or nil.
+func demandOf(service occupancy.Key, seen *scheduling.Snapshot, decisions []scheduling.Decision) (demand occupancy.Demand, first *scheduling.Item) {
+	started, taken := startsOf(decisions)
+	demand.Service = service
+	for i := range seen.Engines {
+		demand.InFlight += uint32(max(seen.Engines[i].InFlight+taken[i], 0))
+	}
+	for i := range seen.Items {
+		item := &seen.Items[i]
+		if item.Engine != "" || started[i] {
+			continue
+		}
+		demand.Waiting++
+		if first == nil || item.Priority < first.Priority {
+			first = item
+			demand.Rank = int32(item.Priority)
+		}
+	}
+	return demand, first
+}
+
+// startsOf returns the items that decisions start, and how many at each engine.
+func startsOf(decisions []scheduling.Decision) (started map[int]bool, taken map[int]int) {
+	started, taken = map[int]bool{}, map[int]int{}
+	for _, decision := range decisions {
+		if start, ok := decision.(scheduling.Start); ok {
+			started[start.Item] = true
+			taken[start.Engine]++
+		}
+	}
+	return started, taken
+}
+
+// hasRoomFor reports whether an engine could run an item after some decisions.
+func hasRoomFor(item *scheduling.Item, seen *scheduling.Snapshot, decisions []scheduling.Decision) bool {
+	if item == nil {
+		return false
+	}
+	_, taken := startsOf(decisions)
+	for i := range seen.Engines {
+		if engine := &seen.Engines[i]; engine.Room(taken[i]) && engine.Holds(item) {
+			return true
+		}
+	}
+	return false
+}
+
+// dispatched ends a round over the services with items: those of the others are over.
+func (s *sharing) dispatched(views map[string]*view) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	maps.DeleteFunc(s.demands, func(service string, _ occupancy.Demand) bool { return views[service] == nil })
+	maps.DeleteFunc(s.turns, func(service string, _ *occupancy.Turn) bool { return views[service] == nil })
+	s.mu.Unlock()
+	s.changed()
+}
+
+// Occupied returns what this daemon has at the engines that it shares with other owners.
+func (runner *Runner) Occupied() (told occupancy.Report) {
+	s := runner.sharing
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if runner.quiet() {
+		clear(s.demands)
+		clear(s.turns)
+		return told
+	}
+	now := time.Now()
+	for service, demand := range s.demands {
+		if runner.stopping.Load() {
+			demand.Waiting = 0
+		}
+		demand.InFlight = 0
+		for _, each := range runner.table.Replicas(service) {
+			demand.InFlight += uint32(max(each.InFlight, 0))
+			told.Counts = append(told.Counts, occupancy.Count{Replica: keyOf(each), Requests: uint32(max(each.InFlight, 0))})
+			if age := now.Sub(each.PaceAt); each.Pace > 0 && age <= ownPaceHolds {
+				told.Paces = append(told.Paces, occupancy.MakePacing(keyOf(each), each.Pace, age))
+			}
+		}
+		told.Demands = append(told.Demands, demand)
+	}
+	return told
+}
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -136,7 +136,11 @@
 	if pool.scores[i] != pool.scores[j] {
 		return pool.scores[i] < pool.scores[j]
 	}
-	return pool.planner.Engines[pool.engines[i]].ID < pool.planner.Engines[pool.engines[j]].ID
+	first, second := &pool.planner.Engines[pool.engines[i]], &pool.planner.Engines[pool.engines[j]]
+	if first.Preference != second.Preference {
+		return first.Preference > second.Preference
+	}
+	return first.ID < second.ID
 }
 
 func (pool *pool) Swap(i, j int) {
@@ -204,3 +208,18 @@
 func rounded(nanoseconds float64) time.Duration {
 	return time.Duration(math.Round(nanoseconds))
 }
+
+// Places is how many requests an engine runs at a time.
+func (engine *Engine) Places() int { return slotsOf(engine) }
+
+// Room reports whether an engine may get another request now, besides some that it is
+// about to get.
+func (engine *Engine) Room(more int) bool {
+	return !engine.Resting && !engine.Declining && engine.InFlight+engine.Others+more < slotsOf(engine)
+}
+
+// Holds reports whether an engine's weights are new enough for an item, as far as is known.
+func (engine *Engine) Holds(item *Item) bool {
+	version, known := engine.Versions[item.Model]
+	return !known || version >= item.MinVersion
+}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -34,6 +34,9 @@
 	Others int
 	// Pace is the mean time between the events of a text, 0 if unknown.
 	Pace time.Duration
+	// Preference ranks it among engines that are as good, from 0 to below 1: higher ones go
+	// first. It should differ between owners that may start at the same instant.
+	Preference float64
 	// Resting engines get nothing for now: they failed or declined a moment ago.
 	Resting bool
 	// Declining engines declined the last request; one at a time finds out
