--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -18,8 +18,8 @@
 // of seconds to a minute, on the same tens to thousands of engines.
 //
 //	table := occupancy.NewTable(run, bootclock.Now, logger)
-//	peers.Register(occupancy.ServiceName, occupancy.NewService(table, busy))
 //	publisher := occupancy.NewPublisher(table, peers, source, dealt, logger)
+//	peers.Register(occupancy.ServiceName, occupancy.NewService(table, publisher.Own, dispatcher.Kick))
 //	go publisher.Run(ctx)
 //	publisher.Wake() // whenever the daemon's own requests have changed
 //	engine.Others = table.Others(occupancy.KeyOf(id, born))
--- a/internal/occupancy/publish.go
+++ b/internal/occupancy/publish.go
@@ -20,9 +20,12 @@
 	// repeatInterval is after how long a report is told again though nothing has changed.
 	repeatInterval = reportHolds / 3
 	// bytesPerSecond bounds what a daemon sends, two thirds of the 18 KB that one may need
-	// for all that is no work. With reports of 500 bytes it tells 3 others 8 times, 17 others
-	// 1.4 times and 99 others 0.24 times a second: from some 25 owners on, reports lapse
-	// before the next comes, and an owner knows a part of the others' requests only.
+	// for all that is no work, and with callBytes its calls to 40 a second. Where requests at
+	// some of 45 engines change all the time, a report takes 340 bytes with its headers, and a
+	// daemon sends 10.2 KB a second among 4 owners, so that each hears of it 10 times a second;
+	// 12 KB among 18, twice a second each; and 12 KB among 100, 0.3 times (virtual time). From
+	// some 40 owners on reports lapse before the next comes, and an owner knows a part of the
+	// others' requests at a time.
 	bytesPerSecond = 12000
 	// callBytes is what a call takes besides the report: the headers of net/rpc both ways
 	// and of four segments.
--- /dev/null
+++ b/internal/occupancy/rpc_test.go
@@ -0,0 +1,69 @@
+package occupancy
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/bootclock"
+	"woodworks/internal/journal"
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/relay"
+)
+
+// freeAddress is one of the loopback at which nobody listens.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }() // it was only to find a port
+	return listener.Addr().String()
+}
+
+// related starts a daemon's relay with the parts of this package on it.
+func related(ctx context.Context, t *testing.T, name string, store journal.Journal, source Source) *Table {
+	t.Helper()
+	relayed := relay.New(store, relay.Options{Name: name, Zone: "z", Address: freeAddress(t)}, zap.NewNop())
+	table := NewTable(name+"/1", bootclock.Now, zap.NewNop())
+	dealt := func(context.Context) []string { return []string{"a/1", "b/1"} }
+	publisher := NewPublisher(table, relayed, source, dealt, zap.NewNop())
+	relayed.Register(ServiceName, NewService(table, publisher.Own, func() {}))
+	if err := relayed.Serve(ctx); err != nil {
+		t.Fatal(err)
+	}
+	go relayed.Run(ctx)
+	go journal.NewKeyedFollower(relayed, relay.Partition(relayed), relayed.Peers(), 3*time.Second, zap.NewNop()).Run(ctx)
+	go publisher.Run(ctx)
+	return table
+}
+
+// Two daemons tell each other over connections of net/rpc.
+func TestDaemonsTellEachOtherOverTheirRelays(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	store := journaltest.New()
+	has := func(requests uint32) Source {
+		return func() Report {
+			return Report{
+				Counts:  []Count{{Replica: engine, Requests: requests}},
+				Paces:   []Pacing{MakePacing(engine+Key(requests), time.Duration(requests)*10*time.Millisecond, 0)},
+				Demands: []Demand{{Service: 1, Rank: 2, InFlight: requests, Waiting: 4}},
+			}
+		}
+	}
+	a, b := related(ctx, t, "a", store, has(3)), related(ctx, t, "b", store, has(5))
+	for ctx.Err() == nil && (a.Others(engine) != 5 || b.Others(engine) != 3 || len(a.Demands(1)) == 0) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(a.Others(engine), 5)
+	is.Equal(b.Others(engine), 3)
+	is.Equal(a.Demands(1), []Demand{{Service: 1, Rank: 2, InFlight: 5, Waiting: 4}})
+	pace, _ := b.Pace(engine + 3)
+	is.Equal(pace, 30*time.Millisecond)
+}
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -31,12 +31,13 @@
 type Service struct {
 	table *Table
 	own   func() (Report, bool)
+	heard func()
 }
 
 // NewService returns the service of a table. Own returns this daemon's own state, if it has
-// batches.
-func NewService(table *Table, own func() (Report, bool)) *Service {
-	return &Service{table: table, own: own}
+// batches; heard is called after each report and must not block.
+func NewService(table *Table, own func() (Report, bool), heard func()) *Service {
+	return &Service{table: table, own: own, heard: heard}
 }
 
 // Tell takes a report in. It is exported for net/rpc.
@@ -47,6 +48,7 @@
 	}
 	heard.Whole = s.table.Merge(report) != Taken
 	_, heard.Owner = s.own()
+	s.heard()
 	return nil
 }
 
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"woodworks/internal/occupancy"
 	"woodworks/internal/replica"
 	"woodworks/internal/scheduling"
@@ -20,6 +22,7 @@
 	self    string
 	table   *occupancy.Table
 	changed func()
+	logger  *zap.Logger
 
 	mu sync.Mutex
 	// demands are what the last dispatch left waiting, by service; turns who starts next.
@@ -31,7 +34,7 @@
 // called whenever the runner's own requests may have changed; it must not block. It is called
 // before Run.
 func (runner *Runner) ShareEngines(table *occupancy.Table, changed func()) {
-	runner.sharing = &sharing{self: runner.self, table: table, changed: changed, demands: map[string]occupancy.Demand{}, turns: map[string]*occupancy.Turn{}}
+	runner.sharing = &sharing{self: runner.self, table: table, changed: changed, logger: runner.logger, demands: map[string]occupancy.Demand{}, turns: map[string]*occupancy.Turn{}}
 }
 
 // keyOf names a replica to other owners.
@@ -69,7 +72,13 @@
 			due++
 		}
 	}
-	allowed := s.turnOf(service).Allow(now, occupancy.Allowance(placesOf(seen), own, s.table.Demands(key)), due)
+	turn, others := s.turnOf(service), s.table.Demands(key)
+	left := turn.Leaves()
+	allowed := turn.Allow(now, occupancy.Allowance(placesOf(seen), own, others), due)
+	if turn.Leaves() && !left {
+		s.logger.Info("room left to other owners", zap.String("service", service), zap.Int("starts", due), zap.Int("allowed", allowed),
+			zap.Uint32("in_flight", own.InFlight), zap.Uint32("waiting", own.Waiting), zap.Int("owners", len(others)))
+	}
 	kept := firstStarts(decisions, allowed)
 	demand, first := demandOf(key, seen, kept)
 	if allowed == due && hasRoomFor(first, seen, kept) {
@@ -171,6 +180,21 @@
 	s.changed()
 }
 
+// HeardOfOthers has the dispatcher look again if items wait for room: others may have told of
+// some. It never blocks.
+func (runner *Runner) HeardOfOthers() {
+	s := runner.sharing
+	s.mu.Lock()
+	waits := false
+	for _, each := range s.demands {
+		waits = waits || each.Waiting > 0
+	}
+	s.mu.Unlock()
+	if waits {
+		runner.Kick()
+	}
+}
+
 // Occupied returns what this daemon has at the engines that it shares with other owners.
 func (runner *Runner) Occupied() (told occupancy.Report) {
 	s := runner.sharing
--- /dev/null
+++ b/internal/runner/sharing_test.go
@@ -0,0 +1,267 @@
+package runner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"woodworks/internal/occupancy"
+	"woodworks/internal/replica"
+	"woodworks/internal/scheduling"
+)
+
+// The stand has some engines that run eight texts each and let four more wait; what comes
+// beyond is declined. Owners look every tick, and hear of each other every tellTicks.
+const (
+	standEngines = 20
+	standSlots   = 8
+	standQueue   = 4
+	tick         = 10 * time.Millisecond
+	tellTicks    = 10
+	declineTicks = 12
+)
+
+// standText is one text: where it is and how long it still runs.
+type standText struct {
+	burst, length, begun int
+	engine               int // -1 while it waits at its owner
+	runs                 bool
+	left                 int
+}
+
+// standOwner is one owner with its texts, in the order in which they should start.
+type standOwner struct {
+	sharing *sharing
+	number  uint64
+	from    int // the tick of its burst
+	texts   []*standText
+	resting [standEngines]int
+	ended   int
+}
+
+// stand is what is measured of some owners that share engines.
+type stand struct {
+	tick             int
+	owners           []*standOwner
+	queued, declines int // ticks that texts waited in engines' queues, and texts declined
+}
+
+func newStand(hear bool, seed uint64, bursts ...[2]int) *stand {
+	made := &stand{}
+	random := rand.New(rand.NewPCG(seed, 1))
+	for i, burst := range bursts {
+		owner := &standOwner{from: burst[0]}
+		if hear {
+			run := fmt.Sprintf("d%d/1", i)
+			owner.sharing = &sharing{self: run, table: occupancy.NewTable(run, made.now, zap.NewNop()), changed: func() {}, logger: zap.NewNop(), demands: map[string]occupancy.Demand{}, turns: map[string]*occupancy.Turn{}}
+		}
+		for range burst[1] {
+			owner.texts = append(owner.texts, &standText{engine: -1, left: 50 + random.IntN(400)})
+		}
+		made.owners = append(made.owners, owner)
+	}
+	return made
+}
+
+func (s *stand) now() time.Time { return time.Unix(1000, 0).Add(time.Duration(s.tick) * tick) }
+
+// run plays until all texts have ended.
+func (s *stand) run(t *testing.T) {
+	for over := false; !over; s.tick++ {
+		if s.tick > 20000 {
+			t.Fatal("texts never end")
+		}
+		s.work()
+		over = true
+		for _, owner := range s.owners {
+			if s.tick%tellTicks == 0 {
+				s.tell(owner)
+			}
+			if s.tick >= owner.from {
+				s.dispatch(owner)
+			}
+			over = over && owner.ended > 0
+		}
+	}
+}
+
+// work has the engines run their texts for a tick, the first ones that came.
+func (s *stand) work() {
+	var running [standEngines]int
+	for _, waits := range []bool{false, true} {
+		for _, owner := range s.owners {
+			for _, text := range owner.texts {
+				if text.engine < 0 || text.runs == waits {
+					continue
+				}
+				if waits && running[text.engine] >= standSlots {
+					s.queued++
+					continue
+				}
+				text.runs = true
+				running[text.engine]++
+				text.left--
+			}
+		}
+	}
+	for _, owner := range s.owners {
+		open := owner.texts[:0]
+		for _, text := range owner.texts {
+			if text.left > 0 {
+				open = append(open, text)
+			}
+		}
+		owner.texts = open
+		if len(open) == 0 && owner.ended == 0 {
+			owner.ended = s.tick
+		}
+	}
+}
+
+func (s *stand) at(engine int) (requests int) {
+	for _, owner := range s.owners {
+		requests += owner.at(engine)
+	}
+	return requests
+}
+
+func (o *standOwner) at(engine int) (requests int) {
+	for _, text := range o.texts {
+		if text.engine == engine {
+			requests++
+		}
+	}
+	return requests
+}
+
+// dispatch starts texts of an owner as the scheduler decides.
+func (s *stand) dispatch(owner *standOwner) {
+	seen := scheduling.Snapshot{Settled: true}
+	for i := range standEngines {
+		known := replica.Replica{Entry: replica.Entry{ID: fmt.Sprintf("e%d", i)}}
+		engine := scheduling.Engine{ID: known.ID, Slots: standSlots, InFlight: owner.at(i), Resting: s.tick < owner.resting[i]}
+		seen.Engines = append(seen.Engines, owner.sharing.fill(engine, known, s.now()))
+	}
+	for _, text := range owner.texts {
+		item := scheduling.Item{Remaining: 100}
+		if text.engine >= 0 {
+			item.Engine = fmt.Sprintf("e%d", text.engine)
+		}
+		seen.Items = append(seen.Items, item)
+	}
+	for _, decision := range owner.sharing.inTurn("s", &seen, scheduling.Plan(seen), s.now()) {
+		start := decision.(scheduling.Start)
+		if s.at(start.Engine) >= standSlots+standQueue {
+			s.declines++
+			owner.resting[start.Engine] = s.tick + declineTicks
+			continue
+		}
+		owner.texts[start.Item].engine = start.Engine
+	}
+}
+
+// tell lets the others hear of an owner.
+func (s *stand) tell(owner *standOwner) {
+	if owner.sharing == nil {
+		return
+	}
+	owner.number++
+	report := occupancy.Report{Run: owner.sharing.self, Number: owner.number, Sent: s.now().UnixMilli()}
+	for i := range standEngines {
+		report.Counts = append(report.Counts, occupancy.Count{Replica: occupancy.KeyOf(fmt.Sprintf("e%d", i), time.Time{}), Requests: uint32(owner.at(i))})
+	}
+	if demand, some := owner.sharing.demands["s"]; some {
+		report.Demands = []occupancy.Demand{demand}
+	}
+	for _, other := range s.owners {
+		if other != owner {
+			other.sharing.table.Merge(report)
+		}
+	}
+}
+
+// Two owners whose bursts meet on the same engines filled some of them beyond their places:
+// texts waited there or were declined. With what they tell each other texts wait at their
+// owners, and start where room is; both bursts end no later.
+func TestOwnersThatHearOfEachOtherDontOverfillEngines(t *testing.T) {
+	is := is.New(t)
+	play := func(hear bool) *stand {
+		made := newStand(hear, 5, [2]int{0, 130}, [2]int{30, 130})
+		made.run(t)
+		t.Logf("hear %v: %d ticks of waiting in queues, %d declines, bursts over at ticks %d and %d", hear, made.queued, made.declines, made.owners[0].ended, made.owners[1].ended)
+		return made
+	}
+	before, after := play(false), play(true)
+	is.True(before.queued > 5000)
+	is.True(before.declines > 10)
+	is.True(after.queued <= before.queued/100)
+	is.Equal(after.declines, 0)
+	last := func(s *stand) int { return max(s.owners[0].ended, s.owners[1].ended) }
+	is.True(last(after) <= last(before)*105/100)
+}
+
+// An owner with a long queue of its own leaves places to one that comes later: that one's
+// burst is over well before, and long before it would be if it waited for the first to end.
+func TestAnOwnerThatComesLaterGetsItsShare(t *testing.T) {
+	is := is.New(t)
+	made := newStand(true, 5, [2]int{0, 800}, [2]int{200, 100})
+	made.run(t)
+	t.Logf("bursts over at ticks %d and %d, %d ticks of waiting in queues, %d declines", made.owners[0].ended, made.owners[1].ended, made.queued, made.declines)
+	is.True(made.owners[1].ended < made.owners[0].ended*2/3)
+	is.Equal(made.declines, 0)
+	// The engines lose little by what is left free: the work alone takes that many ticks.
+	work := newStand(true, 5, [2]int{0, 800}, [2]int{200, 100}).owners
+	sum := 0
+	for _, owner := range work {
+		for _, text := range owner.texts {
+			sum += text.left
+		}
+	}
+	least := sum / (standEngines * standSlots)
+	t.Logf("the work alone takes %d ticks", least)
+	is.True(made.owners[0].ended <= least*130/100)
+}
+
+// Items that wait beside room wait for something else, as for newer weights: others need not
+// leave them places.
+func TestItemsThatWaitForWeightsClaimNoPlaces(t *testing.T) {
+	is := is.New(t)
+	s := newStand(true, 1, [2]int{0, 1}).owners[0].sharing
+	seen := scheduling.Snapshot{
+		Engines: []scheduling.Engine{{ID: "old", Slots: 2, Versions: map[string]int64{"m": 1}}, {ID: "new", Slots: 2, InFlight: 2, Versions: map[string]int64{"m": 2}}},
+		Items:   []scheduling.Item{{Model: "m", MinVersion: 2}, {Model: "m", MinVersion: 2}},
+	}
+	s.inTurn("s", &seen, nil, time.Unix(0, 0))
+	is.Equal(s.demands["s"].Waiting, uint32(2)) // the engine that may run them is full
+	seen.Engines[1].InFlight = 1
+	s.inTurn("s", &seen, nil, time.Unix(0, 0))
+	is.Equal(s.demands["s"].Waiting, uint32(0))
+	is.Equal(s.demands["s"].InFlight, uint32(1))
+}
+
+// A pace that others measured counts where this daemon has none, or an older one.
+func TestAPaceOfOthersStandsInForTheOwn(t *testing.T) {
+	is := is.New(t)
+	s := newStand(true, 1, [2]int{0, 1}).owners[0].sharing
+	now := time.Now()
+	known := replica.Replica{Entry: replica.Entry{ID: "e"}}
+	told := func(age time.Duration) {
+		s.table.Adopt(occupancy.Beliefs{Paces: []occupancy.Pacing{occupancy.MakePacing(keyOf(known), 20*time.Millisecond, age)}})
+	}
+	pace := func(own, age time.Duration) time.Duration {
+		known.Pace, known.PaceAt = own, now.Add(-age)
+		return s.fill(scheduling.Engine{Pace: own}, known, now).Pace
+	}
+	is.Equal(pace(0, time.Hour), time.Duration(0))
+	told(5 * time.Second)
+	is.Equal(pace(0, time.Hour), 20*time.Millisecond)
+	is.Equal(pace(40*time.Millisecond, time.Second), 40*time.Millisecond)
+	is.Equal(pace(40*time.Millisecond, 4*time.Second), 40*time.Millisecond)
+	is.Equal(pace(40*time.Millisecond, 6*time.Second), 20*time.Millisecond)
+	var alone *sharing
+	is.Equal(alone.fill(scheduling.Engine{ID: "e", Pace: 1}, known, now), scheduling.Engine{ID: "e", Pace: 1})
+}
