--- a/internal/runner/sharing_test.go
+++ b/internal/runner/sharing_test.go
@@ -25,12 +25,11 @@
 	declineTicks = 12
 )
 
-// standText is one text: where it is and how long it still runs.
+// standText is one text: where it is and for how many ticks it still runs.
 type standText struct {
-	burst, length, begun int
-	engine               int // -1 while it waits at its owner
-	runs                 bool
-	left                 int
+	engine int // -1 while it waits at its owner
+	runs   bool
+	left   int
 }
 
 // standOwner is one owner with its texts, in the order in which they should start.
