--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -99,9 +99,12 @@
 	Paces   []Pacing `cbor:"5,keyasint,omitempty"`
 	Demands []Demand `cbor:"6,keyasint,omitempty"`
 	Base    uint64   `cbor:"7,keyasint,omitempty"`
+	// Introduces says that the sender has batches, but tells one that has none only so and
+	// the paces that it knows.
+	Introduces bool `cbor:"8,keyasint,omitempty"`
 }
 
-// over reports whether the sender has nothing under way and nothing that waits.
+// over reports whether it tells of nothing under way and nothing that waits.
 func (r *Report) over() bool { return len(r.Counts) == 0 && len(r.Demands) == 0 }
 
 // bounded drops the entries beyond what a table takes in.
--- a/internal/occupancy/publish.go
+++ b/internal/occupancy/publish.go
@@ -179,7 +179,7 @@
 // begin starts to tell. What the others believe is asked for meanwhile. The mutex is held.
 func (p *Publisher) begin(ctx context.Context) {
 	p.active = true
-	p.logger.Info("begins to tell of its requests", zap.Uint64("report", p.number+1), zap.Int("owners_known", len(p.table.Reporters())))
+	p.logger.Info("begins to tell of its requests", zap.Uint64("report", p.number+1), zap.Int("owners_known", len(p.table.Owners())))
 	go p.adopt(ctx)
 }
 
@@ -220,18 +220,24 @@
 	}
 	p.number++
 	own.Run, own.Number, own.Sent = p.table.run, p.number, p.table.now().UnixMilli()
+	introduction := Report{Run: own.Run, Number: own.Number, Sent: own.Sent, Paces: own.Paces, Introduces: true}
+	introduction.bounded()
 	own.Paces = p.pacesDue(own.Paces, now)
 	own.bounded()
-	for _, machine := range due {
+	for machine, owner := range due {
 		to := p.recipients[machine]
-		message, err := encode(basedOn(to.heard, own))
+		report, heard := basedOn(to.heard, own), own
+		if !owner {
+			report, heard = introduction, Report{}
+		}
+		message, err := encode(report)
 		if err != nil {
 			p.logger.Error("requests not told", zap.Error(err))
 			return bytes
 		}
 		to.telling, to.toldAt = true, now
 		bytes += len(message.Body) + callBytes
-		go p.tellOne(ctx, machine, to, own, message)
+		go p.tellOne(ctx, machine, to, heard, message)
 	}
 	p.totals.Sent += uint64(len(due))
 	p.totals.Bytes += uint64(bytes)
@@ -249,16 +255,16 @@
 	return own
 }
 
-// due returns the machines to tell now: owners always, others that may become ones now and
-// then. One that has not answered yet is passed over. The mutex is held.
-func (p *Publisher) due(now time.Time, last bool) []string {
+// due returns the machines to tell now, and whether they are owners: these always, others that
+// may become ones now and then. One that has not answered yet is passed over. The mutex is held.
+func (p *Publisher) due(now time.Time, last bool) map[string]bool {
 	own := identity.Machine(p.table.run)
 	reporting := p.table.Reporters()
 	owners := map[string]bool{}
 	for _, machine := range reporting {
 		owners[machine] = true
 	}
-	var due []string
+	due := map[string]bool{}
 	for _, machine := range slices.Compact(slices.Sorted(slices.Values(append(reporting, p.machines...)))) {
 		if machine == own {
 			continue
@@ -269,8 +275,9 @@
 			p.recipients[machine] = to
 		}
 		introduce := !last && now.Sub(to.toldAt) >= introduceInterval
-		if !to.telling && (owners[machine] || to.owner || introduce) {
-			due = append(due, machine)
+		owner := owners[machine] || to.owner
+		if !to.telling && (owner || introduce) {
+			due[machine] = owner
 		}
 	}
 	return due
@@ -290,14 +297,14 @@
 	return due
 }
 
-func (p *Publisher) tellOne(ctx context.Context, machine string, to *recipient, own Report, message Message) {
+func (p *Publisher) tellOne(ctx context.Context, machine string, to *recipient, told Report, message Message) {
 	bounded, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	var heard Heard
 	err := p.peers.Ask(bounded, machine, tellMethod, message, &heard)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	to.telling, to.owner, to.heard = false, heard.Owner, own
+	to.telling, to.owner, to.heard = false, heard.Owner, told
 	if err != nil || heard.Whole {
 		to.heard = Report{}
 	}
@@ -333,24 +340,23 @@
 	return slices.Compact(machines)
 }
 
-// adopt asks one owner for all that it believes: those heard of, or else any that may be one.
+// adopt asks an owner for all that it believes: those heard of, or else any that may be one.
 func (p *Publisher) adopt(ctx context.Context) {
-	own := identity.Machine(p.table.run)
-	asked := 0
-	for _, machine := range append(p.table.Reporters(), p.dealtMachines(ctx)...) {
-		if machine == own {
+	asked := map[string]bool{identity.Machine(p.table.run): true}
+	for _, machine := range append(p.table.Owners(), p.dealtMachines(ctx)...) {
+		if asked[machine] {
 			continue
 		}
-		if asked++; asked > askedAtMost {
+		if len(asked) > askedAtMost {
 			return
 		}
+		asked[machine] = true
 		beliefs, err := p.ask(ctx, machine)
-		if err == nil && len(beliefs.Reports)+len(beliefs.Paces) > 0 {
-			reports := p.table.Adopt(beliefs)
-			p.logger.Info("beliefs adopted", zap.String("from", machine), zap.Int("reports", reports), zap.Int("reports_told", len(beliefs.Reports)), zap.Int("paces", len(beliefs.Paces)))
+		reports := p.table.Adopt(beliefs)
+		p.logger.Info("beliefs asked for", zap.String("from", machine), zap.Int("reports", len(beliefs.Reports)), zap.Int("adopted", reports), zap.Int("paces", len(beliefs.Paces)), zap.Error(err))
+		if len(beliefs.Reports) > 0 {
 			return
 		}
-		p.logger.Info("no beliefs adopted", zap.String("from", machine), zap.Error(err))
 	}
 }
 
--- a/internal/occupancy/table.go
+++ b/internal/occupancy/table.go
@@ -1,6 +1,8 @@
 package occupancy
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,9 @@
 	mostDaemons = 256
 	// mostPaces bounds the replicas whose paces are held.
 	mostPaces = 16384
+	// ownerHolds is how long a daemon is taken for an owner that can be asked: it introduces
+	// itself to each that may become one more often.
+	ownerHolds = 2 * introduceInterval
 	// clockDrift is by how much two machines' clocks may differ in pace, far above what
 	// quartz does.
 	clockDrift = 0.001
@@ -39,6 +44,8 @@
 	at time.Time
 	// holds says that the report counts.
 	holds bool
+	// ownerAt is when it was an owner last, as it told.
+	ownerAt time.Time
 	// offset is the least difference seen between the clock here and the sender's as a
 	// report of this run came: by how much more one differs, it was on its way for longer
 	// or waited for a machine that was suspended. Zero offsetAt: none was seen.
@@ -117,6 +124,10 @@
 		report.Counts, report.Base = changed(known.report.Counts, report.Counts), 0
 	}
 	late := known.lateness(&report, now)
+	if report.Introduces {
+		t.introduce(known, &report, now.Add(-late))
+		return Taken
+	}
 	if !t.take(known, report, now.Add(-late), now) {
 		return Refused
 	}
@@ -159,7 +170,7 @@
 			return nil
 		}
 		t.drop(known)
-	case report.Number <= known.report.Number:
+	case !report.Introduces && report.Number <= known.report.Number:
 		return nil
 	default:
 		return known
@@ -182,6 +193,14 @@
 	return offset - d.offset
 }
 
+// introduce notes that a daemon is an owner, and the paces that it told. The report that is
+// believed of it stays. The mutex is held.
+func (t *Table) introduce(known *daemon, report *Report, at time.Time) {
+	t.counts.Received++
+	known.ownerAt = at
+	t.addPaces(report.Paces[:min(len(report.Paces), longestReport)], at)
+}
+
 // take makes a report the one that is believed of its daemon. The mutex is held.
 func (t *Table) take(known *daemon, report Report, at, now time.Time) bool {
 	report.bounded()
@@ -199,6 +218,10 @@
 	t.drop(known)
 	t.counts.Received++
 	known.report, known.at, known.holds = report, at, !report.over()
+	known.ownerAt = time.Time{}
+	if known.holds {
+		known.ownerAt = at
+	}
 	t.addPaces(report.Paces, at)
 	if !known.holds {
 		return true
@@ -280,7 +303,7 @@
 	now := t.now()
 	t.lapse(now)
 	for machine, known := range t.daemons {
-		if !known.holds && now.Sub(known.at) > remembered {
+		if !known.holds && now.Sub(known.at) > remembered && now.Sub(known.ownerAt) > remembered {
 			delete(t.daemons, machine)
 		}
 	}
@@ -351,6 +374,23 @@
 	return machines
 }
 
+// Owners returns the machines that are owners, as they told lately, those heard of last first.
+func (t *Table) Owners() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var machines []string
+	for machine, known := range t.daemons {
+		if !known.ownerAt.IsZero() && now.Sub(known.ownerAt) <= ownerHolds {
+			machines = append(machines, machine)
+		}
+	}
+	slices.SortFunc(machines, func(a, b string) int {
+		return cmp.Or(t.daemons[b].ownerAt.Compare(t.daemons[a].ownerAt), cmp.Compare(a, b))
+	})
+	return machines
+}
+
 // Beliefs returns all that is believed.
 func (t *Table) Beliefs() Beliefs {
 	t.mu.Lock()
