Whether a daemon is an owner costs no look at its replicas; tests of what is told

An answer to a report needs only to know whether this daemon tells others itself. Calls get the 700 ms of other calls between daemons, as a peer that is late is left alone for all of them.

--- a/internal/node/occupancy.go
+++ b/internal/node/occupancy.go
@@ -24,7 +24,7 @@
 	table := occupancy.NewTable(node.identity, bootclock.Now, node.logger)
 	publisher := occupancy.NewPublisher(table, node.relay, node.runner.Occupied, dealt, node.logger)
 	node.runner.ShareEngines(table, publisher.Wake)
-	node.relay.Register(occupancy.ServiceName, occupancy.NewService(table, publisher.Own, node.runner.HeardOfOthers))
+	node.relay.Register(occupancy.ServiceName, occupancy.NewService(table, publisher, node.runner.HeardOfOthers))
 	return &occupancyParts{table: table, publisher: publisher}
 }
 
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -19,7 +19,7 @@
 //
 //	table := occupancy.NewTable(run, bootclock.Now, logger)
 //	publisher := occupancy.NewPublisher(table, peers, source, dealt, logger)
-//	peers.Register(occupancy.ServiceName, occupancy.NewService(table, publisher.Own, dispatcher.Kick))
+//	peers.Register(occupancy.ServiceName, occupancy.NewService(table, publisher, dispatcher.Kick))
 //	go publisher.Run(ctx)
 //	publisher.Wake() // whenever the daemon's own requests have changed
 //	engine.Others = table.Others(occupancy.KeyOf(id, born))
--- a/internal/occupancy/publish.go
+++ b/internal/occupancy/publish.go
@@ -32,11 +32,11 @@
 	// introduceInterval is the time between two reports to a daemon that has no batches but
 	// may get one at any moment.
 	introduceInterval = 2 * time.Second
-	// tellTimeout bounds one call. A report that takes longer is of no use.
-	tellTimeout = 500 * time.Millisecond
-	// askTimeout bounds the question for all that a peer believes, askedAtMost how many
-	// peers it is put to until one answers.
-	askTimeout  = 500 * time.Millisecond
+	// tellTimeout bounds one call, of either kind: as long as other calls between daemons
+	// may take, as a peer that needs longer is left alone for all of them.
+	tellTimeout = 700 * time.Millisecond
+	// askedAtMost is how many peers are asked for what they believe until one believes
+	// anything.
 	askedAtMost = 3
 	// paceRepeat is after how long a pace is told again, paceChange by which part it must
 	// differ to be told before: paces are known to within a few hundredths.
@@ -237,14 +237,21 @@
 	return slices.Compact(machines)
 }
 
-// Own returns what this daemon has, as it would be told now, and whether it has batches.
-func (p *Publisher) Own() (Report, bool) {
+// own returns what this daemon has, as it would be told now.
+func (p *Publisher) own() Report {
 	own := p.source()
 	own.Counts = ordered(own.Counts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	own.Run, own.Number, own.Sent = p.table.run, p.number, p.table.now().UnixMilli()
-	return own, !own.over()
+	return own
+}
+
+// Active reports whether this daemon tells others of its requests, as it has some.
+func (p *Publisher) Active() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.active
 }
 
 // Totals returns the totals since the start.
--- a/internal/occupancy/publish_test.go
+++ b/internal/occupancy/publish_test.go
@@ -73,7 +73,7 @@
 	}
 	made.publisher = NewPublisher(made.table, f, source, func(context.Context) []string { return f.dealt }, zap.NewNop())
 	f.mu.Lock()
-	f.services[machine], f.daemons[machine] = NewService(made.table, made.publisher.Own, func() {}), made
+	f.services[machine], f.daemons[machine] = NewService(made.table, made.publisher, func() {}), made
 	f.mu.Unlock()
 	go made.publisher.Run(ctx)
 	return made
--- a/internal/occupancy/rpc_test.go
+++ b/internal/occupancy/rpc_test.go
@@ -32,7 +32,7 @@
 	table := NewTable(name+"/1", bootclock.Now, zap.NewNop())
 	dealt := func(context.Context) []string { return []string{"a/1", "b/1"} }
 	publisher := NewPublisher(table, relayed, source, dealt, zap.NewNop())
-	relayed.Register(ServiceName, NewService(table, publisher.Own, func() {}))
+	relayed.Register(ServiceName, NewService(table, publisher, func() {}))
 	if err := relayed.Serve(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -29,15 +29,15 @@
 // Service takes in what other daemons tell, and tells what is believed here. Its exported
 // methods are those of net/rpc.
 type Service struct {
-	table *Table
-	own   func() (Report, bool)
-	heard func()
+	table     *Table
+	publisher *Publisher
+	heard     func()
 }
 
-// NewService returns the service of a table. Own returns this daemon's own state, if it has
-// batches; heard is called after each report and must not block.
-func NewService(table *Table, own func() (Report, bool), heard func()) *Service {
-	return &Service{table: table, own: own, heard: heard}
+// NewService returns the service of a table, and of the publisher that tells of this daemon's
+// own requests. Heard is called after each report and must not block.
+func NewService(table *Table, publisher *Publisher, heard func()) *Service {
+	return &Service{table: table, publisher: publisher, heard: heard}
 }
 
 // Tell takes a report in. It is exported for net/rpc.
@@ -47,7 +47,7 @@
 		return err
 	}
 	heard.Whole = s.table.Merge(report) != Taken
-	_, heard.Owner = s.own()
+	heard.Owner = s.publisher.Active()
 	s.heard()
 	return nil
 }
@@ -56,7 +56,7 @@
 // for net/rpc.
 func (s *Service) Ask(_ struct{}, told *Message) error {
 	beliefs := s.table.Beliefs()
-	if own, owner := s.own(); owner {
+	if own := s.publisher.own(); !own.over() {
 		beliefs.Paces = append(beliefs.Paces, own.Paces...)
 		own.Paces = nil
 		beliefs.Reports = append(beliefs.Reports, Relayed{Report: own})
--- a/internal/occupancy/table.go
+++ b/internal/occupancy/table.go
@@ -14,8 +14,7 @@
 const (
 	// reportHolds is how long a report is believed: three times as long as a daemon lets pass
 	// between two of them, so that one that is lost or late changes nothing. It is also the
-	// longest for which an item waits for room that nobody uses, a small part of what the
-	// shortest texts of a burst take.
+	// longest for which an item waits for room that nobody uses; texts take seconds.
 	reportHolds = 1200 * time.Millisecond
 	// paceHolds is how long a pace is believed that others told: an engine's speed is that of
 	// its machine and changes with trouble only, and a first text there shows what it is now.
@@ -98,6 +97,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if len(t.elsewhere) == 0 {
+		return 0
+	}
 	t.lapse(t.now())
 	return t.elsewhere[replica]
 }
--- a/internal/occupancy/tell.go
+++ b/internal/occupancy/tell.go
@@ -134,7 +134,7 @@
 }
 
 func (p *Publisher) ask(ctx context.Context, machine string) (beliefs Beliefs, err error) {
-	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	bounded, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	var answer Message
 	if err := p.peers.Ask(bounded, machine, askMethod, struct{}{}, &answer); err != nil {
--- a/internal/runner/sharing_test.go
+++ b/internal/runner/sharing_test.go
@@ -203,6 +203,26 @@
 	is.True(last(after) <= last(before)*105/100)
 }
 
+// Owners that start at the same instant have heard nothing yet. Each begins with other ones
+// of the engines that are as good, so that fewer are filled beyond their places.
+func TestOwnersThatStartAtOnceChooseOtherEngines(t *testing.T) {
+	is := is.New(t)
+	overfilled := func(hear bool) (requests int) {
+		made := newStand(hear, 5, [2]int{0, 50}, [2]int{0, 50}, [2]int{0, 50})
+		for _, owner := range made.owners {
+			made.dispatch(owner)
+		}
+		for engine := range standEngines {
+			requests += max(made.at(engine)-standSlots, 0)
+		}
+		return requests
+	}
+	before, after := overfilled(false), overfilled(true)
+	t.Logf("of 150 texts for 160 places %d and %d are one too many", before, after)
+	is.Equal(before, 10)
+	is.True(after <= 4)
+}
+
 // An owner with a long queue of its own leaves places to one that comes later: that one's
 // burst is over well before, and long before it would be if it waited for the first to end.
 func TestAnOwnerThatComesLaterGetsItsShare(t *testing.T) {
@@ -264,3 +284,34 @@
 	var alone *sharing
 	is.Equal(alone.fill(scheduling.Engine{ID: "e", Pace: 1}, known, now), scheduling.Engine{ID: "e", Pace: 1})
 }
+
+// What is told is what is under way now. A daemon that stops wants nothing more, and one
+// without batches has nothing to tell.
+func TestWhatIsToldOfTheOwnRequests(t *testing.T) {
+	is := is.New(t)
+	made, _ := movedJob(t)
+	runner := made.runner
+	runner.wake = make(chan struct{}, 1)
+	runner.self, runner.jobs = "d0/1", map[string]*job{"b": made}
+	runner.ShareEngines(occupancy.NewTable("d0/1", time.Now, zap.NewNop()), func() {})
+	runner.sharing.demands["s"] = occupancy.Demand{Service: 1, Waiting: 3}
+	runner.table.Started("to")
+	for range 5 {
+		runner.table.Paced("from", 30*time.Millisecond)
+	}
+	told := runner.Occupied()
+	is.Equal(told.Demands, []occupancy.Demand{{Service: 1, InFlight: 1, Waiting: 3}})
+	requests := uint32(0)
+	for _, each := range told.Counts {
+		requests += each.Requests
+	}
+	is.Equal(requests, uint32(1))
+	is.Equal(len(told.Paces), 1)
+	is.Equal(told.Paces[0].Pace, uint32(300))
+	runner.HeardOfOthers()
+	is.Equal(len(runner.wake), 1) // items wait, and there may be room
+	runner.stopping.Store(true)
+	is.Equal(runner.Occupied().Demands[0].Waiting, uint32(0))
+	delete(runner.jobs, "b")
+	is.Equal(len(runner.Occupied().Demands), 0)
+}
