--- a/internal/occupancy/publish.go
+++ b/internal/occupancy/publish.go
@@ -32,6 +32,9 @@
 	// introduceInterval is the time between two reports to a daemon that has no batches but
 	// may get one at any moment.
 	introduceInterval = 2 * time.Second
+	// lingerTime is for how long a daemon hears of the others' requests on after it has none
+	// itself: the next step of a trainer mostly comes within seconds, and begins with a burst.
+	lingerTime = 10 * time.Second
 	// tellTimeout bounds one call, of either kind: as long as other calls between daemons
 	// may take, as a peer that needs longer is left alone for all of them.
 	tellTimeout = 700 * time.Millisecond
@@ -94,9 +97,11 @@
 	machinesAt time.Time
 	asking     bool
 	active     bool
-	paces      map[Key]told
-	last       Report
-	lastAt     time.Time
+	// endedAt is when this daemon had something to tell last, zero if it never had.
+	endedAt time.Time
+	paces   map[Key]told
+	last    Report
+	lastAt  time.Time
 	// rest is how long after lastAt the next report may go.
 	rest   time.Duration
 	totals Totals
@@ -184,7 +189,7 @@
 
 // end ceases to tell. The mutex is held.
 func (p *Publisher) end() {
-	p.active = false
+	p.active, p.endedAt = false, time.Now()
 	p.logger.Info("has told that it has no requests", zap.Uint64("report", p.number), zap.Uint64("calls", p.totals.Sent),
 		zap.Uint64("failed", p.totals.Failed), zap.Uint64("bytes", p.totals.Bytes))
 	p.recipients, p.paces = map[string]*recipient{}, map[Key]told{}
@@ -247,11 +252,12 @@
 	return own
 }
 
-// Active reports whether this daemon tells others of its requests, as it has some.
-func (p *Publisher) Active() bool {
+// listens reports whether others should tell this daemon of their requests: it has some
+// itself, or had a moment ago.
+func (p *Publisher) listens() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.active
+	return p.active || !p.endedAt.IsZero() && time.Since(p.endedAt) < lingerTime
 }
 
 // Totals returns the totals since the start.
--- a/internal/occupancy/publish_test.go
+++ b/internal/occupancy/publish_test.go
@@ -135,6 +135,25 @@
 	})
 }
 
+// An owner between two batches hears on, so that the next burst doesn't begin blind. After
+// lingerTime it only knows whom to ask.
+func TestAnOwnerBetweenTwoBatchesHearsOn(t *testing.T) {
+	withFleet(t, 2, func(is *is.I, _ context.Context, daemons *fleet) {
+		a, b := daemons.daemons["d0"], daemons.daemons["d1"]
+		a.set(Count{Replica: engine, Requests: 3})
+		b.set(Count{Replica: engine, Requests: 1})
+		time.Sleep(time.Second)
+		b.set()
+		for range 4 {
+			time.Sleep(lingerTime / 5)
+			is.Equal(b.table.Others(engine), 3)
+		}
+		time.Sleep(lingerTime)
+		is.Equal(b.table.Others(engine), 0)
+		is.Equal(b.table.Owners(), []string{"d0"})
+	})
+}
+
 // A peer that answers nothing holds up nobody, and has no more than one call at a time.
 func TestASilentPeerHoldsUpNobody(t *testing.T) {
 	withFleet(t, 3, func(is *is.I, _ context.Context, daemons *fleet) {
--- a/internal/occupancy/service.go
+++ b/internal/occupancy/service.go
@@ -19,7 +19,7 @@
 
 // Heard is the answer to a report.
 type Heard struct {
-	// Owner says that the daemon told has batches itself.
+	// Owner says that the daemon told has batches itself, or had some a moment ago.
 	Owner bool
 	// Whole says that it has not taken the report, as one that lacks what it is based on
 	// can't: the next one is to be whole.
@@ -47,7 +47,7 @@
 		return err
 	}
 	heard.Whole = s.table.Merge(report) != Taken
-	heard.Owner = s.publisher.Active()
+	heard.Owner = s.publisher.listens()
 	s.heard()
 	return nil
 }
