One that was told as an owner is told on also where the group can't be asked

An answer to a call that has ended with an error is not read: it may still be written (found by the race detector in the test over loopback, as its daemons ended).

--- a/internal/occupancy/publish.go
+++ b/internal/occupancy/publish.go
@@ -226,11 +226,12 @@
 		machines := p.dealtMachines(ctx)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if !slices.Equal(p.machines, machines) {
-			// Some are to be told though nothing else has changed.
-			p.last = Report{}
+		p.asking = false
+		if len(machines) == 0 || slices.Equal(p.machines, machines) {
+			return // where it can't be learned, those of before may still be right
 		}
-		p.machines, p.asking = machines, false
+		// Some are to be told though nothing else has changed.
+		p.machines, p.last = machines, Report{}
 	}()
 }
 
--- a/internal/occupancy/tell.go
+++ b/internal/occupancy/tell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,13 +58,20 @@
 // may become ones now and then. One that has not answered yet is passed over. The mutex is held.
 func (p *Publisher) due(now time.Time, last bool) map[string]bool {
 	own := identity.Machine(p.table.run)
-	reporting := p.table.Reporters()
 	owners := map[string]bool{}
-	for _, machine := range reporting {
+	for _, machine := range p.machines {
+		owners[machine] = false
+	}
+	for machine, to := range p.recipients {
+		if to.owner {
+			owners[machine] = true
+		}
+	}
+	for _, machine := range p.table.Reporters() {
 		owners[machine] = true
 	}
 	due := map[string]bool{}
-	for _, machine := range slices.Compact(slices.Sorted(slices.Values(append(reporting, p.machines...)))) {
+	for machine, owner := range owners {
 		if machine == own {
 			continue
 		}
@@ -75,7 +81,6 @@
 			p.recipients[machine] = to
 		}
 		introduce := !last && now.Sub(to.toldAt) >= introduceInterval
-		owner := owners[machine] || to.owner
 		if !to.telling && (owner || introduce) {
 			due[machine] = owner
 		}
@@ -104,12 +109,15 @@
 	err := p.peers.Ask(bounded, machine, tellMethod, message, &heard)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	to.telling, to.owner, to.heard = false, heard.Owner, told
-	if err != nil || heard.Whole {
-		to.heard = Report{}
-	}
+	to.telling, to.owner, to.heard = false, false, Report{}
 	if err != nil {
+		// An answer may still be written to heard.
 		p.totals.Failed++
+		return
+	}
+	to.owner = heard.Owner
+	if !heard.Whole {
+		to.heard = told
 	}
 }
 
