--- /dev/null
+++ b/internal/occupancy/publish.go
@@ -0,0 +1,269 @@
+package occupancy
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodworks/internal/identity"
+)
+
+const (
+	// tellInterval is the least time between two reports: a part of a dispatcher's wait for
+	// a change, and less than what the shortest text takes.
+	tellInterval = 100 * time.Millisecond
+	// repeatInterval is after how long a report is told again though nothing has changed.
+	repeatInterval = reportHolds / 3
+	// bytesPerSecond bounds what a daemon sends, two thirds of the 18 KB that one may need
+	// for all that is no work, and with callBytes its calls to 40 a second. Where requests at
+	// some of 45 engines change all the time, a report takes 340 bytes with its headers, and a
+	// daemon sends 10.2 KB a second among 4 owners, so that each hears of it 10 times a second;
+	// 12 KB among 18, twice a second each; and 12 KB among 100, 0.3 times (virtual time). From
+	// some 40 owners on reports lapse before the next comes, and an owner knows a part of the
+	// others' requests at a time.
+	bytesPerSecond = 12000
+	// callBytes is what a call takes besides the report: the headers of net/rpc both ways
+	// and of four segments.
+	callBytes = 300
+	// introduceInterval is the time between two reports to a daemon that has no batches but
+	// may get one at any moment.
+	introduceInterval = 2 * time.Second
+	// lingerTime is for how long a daemon hears of the others' requests on after it has none
+	// itself: the next step of a trainer mostly comes within seconds, and begins with a burst.
+	lingerTime = 10 * time.Second
+	// tellTimeout bounds one call, of either kind: as long as other calls between daemons
+	// may take, as a peer that needs longer is left alone for all of them.
+	tellTimeout = 700 * time.Millisecond
+	// askedAtMost is how many peers are asked for what they believe until one believes
+	// anything.
+	askedAtMost = 3
+	// paceRepeat is after how long a pace is told again, paceChange by which part it must
+	// differ to be told before: paces are known to within a few hundredths.
+	paceRepeat = 2 * time.Second
+	paceChange = 0.08
+)
+
+// Peers are the other daemons.
+type Peers interface {
+	// Ask calls a method that another daemon has registered. A peer that is silent is left
+	// alone for a while, and calls to it then fail at once.
+	Ask(ctx context.Context, machine, method string, asked, answer any) error
+}
+
+// Source returns what this daemon has now: the counts, the paces that it has measured
+// lately, and the demands. Run, Number and Sent are left empty.
+type Source func() Report
+
+// Dealt returns the identities of the daemons that may be given batches. It may take as long
+// as a call to the journal.
+type Dealt func(ctx context.Context) []string
+
+// told is a pace as it was told last.
+type told struct {
+	pace uint32
+	at   time.Time
+}
+
+// recipient is a machine that is told.
+type recipient struct {
+	// telling says that a call is under way.
+	telling bool
+	// owner says that it has batches itself, as it answered last.
+	owner  bool
+	toldAt time.Time
+	// heard is the report that it has taken in last, Number 0 if none is known to be.
+	heard Report
+}
+
+// Publisher tells the other owners of this daemon's requests while it has any. It is safe
+// for concurrent use.
+type Publisher struct {
+	table  *Table
+	peers  Peers
+	source Source
+	dealt  Dealt
+	logger *zap.Logger
+	wake   chan struct{}
+
+	mu         sync.Mutex
+	number     uint64
+	recipients map[string]*recipient
+	machines   []string
+	// machinesAt is when the machines were asked for last, asking that they are being.
+	machinesAt time.Time
+	asking     bool
+	active     bool
+	// endedAt is when this daemon had something to tell last, zero if it never had.
+	endedAt time.Time
+	paces   map[Key]told
+	last    Report
+	lastAt  time.Time
+	// rest is how long after lastAt the next report may go.
+	rest   time.Duration
+	totals Totals
+}
+
+// Totals are a publisher's totals: calls made, those that failed, and bytes.
+type Totals struct{ Sent, Failed, Bytes uint64 }
+
+// NewPublisher returns a publisher; Run starts it.
+func NewPublisher(table *Table, peers Peers, source Source, dealt Dealt, logger *zap.Logger) *Publisher {
+	return &Publisher{
+		table: table, peers: peers, source: source, dealt: dealt, logger: logger, wake: make(chan struct{}, 1),
+		recipients: map[string]*recipient{}, paces: map[Key]told{},
+	}
+}
+
+// Wake says that the daemon's own requests may have changed. It never blocks.
+func (p *Publisher) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run tells the others until the context ends. It waits for none of them.
+func (p *Publisher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(p.step(ctx, time.Now()))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-p.wakeUnlessResting():
+		}
+		timer.Stop()
+	}
+}
+
+// wakeUnlessResting returns the channel of Wake, or nil as long as the next report must not go.
+func (p *Publisher) wakeUnlessResting() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.active && time.Since(p.lastAt) < p.rest {
+		return nil
+	}
+	return p.wake
+}
+
+// step tells the others if there is something to tell, and returns when to look again at
+// the latest.
+func (p *Publisher) step(ctx context.Context, now time.Time) time.Duration {
+	own := p.source()
+	own.Counts = ordered(own.Counts)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if own.over() && !p.active {
+		return repeatInterval
+	}
+	if rest := p.lastAt.Add(p.rest).Sub(now); p.active && rest > 0 {
+		return rest
+	}
+	if !p.active {
+		p.begin(ctx)
+	}
+	p.refresh(ctx, now)
+	changed := !same(&own, &p.last)
+	if !changed && now.Sub(p.lastAt) < repeatInterval {
+		return tellInterval
+	}
+	sent := p.tell(ctx, own, now)
+	p.last, p.lastAt = own, now
+	p.rest = max(tellInterval, time.Duration(float64(sent)/bytesPerSecond*float64(time.Second)))
+	if own.over() {
+		p.end()
+		return repeatInterval
+	}
+	return max(p.rest, tellInterval)
+}
+
+// begin starts to tell. What the others believe is asked for meanwhile. The mutex is held.
+func (p *Publisher) begin(ctx context.Context) {
+	p.active = true
+	p.logger.Info("begins to tell of its requests", zap.Uint64("report", p.number+1), zap.Int("owners_known", len(p.table.Owners())))
+	go p.adopt(ctx)
+}
+
+// end ceases to tell. The mutex is held.
+func (p *Publisher) end() {
+	p.active, p.endedAt = false, time.Now()
+	p.logger.Info("has told that it has no requests", zap.Uint64("report", p.number), zap.Uint64("calls", p.totals.Sent),
+		zap.Uint64("failed", p.totals.Failed), zap.Uint64("bytes", p.totals.Bytes))
+	p.recipients, p.paces = map[string]*recipient{}, map[Key]told{}
+}
+
+// ordered brings counts in order, those of one key as one.
+func ordered(counts []Count) (made []Count) {
+	slices.SortFunc(counts, func(a, b Count) int { return cmp.Compare(a.Replica, b.Replica) })
+	for _, each := range counts {
+		switch last := len(made) - 1; {
+		case each.Requests == 0:
+		case last >= 0 && made[last].Replica == each.Replica:
+			made[last].Requests += each.Requests
+		default:
+			made = append(made, each)
+		}
+	}
+	return made
+}
+
+// same reports whether two states say the same but for paces.
+func same(a, b *Report) bool {
+	return slices.Equal(a.Counts, b.Counts) && slices.Equal(a.Demands, b.Demands)
+}
+
+// refresh learns anew which machines may be given batches, without waiting for it. The mutex
+// is held.
+func (p *Publisher) refresh(ctx context.Context, now time.Time) {
+	if p.asking || !p.machinesAt.IsZero() && now.Sub(p.machinesAt) < introduceInterval {
+		return
+	}
+	p.asking, p.machinesAt = true, now
+	go func() {
+		machines := p.dealtMachines(ctx)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.asking = false
+		if len(machines) == 0 || slices.Equal(p.machines, machines) {
+			return // where it can't be learned, those of before may still be right
+		}
+		// Some are to be told though nothing else has changed.
+		p.machines, p.last = machines, Report{}
+	}()
+}
+
+func (p *Publisher) dealtMachines(ctx context.Context) (machines []string) {
+	for _, run := range p.dealt(ctx) {
+		machines = append(machines, identity.Machine(run))
+	}
+	slices.Sort(machines)
+	return slices.Compact(machines)
+}
+
+// own returns what this daemon has, as it would be told now.
+func (p *Publisher) own() Report {
+	own := p.source()
+	own.Counts = ordered(own.Counts)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own.Run, own.Number, own.Sent = p.table.run, p.number, p.table.now().UnixMilli()
+	return own
+}
+
+// listens reports whether others should tell this daemon of their requests: it has some
+// itself, or had a moment ago.
+func (p *Publisher) listens() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.active || !p.endedAt.IsZero() && time.Since(p.endedAt) < lingerTime
+}
+
+// Totals returns the totals since the start.
+func (p *Publisher) Totals() Totals {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.totals
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -61,6 +61,8 @@
 	locator Locator
 	history *history
 	observe Observer
+	// sharing is nil where other owners are not heard.
+	sharing *sharing
 	logger  *zap.Logger
 	context context.Context
 
