Engines are dealt to models with their speeds

Cause: the holder of the lease deals engines to models by number alone.

Each model now gets its part of every kind of engine, the fast ones first, by the best pace of half a minute, which owners tell (occupancy); what a model holds it keeps within the rounding, and engines of one speed are dealt as before.

--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -65,6 +65,8 @@
 	// shares is how many replicas of a service are for each of its models.
 	shares map[string][]int
 	width  width
+	// pace is nil where no paces are known.
+	pace Pace
 }
 
 // note is what is remembered of one engine.
@@ -75,6 +77,8 @@
 	// rest is the pause after changes that failed.
 	rest     backoff.Rest
 	listedAt time.Time
+	// best is the best pace of late.
+	best best
 }
 
 // forgetAfter is how long a note outlives its engine's place in the list, from
@@ -168,6 +172,7 @@
 	for _, each := range replicas {
 		syncer.noteOf(each.ID).listedAt = now
 	}
+	syncer.notePaces(replicas, now)
 }
 
 // forget drops the notes of engines that are long gone.
--- a/internal/modelsync/shares.go
+++ b/internal/modelsync/shares.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
@@ -143,7 +144,7 @@
 	}
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
-	deals := deal(replicas, models, shares, syncer.modelsDealt(replicas))
+	deals := dealEvenly(replicas, models, shares, syncer.modelsDealt(replicas), func(id string) time.Duration { return syncer.noteOf(id).best.value() })
 	for i, model := range models {
 		for _, each := range deals[i] {
 			if len(replicas) >= len(models) {
@@ -167,20 +168,26 @@
 
 // deal gives each replica to a model: first to the one it had, then to the one
 // whose newest version it holds, as a holder of the lease before may have dealt
-// it so. Replicas beyond the shares are for none. Where there are fewer replicas than models, a replica is there for
-// several.
+// it so. Replicas beyond the shares are for none. Where there are fewer replicas than models,
+// a replica is there for several.
 func deal(replicas []replica.Replica, models []route.Model, shares []int, before map[string]string) [][]replica.Replica {
 	sorted := slices.Clone(replicas)
 	slices.SortFunc(sorted, func(a, b replica.Replica) int { return strings.Compare(a.ID, b.ID) })
+	if len(sorted) >= len(models) {
+		return dealShares(sorted, models, shares, before)
+	}
 	deals := make([][]replica.Replica, len(models))
-	if len(sorted) < len(models) {
-		for i := range models {
-			if len(sorted) > 0 {
-				deals[i] = sorted[i%len(sorted) : i%len(sorted)+1]
-			}
+	for i := range models {
+		if len(sorted) > 0 {
+			deals[i] = sorted[i%len(sorted) : i%len(sorted)+1]
 		}
-		return deals
 	}
+	return deals
+}
+
+// dealShares gives each replica to one model at most, in the order in which they come.
+func dealShares(sorted []replica.Replica, models []route.Model, shares []int, before map[string]string) [][]replica.Replica {
+	deals := make([][]replica.Replica, len(models))
 	var left []replica.Replica
 	for _, each := range sorted {
 		kept := slices.IndexFunc(models, func(model route.Model) bool { return model.Name == before[each.ID] })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -204,6 +205,7 @@
 	node.demands = demand.NewState()
 	node.lease = lease.New(drivers.Journal, journal.Partition{Topic: dutyTopic}, node.identity, node.settings.Name, node.settings.Timing.LeaseQuiet.Std(), logger)
 	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, node.demands, logger)
+	node.syncer.SetPace(node.occupancy.paceOf)
 	node.demandFollower = journal.NewKeyedFollower(drivers.Journal, demand.Partition(drivers.Journal), node.demands, contact, logger)
 	node.results = node.newReader(drivers.Journal.Grants())
 	node.runner.SetLocator(node.results)
@@ -353,10 +355,14 @@
 // in turn or in runs, these are two or three daemons; one alone might be the
 // holder that has been lost.
 func isCandidate(dealt map[journal.Partition]bool, partitionsPerTopic int) bool {
+	return slices.ContainsFunc(candidacies(partitionsPerTopic), func(partition journal.Partition) bool { return dealt[partition] })
+}
+
+// candidacies are the partitions whose members claim the lease.
+func candidacies(partitionsPerTopic int) []journal.Partition {
 	topics := ledger.TopicNames()
 	first, last := topics[0], topics[len(topics)-1]
-	return dealt[journal.Partition{Topic: first}] || dealt[journal.Partition{Topic: first, Number: 1}] ||
-		dealt[journal.Partition{Topic: last, Number: partitionsPerTopic - 1}]
+	return []journal.Partition{{Topic: first}, {Topic: first, Number: 1}, {Topic: last, Number: partitionsPerTopic - 1}}
 }
 
 // daemons returns how many daemons share the journal, as far as is known.
--- a/internal/node/occupancy.go
+++ b/internal/node/occupancy.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"woodworks/internal/bootclock"
 	"woodworks/internal/occupancy"
+	"woodworks/internal/replica"
 	"woodworks/internal/runner"
 )
 
@@ -20,14 +23,39 @@
 	if node.relay == nil {
 		return nil
 	}
-	dealt := func(ctx context.Context) []string { return node.member.OwnersOf(ctx, runner.RunnersTopic) }
 	table := occupancy.NewTable(node.identity, bootclock.Now, node.logger)
-	publisher := occupancy.NewPublisher(table, node.relay, node.runner.Occupied, dealt, node.logger)
+	publisher := occupancy.NewPublisher(table, node.relay, node.runner.Occupied, node.dealtEngines, node.logger)
 	node.runner.ShareEngines(table, publisher.Wake)
 	node.relay.Register(occupancy.ServiceName, occupancy.NewService(table, publisher, node.runner.HeardOfOthers))
 	return &occupancyParts{table: table, publisher: publisher}
 }
 
+// dealtEngines returns the identities of the daemons that may be given batches, or the lease
+// for orders to engines.
+func (node *Node) dealtEngines(ctx context.Context) []string {
+	dealt := node.member.OwnersOf(ctx, runner.RunnersTopic)
+	for _, partition := range candidacies(node.partitions) {
+		if owner, known := node.member.OwnerOf(ctx, partition); known && !slices.Contains(dealt, owner) {
+			dealt = append(dealt, owner)
+		}
+	}
+	return dealt
+}
+
+// paceOf returns the pace of an engine as this daemon has measured it or heard of it last. It
+// is a modelsync.Pace.
+func (o *occupancyParts) paceOf(each replica.Replica) (pace, age time.Duration) {
+	own := time.Since(each.PaceAt)
+	if o == nil {
+		return each.Pace, own
+	}
+	heard, heardAge := o.table.Pace(runner.KeyOf(each))
+	if heard > 0 && (each.Pace == 0 || heardAge < own) {
+		return heard, heardAge
+	}
+	return each.Pace, own
+}
+
 func (o *occupancyParts) run(ctx context.Context) {
 	if o != nil {
 		o.publisher.Run(ctx)
--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -37,15 +37,15 @@
 	runner.sharing = &sharing{self: runner.self, table: table, changed: changed, logger: runner.logger, demands: map[string]occupancy.Demand{}, turns: map[string]*occupancy.Turn{}}
 }
 
-// keyOf names a replica to other owners.
-func keyOf(each replica.Replica) occupancy.Key { return occupancy.KeyOf(each.ID, time.Time{}) }
+// KeyOf names a replica to other owners.
+func KeyOf(each replica.Replica) occupancy.Key { return occupancy.KeyOf(each.ID, time.Time{}) }
 
 // fill adds to an engine what other owners told of it.
 func (s *sharing) fill(engine scheduling.Engine, seen replica.Replica, now time.Time) scheduling.Engine {
 	if s == nil {
 		return engine
 	}
-	key := keyOf(seen)
+	key := KeyOf(seen)
 	engine.Others = s.table.Others(key)
 	engine.Preference = occupancy.Preference(s.self, seen.ID)
 	if own := now.Sub(seen.PaceAt); seen.Pace == 0 || own > ownPaceHolds {
@@ -213,9 +213,9 @@
 		demand.InFlight = 0
 		for _, each := range runner.table.Replicas(service) {
 			demand.InFlight += uint32(max(each.InFlight, 0))
-			told.Counts = append(told.Counts, occupancy.Count{Replica: keyOf(each), Requests: uint32(max(each.InFlight, 0))})
+			told.Counts = append(told.Counts, occupancy.Count{Replica: KeyOf(each), Requests: uint32(max(each.InFlight, 0))})
 			if age := now.Sub(each.PaceAt); each.Pace > 0 && age <= ownPaceHolds {
-				told.Paces = append(told.Paces, occupancy.MakePacing(keyOf(each), each.Pace, age))
+				told.Paces = append(told.Paces, occupancy.MakePacing(KeyOf(each), each.Pace, age))
 			}
 		}
 		told.Demands = append(told.Demands, demand)
--- a/internal/runner/sharing_test.go
+++ b/internal/runner/sharing_test.go
@@ -269,7 +269,7 @@
 	now := time.Now()
 	known := replica.Replica{Entry: replica.Entry{ID: "e"}}
 	told := func(age time.Duration) {
-		s.table.Adopt(occupancy.Beliefs{Paces: []occupancy.Pacing{occupancy.MakePacing(keyOf(known), 20*time.Millisecond, age)}})
+		s.table.Adopt(occupancy.Beliefs{Paces: []occupancy.Pacing{occupancy.MakePacing(KeyOf(known), 20*time.Millisecond, age)}})
 	}
 	pace := func(own, age time.Duration) time.Duration {
 		known.Pace, known.PaceAt = own, now.Add(-age)
