What is learned of a replica belongs to one start of it

Cause: a replica may start again under the id that it had. All that was learned of it (versions, pace, latency, failures, pauses, declines, load, requests under way) was kept by id, so that an empty process counted as one that holds the newest weights, and its pace and pauses were those of its predecessor.

Changed: replica.Start names a start (id and time of birth); the table keeps what was learned by start. An entry of a later birth begins anew, with its own versions only; one of an earlier birth is logged and passed over; requests under way to the earlier start are counted for that one alone, so that no count falls below zero. Resting connections to its addresses are dropped (upstream.Pool.Drop). Followed by id before, by start now: modelsync (notes, loads under way, reports: engine.Report.Born), quarantine (a start that another one follows has ended; each ends once, whoever tells when), runner (the engine that read a group's prompt), forward. An entry that can't be understood makes its replica unusable without taking it off the list, as it says nothing of the process. Work pace: an answer may tell how long work takes at its replica now. It is believed with a half-life of 100 ms, as it changes many times a second, bounded to 0.5 to 4, and scales the score of a pick; it is on replica.Replica for the scheduler.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -56,6 +57,9 @@
 
 // Report is an engine's state, as of a moment ago.
 type Report struct {
+	// Born is when the engine's process started, zero if it does not tell. Orders and
+	// Versions are those of that start.
+	Born time.Time
 	// Busy says that an order is being carried out.
 	Busy bool
 	// Orders counts the orders taken since the engine's start.
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -63,7 +63,7 @@
 	if forwarder.Quarantine.Quiet() {
 		return func() {}, nil
 	}
-	switch got := forwarder.Quarantine.Admit(content, chosen.ID, func() []string { return forwarder.others(chosen) }).(type) {
+	switch got := forwarder.Quarantine.Admit(content, string(chosen.Start()), func() []string { return forwarder.others(chosen) }).(type) {
 	case quarantine.Alone:
 		release = got.End
 	case quarantine.Wait:
@@ -97,13 +97,13 @@
 // most requests to plain services are over by then.
 const suspectPause = 100 * time.Millisecond
 
-// others returns the ids of the other replicas of a replica's service.
+// others returns the starts of the other replicas of a replica's service.
 func (forwarder *Forwarder) others(chosen replica.Replica) []string {
-	var ids []string
+	var starts []string
 	for _, each := range forwarder.Table.Replicas(chosen.Service) {
 		if each.ID != chosen.ID {
-			ids = append(ids, each.ID)
+			starts = append(starts, string(each.Start()))
 		}
 	}
-	return ids
+	return starts
 }
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -48,13 +48,13 @@
 // ran. The end of a replica that was leaving was planned.
 func (forwarder *Forwarder) suspect(failed failedOffer, liveness upstream.Liveness) {
 	chosen := failed.chosen
-	if now, listed := forwarder.Table.Get(chosen.ID); listed && now.Draining {
+	if now, listed := forwarder.Table.Get(chosen.ID); listed && now.Draining && now.Start() == chosen.Start() {
 		return
 	}
 	if liveness == upstream.Gone {
-		forwarder.Quarantine.Ended(failed.content, chosen.ID, chosen.Service)
+		forwarder.Quarantine.Ended(failed.content, string(chosen.Start()), chosen.Service)
 	} else {
-		forwarder.Quarantine.Broke(failed.content, chosen.ID, chosen.Service)
+		forwarder.Quarantine.Broke(failed.content, string(chosen.Start()), chosen.Service)
 	}
 }
 
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -24,10 +24,10 @@
 
 // attempt offers the call to one replica. Over is called once the exchange is.
 func (forwarder *Forwarder) attempt(ctx context.Context, over func(), call *Call, chosen replica.Replica) attempt {
-	forwarder.Table.Started(chosen.ID)
+	forwarder.Table.Started(chosen.Start())
 	end := func() {
 		over()
-		forwarder.Table.Ended(chosen.ID)
+		forwarder.Table.Ended(chosen.Start())
 	}
 	started := time.Now()
 	answer, sentAt, ran, err := forwarder.exchange(ctx, call, chosen)
@@ -46,7 +46,7 @@
 		}
 		return attempt{err: err, ran: ran, replica: chosen.ID}
 	}
-	forwarder.Table.Succeeded(chosen.ID, time.Since(started))
+	forwarder.Table.Succeeded(chosen.Start(), time.Since(started))
 	answer.Replica = chosen.ID
 	answer.end = end
 	if answer.Rest == nil {
@@ -87,10 +87,10 @@
 
 func (forwarder *Forwarder) learn(chosen replica.Replica, err error) {
 	if errors.Is(err, errDeclined) {
-		forwarder.Table.Busy(chosen.ID, declinedPause)
+		forwarder.Table.Busy(chosen.Start(), declinedPause)
 		return
 	}
-	forwarder.Table.Failed(chosen.ID)
+	forwarder.Table.Failed(chosen.Start())
 	forwarder.Logger.Info("replica failed", zap.String("replica", chosen.ID), zap.String("service", chosen.Service), zap.Error(err))
 }
 
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, sentAt, !errors.Is(err, upstream.ErrNotSent), err
 	}
-	forwarder.noteLoad(chosen.ID, response.Header)
+	forwarder.noteLoad(chosen, response.Header)
 	if response.Header.Get(forwarder.Names.NotExecuted) != "" || response.Status == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, bufferedBytes))
 		response.Close()
@@ -147,14 +147,18 @@
 	forwarder.explain(ctx, failedOffer{requestID: call.RequestID, content: contentOf(call), chosen: chosen, outcome: offerOutcome(ctx, err), ran: true, err: err})
 }
 
-// noteLoad notes what an answer tells of its replica's load. The request that it
-// answers is over.
-func (forwarder *Forwarder) noteLoad(replicaID string, header http.Header) {
+// noteLoad notes what an answer tells of its replica's load.
+func (forwarder *Forwarder) noteLoad(chosen replica.Replica, header http.Header) {
 	if forwarder.Names.Load == nil {
 		return
 	}
-	if load, told := forwarder.Names.Load(header); told {
-		forwarder.Table.Reported(replicaID, load.Running+load.Waiting)
+	load, told := forwarder.Names.Load(header)
+	if !told {
+		return
+	}
+	forwarder.Table.Reported(chosen.Start(), load.Running+load.Waiting)
+	if load.WorkPace > 0 {
+		forwarder.Table.ReportedWorkPace(chosen.Start(), load.WorkPace)
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -121,6 +121,7 @@
 		EchoName: names.RequestID, EchoValue: request.RequestID,
 	})
 	if err == nil {
+		forwarder.noteLoad(chosen, answer.Header)
 		err = forwarder.checkStreamHead(answer)
 	}
 	forwarder.Observe(chosen.Service, offerOutcome(ctx, err), time.Since(began))
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -122,8 +122,8 @@
 // attempt passes on what one replica makes of the stream.
 func (relaying *relay) attempt(ctx context.Context, chosen replica.Replica) (whole, ran bool, err error) {
 	forwarder := relaying.handler.Forwarder
-	forwarder.Table.Started(chosen.ID)
-	defer forwarder.Table.Ended(chosen.ID)
+	forwarder.Table.Started(chosen.Start())
+	defer forwarder.Table.Ended(chosen.Start())
 	relaying.asking.Deadline = relaying.timeLeft() + answerMargin
 	sentAt := relaying.handler.now()
 	stream, err := forwarder.OpenStream(ctx, relaying.asking, chosen)
@@ -137,7 +137,7 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil {
-			forwarder.Table.Failed(chosen.ID)
+			forwarder.Table.Failed(chosen.Start())
 		}
 		return false, ran, err
 	}
--- a/internal/modelsync/modelsync.go
+++ b/internal/modelsync/modelsync.go
@@ -38,6 +38,10 @@
 	longestPause = 2 * time.Second
 )
 
+// errStartedAgain: the engine is not the start of it that was to change. Its orders, counts
+// and versions are others.
+var errStartedAgain = errors.New("modelsync: engine has started again")
+
 // changePauses bound the pauses between changes that fail.
 var changePauses = backoff.Bounds{First: failedPause, Longest: longestPause}
 
@@ -67,8 +71,10 @@
 	width  width
 }
 
-// note is what is remembered of one engine.
+// note is what is remembered of one engine, or of one start of it: a change and its rest
+// belong to the start that they were ordered of.
 type note struct {
+	start replica.Start
 	// model is the one that the engine was dealt to, "" for none.
 	model   string
 	loading bool
@@ -166,7 +172,13 @@
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
 	for _, each := range replicas {
-		syncer.noteOf(each.ID).listedAt = now
+		known := syncer.noteOf(each.ID)
+		if known.start != each.Start() {
+			// The engine keeps the model that it was dealt to, and nothing else.
+			known = &note{start: each.Start(), model: known.model}
+			syncer.notes[each.ID] = known
+		}
+		known.listedAt = now
 	}
 }
 
@@ -262,18 +274,18 @@
 		}
 		known.loading = true
 		syncer.loading++
-		go syncer.carryOut(ctx, each)
+		go syncer.carryOut(ctx, each, known)
 	}
 }
 
-// carryOut brings one engine to a version and waits until it is there.
-func (syncer *Syncer) carryOut(ctx context.Context, each change) {
+// carryOut brings one engine to a version and waits until it is there. Known is the note of
+// the engine's start, which another start may have replaced meanwhile.
+func (syncer *Syncer) carryOut(ctx context.Context, each change, known *note) {
 	began := time.Now()
 	err := syncer.bring(ctx, each)
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
 	syncer.loading--
-	known := syncer.noteOf(each.replica.ID)
 	known.loading = false
 	if err == nil {
 		known.rest.Succeeded()
@@ -311,6 +323,9 @@
 			}
 			return nil
 		}
+		if errors.Is(err, errStartedAgain) {
+			return err
+		}
 		if err == nil && !report.Busy && time.Since(ordered) > 2*syncer.expectedTime() {
 			return errors.New("modelsync: engine is idle without the version")
 		}
@@ -349,8 +364,11 @@
 	if err != nil {
 		return engine.Report{}, err
 	}
+	if !syncer.table.Seen(each.replica, report.Born) {
+		return engine.Report{}, errStartedAgain
+	}
 	for model, version := range report.Versions {
-		syncer.table.HoldsVersion(each.replica.ID, model, version)
+		syncer.table.HoldsVersion(each.replica.Start(), model, version)
 	}
 	return report, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,6 +184,7 @@
 	node.partitions = drivers.Journal.PartitionsPerTopic()
 	contact := node.settings.Timing.ContactBound.Std()
 	node.table = replica.NewTable(node.settings.Timing.DrainBound.Std(), logger)
+	node.table.OnRestart(node.pool.Drop)
 	node.front = newFrontServer(logger)
 	node.front.planned = node.shutdown
 	node.operator = operation.NewState(drivers.Decoder, node.front.configured, logger)
@@ -325,15 +326,16 @@
 		node.pool.Sweep()
 		node.ledger.Sweep(now)
 		node.table.Sweep()
-		node.quarantine.table.Sweep(node.listed)
+		node.quarantine.table.Sweep(node.listed())
 		node.lease.SetCandidate(isCandidate(node.member.Partitions(), node.partitions))
 	})
 }
 
-// listed reports whether a replica is in the platform's list.
-func (node *Node) listed(id string) bool {
-	_, listed := node.table.Get(id)
-	return listed
+// listed returns what reports whether a start of a replica is the one in the platform's
+// list. The list is read when it is first asked for.
+func (node *Node) listed() func(start string) bool {
+	present := sync.OnceValue(node.table.Present)
+	return func(start string) bool { return present()[replica.Start(start)] }
 }
 
 // closeExpired closes clients' connections that have rested for longer than they may.
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"woodworks/internal/replica"
 )
 
 // Entry is what is known of a content under which replicas have ended. Two entries of a
@@ -13,8 +15,10 @@
 	// Epoch rises with each answer that the content gets and each time that an operator
 	// lifts its refusal. What is known of an earlier epoch counts no more.
 	Epoch int64 `cbor:"2,keyasint" json:"epoch"`
-	// Ended counts, by replica, how often each ended under the content in this epoch.
-	// Some platforms give a replica a new id at each start, others keep it.
+	// Ended counts, by replica, how often each ended under the content in this epoch. A
+	// replica is named by its start (replica.Start), so that one that starts again under
+	// its id can be told from the one that ended; where it doesn't tell when it started,
+	// that is its id, and each end that is sameEnd after the last counts.
 	Ended map[string]int `cbor:"3,keyasint" json:"replicas_ended"`
 	// Keeper is the machine that may find out whether the refused content still ends
 	// replicas, and Retried says that it has begun to.
@@ -119,11 +123,12 @@
 
 // addEnd notes an end of a replica. It reports whether it is a new one, and not that
 // which another run of the content, here or at another daemon, has shown.
-func (k *known) addEnd(replica string, now time.Time) bool {
-	if seen, before := k.seenAt[replica]; before && now.Sub(seen) < sameEnd {
+func (k *known) addEnd(name string, now time.Time) bool {
+	seen, before := k.seenAt[name]
+	if before && (replica.Start(name).EndsOnce() || now.Sub(seen) < sameEnd) {
 		return false
 	}
-	return k.raise(replica, k.Ended[replica]+1, now)
+	return k.raise(name, k.Ended[name]+1, now)
 }
 
 // raise sets how often a replica ended, if that is more than is known. Replicas beyond
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"woodworks/internal/replica"
 )
 
 // Ended notes that a replica of a service ended while it ran the content.
@@ -35,11 +37,11 @@
 }
 
 // ended adds a replica to those that ended under a content. The mutex is held.
-func (t *Table) ended(found *known, replica string) {
+func (t *Table) ended(found *known, name string) {
 	added := false
 	t.change(found, func() {
-		delete(found.broke, replica)
-		added = found.addEnd(replica, t.now())
+		delete(found.broke, name)
+		added = found.addEnd(name, t.now())
 		if added && found.refused() && found.Keeper == "" {
 			found.Keeper = t.machine
 		}
@@ -48,7 +50,7 @@
 		return
 	}
 	found.ownChange = true
-	t.logger.Warn("replica ended under a content", zap.String("content", found.Digest.Short()), zap.String("replica", replica),
+	t.logger.Warn("replica ended under a content", zap.String("content", found.Digest.Short()), zap.String("replica", replica.Start(name).ID()), zap.String("start", name),
 		zap.String("service", found.Label.Service), zap.Strings("ended", found.replicas()), zap.Int("ends", found.ends()), zap.Int64("epoch", found.Epoch), zap.Bool("refused", found.refused()),
 		zap.String("host", found.Label.Host), zap.String("target", found.Label.Target), zap.String("caller", found.Label.Caller))
 	t.tell(found)
--- a/internal/quarantine/forget.go
+++ b/internal/quarantine/forget.go
@@ -56,7 +56,7 @@
 }
 
 // Sweep decides on broken connections by which replicas are still listed, and forgets
-// what is old.
+// what is old. One that is listed as started again has ended.
 func (t *Table) Sweep(listed func(replica string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/internal/quarantine/start_test.go
@@ -0,0 +1,80 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woodworks/internal/replica"
+)
+
+// starts names the starts of a replica, in order.
+func starts(count int) []string {
+	var names []string
+	for i := range count {
+		entry := replica.Entry{ID: "a", Born: time.UnixMilli(1_764_700_000_000 + int64(i)*1000)}
+		names = append(names, string(entry.Start()))
+	}
+	return names
+}
+
+// A replica that ends and starts again under its id never left the list: its ends were no
+// evidence where nothing refused a connection in between.
+func TestAStartThatAnotherFollowsHasEnded(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, bad := clock.table("m"), contentNamed("bad")
+	names := starts(endedLimit + 1)
+	for i := range endedLimit {
+		present := names[i]
+		table.Broke(bad, names[i], "s")
+		table.Sweep(func(name string) bool { return name == present })
+		is.Equal(ends(table, bad), i)
+		clock.pass(300 * time.Millisecond) // sooner than two ends of an unnamed start would count
+		present = names[i+1]
+		table.Sweep(func(name string) bool { return name == present })
+		is.Equal(ends(table, bad), i+1)
+	}
+	is.Equal(table.Suspicion(bad), Quarantined)
+}
+
+// One end is noted by each daemon when it finds out, at once or as the list tells: that
+// counted once a second.
+func TestAStartEndsOnce(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, other, bad := clock.table("m"), clock.table("n"), contentNamed("bad")
+	name := starts(1)[0]
+	table.Broke(bad, name, "s")
+	other.Ended(bad, name, "s")
+	table.Merge(other.entriesOf([]Digest{bad.Digest()}), "n")
+	clock.pass(3 * time.Second)
+	table.Sweep(func(string) bool { return false })
+	table.Ended(bad, name, "s")
+	is.Equal(ends(table, bad), 1)
+}
+
+// The start that follows one which ended is back: it may run the content alone.
+func TestTheNextStartIsBack(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, bad := clock.table("m"), contentNamed("bad")
+	names := starts(3)
+	table.Ended(bad, "b", "s")
+	table.Ended(bad, names[0], "s")
+	is.Equal(admission(table, bad, names[0], "x"), "elsewhere")
+	is.Equal(admission(table, bad, names[1], "x"), "alone")
+	is.Equal(admission(table, bad, "x", names[1]), "alone")
+	is.Equal(admission(table, bad, "x", names[0]), "refused")
+}
+
+// ends is how many ends are held against a content.
+func ends(table *Table, content *Content) int {
+	for _, each := range table.List() {
+		if each.Digest == content.Digest().String() {
+			return each.ends()
+		}
+	}
+	return 0
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -16,7 +16,8 @@
 //     after a while, which sets free what three coincidences had condemned.
 //
 // Any whole answer clears a content at once. Ends that no answer came between are counted
-// by replica, so that it does not matter which daemons saw them or how often they tell.
+// by start of a replica, so that it does not matter which daemons saw them or how often
+// they tell. Replicas are named by their starts everywhere here.
 //
 // Nothing is looked up for a request while no content is suspected: that costs one load
 // of a counter.
@@ -49,6 +50,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/bootclock"
+	"woodworks/internal/replica"
 )
 
 const (
@@ -60,8 +62,9 @@
 	endedLimit = 3
 	// endedKept bounds the replicas that an entry names.
 	endedKept = 8
-	// sameEnd is within which time two ends of a replica are one: several runs of a
-	// content show it within milliseconds, and no process is back and ends again so soon.
+	// sameEnd is within which time two ends of a replica are one that doesn't tell its
+	// starts apart: several runs of a content show it within milliseconds, and no process is
+	// back and ends again so soon.
 	sameEnd = time.Second
 	// aloneWait is how long a run alone waits for a second replica of its service: a
 	// process that ended is replaced within some seconds.
@@ -200,18 +203,18 @@
 }
 
 // runAlone begins the one run that the content may have now. The mutex is held.
-func (t *Table) runAlone(found *known, replica string) Alone {
+func (t *Table) runAlone(found *known, name string) Alone {
 	over := make(chan struct{})
 	found.deciding = over
-	t.alone[replica]++
+	t.alone[name]++
 	if found.refused() {
 		t.change(found, func() { found.Retried, found.ownChange = true, true })
 		t.tell(found)
 	}
-	t.logger.Info("suspect runs alone", zap.String("content", found.Digest.Short()), zap.String("replica", replica),
+	t.logger.Info("suspect runs alone", zap.String("content", found.Digest.Short()), zap.String("replica", replica.Start(name).ID()), zap.String("start", name),
 		zap.Strings("ended", found.replicas()), zap.Int("ends", found.ends()), zap.Bool("refused", found.refused()), zap.Duration("since_end", t.now().Sub(found.endedAt)))
 	var once sync.Once
-	return Alone{End: func() { once.Do(func() { t.endAlone(found, replica, over) }) }}
+	return Alone{End: func() { once.Do(func() { t.endAlone(found, name, over) }) }}
 }
 
 func (t *Table) endAlone(found *known, replica string, over chan struct{}) {
--- a/internal/replica/changes.go
+++ b/internal/replica/changes.go
@@ -42,6 +42,7 @@
 	case each.now == nil:
 		table.logger.Info("replica gone from the list", zap.String("replica", each.before.ID))
 	default:
-		table.logger.Info("replica state changed", zap.String("replica", each.now.ID), zap.Bool("draining", each.now.Draining))
+		table.logger.Info("replica state changed", zap.String("replica", each.now.ID), zap.Bool("draining", each.now.Draining),
+			zap.Bool("usable", !each.now.Unusable))
 	}
 }
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -7,7 +7,7 @@
 
 // Pick chooses the replica for a plain request: not yet tried, rather not one
 // to be avoided, the least loaded for its slots (by our own requests there, or by what
-// it told of all), rather one to which a connection rests, and by chance among equals.
+// it told of all, both as fast as it works at present), rather one to which a connection rests, and by chance among equals.
 // The way to another zone counts as far as answers from there take longer; a replica
 // that was never asked counts as fast as the fastest. It returns false if every
 // candidate was tried.
@@ -63,6 +63,10 @@
 func loadScore(candidate Replica, now time.Time) float64 {
 	score := float64(max(candidate.InFlight, candidate.Reported)) / float64(max(candidate.Slots, 1))
 	score += float64(candidate.Latency) / float64(latencyPerUnit)
+	if candidate.WorkPace > 0 {
+		// What runs there and what is sent take longer or shorter by the same.
+		score *= candidate.WorkPace
+	}
 	if !candidate.Connected {
 		score += connectPenalty
 	}
--- /dev/null
+++ b/internal/replica/start_test.go
@@ -0,0 +1,254 @@
+package replica
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"pgregory.net/rapid"
+
+	"woodworks/internal/bootclock/clocktest"
+)
+
+var firstBorn = time.UnixMilli(1_764_700_000_000)
+
+// started is an entry of the given start, which holds a version.
+func started(id string, start int, version int64) Entry {
+	made := entry(id)
+	made.Born = firstBorn.Add(time.Duration(start) * time.Second)
+	made.Versions = map[string]int64{"m": version}
+	return made
+}
+
+// What was learned of one start went on counting for the next under the same id: a replica
+// that came back was avoided, slow, busy and held versions of before.
+func TestExperienceBelongsToOneStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(drainBound, zap.NewNop())
+		table.SetClock(clocktest.New().Now)
+		table.Set(started("a", 0, 9))
+		seen := func() Replica { return table.Replicas("s")[0] }
+		before := seen()
+		for range 3 {
+			table.Started(before.Start())
+		}
+		table.Succeeded(before.Start(), time.Second)
+		table.Failed(before.Start())
+		table.Reported(before.Start(), 7)
+		table.ReportedWorkPace(before.Start(), 3)
+		for range paceEvents {
+			table.Paced(before.Start(), 50*time.Millisecond)
+		}
+		time.Sleep(firstAvoid)
+		table.Declined(before.Start())
+		table.Set(started("a", 1, 2))
+		now := seen()
+		is.True(now.Start() != before.Start())
+		is.Equal(now.Versions, map[string]int64{"m": 2})
+		is.Equal([]time.Duration{now.Latency, now.Pace}, []time.Duration{0, 0})
+		is.True(!now.Declining && !now.Probing && now.AvoidUntil.IsZero())
+		is.Equal([]int{now.InFlight, now.Reported}, []int{0, 0})
+		is.Equal(now.WorkPace, 1.0)
+		// What the earlier start's requests still tell is of no concern to the next one.
+		table.Started(now.Start())
+		for range 3 {
+			table.HoldsVersion(before.Start(), "m", 9)
+			table.Failed(before.Start())
+			table.Ended(before.Start())
+		}
+		is.Equal(seen().InFlight, 1)
+		is.Equal(seen().Versions, map[string]int64{"m": 2})
+		is.True(seen().AvoidUntil.IsZero())
+		table.Ended(now.Start())
+		is.Equal(seen().InFlight, 0)
+		time.Sleep(forgetAfter + time.Second)
+		table.Sweep()
+		is.Equal(len(table.learned), 1)
+	})
+}
+
+// An entry of an earlier start is left of a compaction, or was written late.
+func TestAnEntryOfAnEarlierStartIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.InfoLevel)
+	table := NewTable(drainBound, zap.New(core))
+	table.Set(started("a", 1, 2))
+	old := started("a", 0, 9)
+	old.Draining = true
+	table.Set(old)
+	table.Replace([]Entry{old, entry("b")})
+	known, listed := table.Get("a")
+	is.True(listed)
+	is.True(!known.Draining)
+	is.Equal(known.Versions, map[string]int64{"m": 2})
+	is.Equal(logs.FilterMessage("entry of an earlier start passed over").Len(), 2)
+	table.Remove("a")
+	table.Set(old)
+	_, listed = table.Get("a")
+	is.True(!listed) // it left as the later start
+}
+
+// An entry that tells no start is of the one that is known.
+func TestAnEntryWithoutAStart(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(drainBound, zap.NewNop())
+	table.Set(started("a", 1, 2))
+	start := table.Replicas("s")[0].Start()
+	table.Set(entry("a"))
+	is.Equal(table.Replicas("s")[0].Start(), start)
+	is.Equal(table.Replicas("s")[0].Versions, map[string]int64{"m": 2})
+}
+
+// Connections that rest lead to a process that is no more, at whatever address it was.
+func TestAnAddressIsToldWhenItsReplicaStartsAgain(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(drainBound, zap.NewNop())
+	var told []string
+	table.OnRestart(func(address string) { told = append(told, address) })
+	table.Set(started("a", 0, 1))
+	table.Set(started("a", 0, 2))
+	is.Equal(len(told), 0)
+	table.Set(started("a", 1, 1))
+	is.Equal(told, []string{"a"})
+	moved := started("a", 2, 1)
+	moved.Address = "b"
+	table.Set(moved)
+	is.Equal(told, []string{"a", "a", "b"})
+	table.Remove("a")
+	table.Set(started("a", 3, 1))
+	is.Equal(told, []string{"a", "a", "b", "b", "a"})
+}
+
+// A replica's own word of a later start counts before its entry has come.
+func TestAReplicaSaysThatItStartedAgain(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(drainBound, zap.NewNop())
+	table.Set(started("a", 1, 9))
+	meant, _ := table.Get("a")
+	is.True(table.Seen(meant, time.Time{}))
+	is.True(table.Seen(meant, meant.Born))
+	is.True(!table.Seen(meant, started("a", 0, 9).Born)) // its answer is late
+	is.Equal(table.Replicas("s")[0].Start(), meant.Start())
+	later := started("a", 2, 1)
+	is.True(!table.Seen(meant, later.Born))
+	now := table.Replicas("s")[0]
+	is.Equal(now.Start(), later.Start())
+	is.Equal(len(now.Versions), 0)
+	table.Set(started("a", 1, 9)) // the entry of before
+	is.Equal(table.Replicas("s")[0].Start(), later.Start())
+	table.Set(later)
+	is.Equal(table.Replicas("s")[0].Versions, map[string]int64{"m": 1})
+}
+
+func TestNamesOfStarts(t *testing.T) {
+	is := is.New(t)
+	for name, id := range map[Start]string{"a": "a", "a@5": "a", "a@b@5": "a@b", "a@b": "a@b", "a@": "a@"} {
+		is.Equal(name.ID(), id)
+		is.Equal(name.EndsOnce(), string(name) != id)
+	}
+	is.Equal(started("a", 0, 1).Start(), Start("a@1764700000000"))
+	is.Equal(entry("a").Start(), Start("a"))
+}
+
+// Whatever happens in whatever order, no count is below zero or counts another start's
+// requests, and a start holds only versions that its own entries and answers named.
+func TestStartsAreKeptApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(drainBound, zap.NewNop())
+		newest, listed := -1, false
+		underWay := map[Start]int{}
+		held := map[Start]int64{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				of := started("a", rapid.IntRange(0, 3).Draw(t, "start"), rapid.Int64Range(1, 9).Draw(t, "version"))
+				number := int(of.Born.Sub(firstBorn).Seconds())
+				table.Set(of)
+				if number >= newest {
+					newest, listed = number, true
+					held[of.Start()] = max(held[of.Start()], of.Versions["m"])
+				}
+			case 2:
+				table.Remove("a")
+				listed = false
+			case 3:
+				if now, found := table.Get("a"); found {
+					table.Started(now.Start())
+					underWay[now.Start()]++
+				}
+			case 4:
+				for start, count := range underWay {
+					if count > 0 {
+						table.Ended(start)
+						underWay[start]--
+						break
+					}
+				}
+			}
+			now, found := table.Get("a")
+			if found != listed {
+				t.Fatalf("listed %v, should be %v", found, listed)
+			}
+			if found && (now.Start() != started("a", newest, 0).Start() || now.InFlight != underWay[now.Start()] || now.Versions["m"] != held[now.Start()]) {
+				t.Fatalf("%s: %d under way, holds %d; should be %d, %d", now.Start(), now.InFlight, now.Versions["m"], underWay[now.Start()], held[now.Start()])
+			}
+		}
+	})
+}
+
+// The pace of work that a replica told draws requests for some tenths of a second.
+func TestAToldWorkPaceCountsForAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(drainBound, zap.NewNop())
+		table.Replace([]Entry{entry("a"), entry("b")})
+		for _, start := range []Start{"a", "b"} {
+			table.Succeeded(start, 30*time.Millisecond)
+		}
+		paceOf := func() float64 {
+			known, _ := table.Get("a")
+			return known.WorkPace
+		}
+		shareOf := func() float64 {
+			const picks = 400
+			toA := 0
+			for range picks {
+				chosen, _ := Pick(table.Replicas("s"), nil, time.Now())
+				if chosen.ID == "a" {
+					toA++
+				}
+			}
+			return float64(toA) / picks
+		}
+		is.Equal(paceOf(), 1.0)
+		table.ReportedWorkPace("a", 3)
+		is.Equal(paceOf(), 3.0)
+		is.Equal(shareOf(), 0.0)
+		time.Sleep(workPaceHalfLife)
+		is.Equal(paceOf(), 2.0)
+		known, _ := table.Get("a")
+		is.Equal(known.WorkPaceAge, workPaceHalfLife)
+		time.Sleep(workPaceHolds)
+		is.Equal(paceOf(), 1.0)
+		is.True(shareOf() > 0.3)
+		table.ReportedWorkPace("a", 1e6)
+		is.Equal(paceOf(), mostWorkPace)
+		table.ReportedWorkPace("a", 0.001)
+		is.Equal(paceOf(), leastWorkPace)
+		is.Equal(shareOf(), 1.0)
+	})
+}
+
+// A replica that works slowly now is still taken before one that has much to do.
+func TestAWorkPaceAloneKeepsNoRequestAway(t *testing.T) {
+	is := is.New(t)
+	slow, busy := Replica{Entry: entry("slow"), WorkPace: mostWorkPace, Latency: 20 * time.Millisecond}, Replica{Entry: entry("busy"), WorkPace: 1, InFlight: 4, Latency: 20 * time.Millisecond}
+	for range 100 {
+		chosen, _ := Pick([]Replica{slow, busy}, nil, time.Now())
+		is.Equal(chosen.ID, "slow")
+	}
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -3,7 +3,6 @@
 package replica
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -21,6 +20,12 @@
 	Slots   int
 	// Draining replicas get no new work.
 	Draining bool
+	// Unusable replicas get none either: their newest entry can't be understood, which says
+	// nothing of their process. Only ID counts of such an entry.
+	Unusable bool
+	// Born is when the process started, by its own clock in milliseconds; zero if it does
+	// not tell.
+	Born time.Time
 	// Spot replicas may be taken away at any moment.
 	Spot bool
 	// Versions are the versions of the weights it holds, by model.
@@ -46,44 +51,11 @@
 	Latency time.Duration
 	// Pace is the mean time between the events of recent streams, 0 if unknown.
 	Pace time.Duration
-}
-
-const (
-	// averageWeight is the weight of a new value in a running average.
-	averageWeight = 0.25
-	// firstDecline is how long a replica that declined a request is left alone; the
-	// time doubles with each decline in a row, up to longestDecline. An engine
-	// declines for as long as it changes its weights.
-	firstDecline   = 120 * time.Millisecond
-	longestDecline = 300 * time.Millisecond
-	firstAvoid     = 200 * time.Millisecond
-	longestAvoid   = 3 * time.Second
-	// loadHolds is how long a load is believed that an answer told: requests to
-	// plain replicas take some tens of milliseconds.
-	loadHolds = 100 * time.Millisecond
-	// forgetAfter is how long what was learned of a replica outlives its entry.
-	forgetAfter = 30 * time.Second
-)
-
-// experience is what this daemon has learned of a replica by itself.
-type experience struct {
-	inFlight   int
-	failures   int
-	avoidUntil time.Time
-	// declines counts the declined requests in a row, those within one pause as
-	// one. While there are any, one request at a time finds out (probing).
-	declines int
-	probing  bool
-	latency  time.Duration
-	pace     pace
-	// reported is the load that an answer told at reportedAt.
-	reported   int
-	reportedAt time.Time
-	// versions is never changed, only replaced: readers hold it.
-	versions map[string]int64
-	goneAt   time.Time
-	// last is the entry that was removed at goneAt.
-	last Entry
+	// WorkPace is how long work takes there at present, 1 being as usual, as the replica told
+	// WorkPaceAge ago. The older that is, the nearer it is to 1; it is 1 if nothing is
+	// believed.
+	WorkPace    float64
+	WorkPaceAge time.Duration
 }
 
 // listed is an entry with what was learned of its replica.
@@ -105,14 +77,19 @@
 	entries map[string]*listed
 	// services has the entries of each service, by id.
 	services map[string]map[string]*listed
-	learned  map[string]*experience
-	changed  chan struct{}
+	// learned is by start. That of an earlier start stays while requests are under way there.
+	learned map[Start]*experience
+	// newest has the newest start of each id that was listed of late.
+	newest map[string]Entry
+	// restarted is told of addresses of replicas that have started again; it may be nil.
+	restarted func(address string)
+	changed   chan struct{}
 }
 
 // NewTable returns an empty table. DrainBound is how long after a replica has
 // left the list new work may still reach it.
 func NewTable(drainBound time.Duration, logger *zap.Logger) *Table {
-	return &Table{logger: logger, removedGrace: drainBound / 2, now: bootclock.Now, entries: map[string]*listed{}, services: map[string]map[string]*listed{}, learned: map[string]*experience{}, changed: make(chan struct{})}
+	return &Table{logger: logger, removedGrace: drainBound / 2, now: bootclock.Now, entries: map[string]*listed{}, services: map[string]map[string]*listed{}, learned: map[Start]*experience{}, newest: map[string]Entry{}, changed: make(chan struct{})}
 }
 
 // SetClock sets the clock by which replicas count as just removed. It is called before
@@ -158,10 +135,19 @@
 // be told. The mutex is held.
 func (table *Table) set(entry Entry, changes []change) []change {
 	before := table.entries[entry.ID]
+	switch {
+	case entry.Unusable && before == nil:
+		return changes
+	case entry.Unusable:
+		entry = before.Entry
+		entry.Unusable = true
+	case !table.succeeds(&entry):
+		return changes
+	}
 	if before != nil && before.Service != entry.Service {
 		delete(table.services[before.Service], entry.ID)
 	}
-	learned := table.experience(entry.ID)
+	learned := table.experience(entry.Start())
 	now := &listed{Entry: entry, learned: learned}
 	table.entries[entry.ID] = now
 	if table.services[entry.Service] == nil {
@@ -175,7 +161,7 @@
 	switch {
 	case before == nil:
 		return append(changes, change{now: &entry})
-	case before.Draining != entry.Draining:
+	case before.Draining != entry.Draining, before.Unusable != entry.Unusable:
 		return append(changes, change{before: &before.Entry, now: &entry})
 	default:
 		return changes
@@ -194,25 +180,6 @@
 	return append(changes, change{before: &before.Entry})
 }
 
-func (table *Table) experience(id string) *experience {
-	learned := table.learned[id]
-	if learned == nil {
-		learned = &experience{versions: map[string]int64{}}
-		table.learned[id] = learned
-	}
-	return learned
-}
-
-func (learned *experience) raise(model string, version int64) bool {
-	if version <= learned.versions[model] {
-		return false
-	}
-	versions := maps.Clone(learned.versions)
-	versions[model] = version
-	learned.versions = versions
-	return true
-}
-
 // notify wakes those who wait for a change. The mutex is held.
 func (table *Table) notify() {
 	close(table.changed)
@@ -234,7 +201,7 @@
 	now := time.Now()
 	found := make([]Replica, 0, len(table.services[service]))
 	for _, each := range table.services[service] {
-		if !each.Draining {
+		if !each.Draining && !each.Unusable {
 			found = append(found, each.view(now))
 		}
 	}
@@ -255,7 +222,7 @@
 		if learned.goneAt.IsZero() || now.Sub(learned.goneAt) > table.removedGrace {
 			continue
 		}
-		if learned.last.Service == service && !learned.last.Draining {
+		if learned.last.Service == service && !learned.last.Draining && !learned.last.Unusable {
 			found = append(found, (&listed{Entry: learned.last, learned: learned}).view(awake))
 		}
 	}
@@ -292,123 +259,7 @@
 	if now.Sub(learned.reportedAt) <= loadHolds {
 		viewed.Reported = learned.reported
 	}
+	viewed.WorkPace, viewed.WorkPaceAge = learned.work.value(now)
 	viewed.Versions = learned.versions
 	return viewed
 }
-
-// Started counts a request on its way to a replica.
-func (table *Table) Started(id string) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	learned.inFlight++
-	learned.probing = learned.declines > 0
-}
-
-// Ended takes a request off the count.
-func (table *Table) Ended(id string) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	learned.inFlight--
-	learned.probing = false
-	table.notify()
-}
-
-// Succeeded notes an answer and how long it took.
-func (table *Table) Succeeded(id string, took time.Duration) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	learned.failures = 0
-	learned.avoidUntil = time.Time{}
-	learned.latency = average(learned.latency, took)
-}
-
-// Reported notes how many requests of all callers a replica has, as its answer tells.
-func (table *Table) Reported(id string, requests int) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	learned.reported, learned.reportedAt = requests, time.Now()
-}
-
-// Paced notes the time between two events of a stream.
-func (table *Table) Paced(id string, gap time.Duration) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	table.experience(id).pace.note(gap, time.Now())
-}
-
-func average(mean, value time.Duration) time.Duration {
-	if mean == 0 {
-		return value
-	}
-	return mean + time.Duration(averageWeight*float64(value-mean))
-}
-
-// Failed notes an exchange that got no sound answer: others are preferred for
-// a while that grows with each failure in a row.
-func (table *Table) Failed(id string) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	learned.failures++
-	avoid := firstAvoid << min(learned.failures-1, 6)
-	learned.avoidUntil = time.Now().Add(min(avoid, longestAvoid))
-}
-
-// Busy notes that a replica declined a short request: others are preferred for
-// the given time.
-func (table *Table) Busy(id string, pause time.Duration) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	if until := time.Now().Add(pause); until.After(learned.avoidUntil) {
-		learned.avoidUntil = until
-	}
-}
-
-// Declined notes that a replica declined a request: others are preferred for a
-// while that grows with each further one.
-func (table *Table) Declined(id string) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	now := time.Now()
-	if now.Before(learned.avoidUntil) {
-		return
-	}
-	learned.avoidUntil = now.Add(min(firstDecline<<min(learned.declines, 4), longestDecline))
-	learned.declines++
-}
-
-// Accepted notes that a replica has begun to answer a request.
-func (table *Table) Accepted(id string) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	learned := table.experience(id)
-	learned.declines, learned.probing = 0, false
-}
-
-// HoldsVersion notes a version of a model that a replica was seen to hold.
-// Versions only rise.
-func (table *Table) HoldsVersion(id, model string, version int64) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	if table.experience(id).raise(model, version) {
-		table.notify()
-	}
-}
-
-// Sweep forgets replicas that have long left the list.
-func (table *Table) Sweep() {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	now := table.now()
-	for id, learned := range table.learned {
-		if !learned.goneAt.IsZero() && learned.inFlight == 0 && now.Sub(learned.goneAt) > forgetAfter {
-			delete(table.learned, id)
-		}
-	}
-}
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -63,10 +63,23 @@
 		for _, each := range seen.replicas {
 			seen.Engines = append(seen.Engines, engineOf(each, now))
 		}
+		seen.nameGroupEngines()
 	}
 	return views
 }
 
+// nameGroupEngines turns the starts that last read a group's prompt into the ids of their
+// engines. One that has started again has the prompt no more.
+func (seen *view) nameGroupEngines() {
+	present := make(map[string]string, len(seen.replicas))
+	for _, each := range seen.replicas {
+		present[string(each.Start())] = each.ID
+	}
+	for i := range seen.Items {
+		seen.Items[i].GroupEngine = present[seen.Items[i].GroupEngine]
+	}
+}
+
 func engineOf(each replica.Replica, now time.Time) scheduling.Engine {
 	return scheduling.Engine{
 		ID: each.ID, Zone: each.Zone, Slots: each.Slots, InFlight: each.InFlight, Pace: each.Pace,
@@ -115,7 +128,7 @@
 		Priority: priority, BatchSince: job.adoptedAt,
 		Model: job.submission.Model, MinVersion: job.submission.MinVersion,
 		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Remaining(each.cost, len(each.text)),
-		GroupEngine: job.groups[each.Group],
+		GroupEngine: string(job.groups[each.Group]), // becomes an engine's id in nameGroupEngines
 	}
 	if each.state == itemRunning {
 		described.Engine, described.RunFor = each.lastReplica, now.Sub(each.startedAt)
@@ -145,8 +158,8 @@
 	item.release()
 	item.run++
 	run := item.run
-	job.groups[item.Group] = chosen.ID
-	runner.table.Started(chosen.ID)
+	job.groups[item.Group] = chosen.Start()
+	runner.table.Started(chosen.Start())
 	runner.started.Add(1)
 	runner.running.Add(1)
 	go func() {
--- a/internal/runner/dispatch_test.go
+++ b/internal/runner/dispatch_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"woodworks/internal/batch"
+	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/scheduling"
 	"woodworks/internal/testseed"
 )
 
@@ -27,3 +30,23 @@
 	is.True(counts["a"] < items*85/100)
 	is.Equal(counts["a"]+counts["b"], items)
 }
+
+// An engine that has started again has read no prompt, whatever its id.
+func TestAGroupsEngineIsOneStart(t *testing.T) {
+	is := is.New(t)
+	before := replica.Replica{Entry: replica.Entry{ID: "a", Born: time.UnixMilli(1)}}
+	now := replica.Replica{Entry: replica.Entry{ID: "a", Born: time.UnixMilli(2)}}
+	other := replica.Replica{Entry: replica.Entry{ID: "b"}}
+	items := func() []scheduling.Item {
+		return []scheduling.Item{{GroupEngine: string(before.Start())}, {GroupEngine: string(other.Start())}, {}}
+	}
+	engines := func(seen view) (named []string) {
+		seen.nameGroupEngines()
+		for _, each := range seen.Items {
+			named = append(named, each.GroupEngine)
+		}
+		return named
+	}
+	is.Equal(engines(view{Snapshot: scheduling.Snapshot{Items: items()}, replicas: []replica.Replica{before, other}}), []string{"a", "b", ""})
+	is.Equal(engines(view{Snapshot: scheduling.Snapshot{Items: items()}, replicas: []replica.Replica{now, other}}), []string{"", "b", ""})
+}
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -51,7 +51,7 @@
 
 // endRun takes the outcome of an item's run into account.
 func (job *job) endRun(each *item, run int, chosen replica.Replica, found *route.Route, err error) {
-	job.runner.table.Ended(chosen.ID)
+	job.runner.table.Ended(chosen.Start())
 	job.mutex.Lock()
 	current := each.run == run
 	if current {
@@ -90,11 +90,11 @@
 // followStream reads the events of an open stream until the text is whole.
 func (job *job) followStream(cancel context.CancelFunc, each *item, run int, chosen replica.Replica, found *route.Route, stream *forward.Stream) error {
 	defer stream.Close()
-	job.runner.table.Accepted(chosen.ID)
+	job.runner.table.Accepted(chosen.Start())
 	model := job.submission.Model
 	version := stream.Version
 	if version > 0 {
-		job.runner.table.HoldsVersion(chosen.ID, model, version)
+		job.runner.table.HoldsVersion(chosen.Start(), model, version)
 	}
 	patience := max(gapPatience, 4*chosen.Pace)
 	watchdog := time.AfterFunc(patience, cancel)
@@ -111,14 +111,14 @@
 		}
 		if event.Version > 0 {
 			version = event.Version
-			job.runner.table.HoldsVersion(chosen.ID, model, version)
+			job.runner.table.HoldsVersion(chosen.Start(), model, version)
 		}
 		if err := job.take(each, run, event, version, found); err != nil {
 			return err
 		}
 		now := time.Now()
 		if !last.IsZero() {
-			job.runner.table.Paced(chosen.ID, now.Sub(last))
+			job.runner.table.Paced(chosen.Start(), now.Sub(last))
 		}
 		last = now
 	}
@@ -214,11 +214,11 @@
 	case errors.As(cause, &quarantined):
 		pause = quarantined.RetryAfter
 	case errors.Is(cause, forward.ErrDeclined), errors.Is(cause, errTooOld):
-		table.Declined(chosen.ID)
+		table.Declined(chosen.Start())
 	case errors.As(cause, &status):
 		dead = job.failureStatus(each, status.Status, found)
 	default:
-		table.Failed(chosen.ID)
+		table.Failed(chosen.Start())
 	}
 	job.logger.Info("item attempt failed", zap.String("item", each.ID), zap.String("replica", chosen.ID), zap.Int("attempt", each.attempts),
 		zap.Int64("events", each.lastEvent), zap.Duration("after", time.Since(each.startedAt)), zap.Error(cause))
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -13,6 +13,7 @@
 	"woodworks/internal/batch"
 	"woodworks/internal/ledger"
 	"woodworks/internal/quarantine"
+	"woodworks/internal/replica"
 	"woodworks/internal/route"
 	"woodworks/internal/scheduling"
 )
@@ -96,8 +97,9 @@
 	released bool
 	// releaseTold says that the record of the release is in the journal.
 	releaseTold bool
-	// groups names the replica that last started an item of a group.
-	groups map[string]string
+	// groups names the start of the replica that last started an item of a group. Another
+	// start has not read the group's prompt.
+	groups map[string]replica.Start
 	// required are the groups that came again: the trainer waits for them.
 	required map[string]bool
 	// lengths forecasts the lengths of texts of the batch's model.
@@ -112,7 +114,7 @@
 	made := &job{
 		runner: runner, partition: partition, submission: &submission, adoptedAt: time.Now(),
 		logger: runner.logger.With(zap.String("batch", known.ID)), newList: make(chan struct{}, 1),
-		groups: map[string]string{},
+		groups: map[string]replica.Start{},
 	}
 	made.context, made.cancel = context.WithCancel(runner.context)
 	made.required, made.lengths = runner.history.begin(&submission)
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -26,7 +26,7 @@
 	run := each.run
 	request := job.streamRequest(each, moved.route)
 	job.mutex.Unlock()
-	job.runner.table.Started(to.ID)
+	job.runner.table.Started(to.Start())
 	job.runner.started.Add(1)
 	job.runner.running.Add(1)
 	go func() {
@@ -70,7 +70,7 @@
 	each.cut = cancel
 	each.attempts++
 	each.lastReplica, each.startedAt = to.ID, time.Now()
-	job.groups[each.Group] = to.ID
+	job.groups[each.Group] = to.Start()
 	if before != nil {
 		before()
 	}
@@ -82,7 +82,7 @@
 	if err == nil {
 		stream.Close()
 	}
-	job.runner.table.Ended(to.ID)
+	job.runner.table.Ended(to.Start())
 	if job.context.Err() != nil {
 		// The batch ended meanwhile, which says nothing of the replica.
 		return
@@ -91,9 +91,9 @@
 	switch {
 	case errors.As(err, &quarantined):
 	case errors.Is(err, forward.ErrDeclined):
-		job.runner.table.Declined(to.ID)
+		job.runner.table.Declined(to.Start())
 	case err != nil:
-		job.runner.table.Failed(to.ID)
+		job.runner.table.Failed(to.Start())
 	}
 }
 
--- a/internal/runner/run_test.go
+++ b/internal/runner/run_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	table := replica.NewTable(time.Second, zap.NewNop())
 	table.Replace([]replica.Entry{{ID: "from", Service: "s", Slots: 4}, {ID: "to", Service: "s", Slots: 4}})
-	made := &job{runner: &Runner{table: table}, submission: &batch.Submission{}, groups: map[string]string{}, logger: zap.NewNop()}
+	made := &job{runner: &Runner{table: table}, submission: &batch.Submission{}, groups: map[string]replica.Start{}, logger: zap.NewNop()}
 	made.context, made.cancel = context.WithCancel(t.Context())
 	t.Cleanup(made.cancel)
 	each := &item{state: itemRunning, run: 1, lastReplica: "from", cut: func() {}, holding: true}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -158,6 +158,18 @@
 	}
 }
 
+// Drop closes the connections to a peer that rest, as its process is known to have ended.
+// Exchanges under way go on.
+func (pool *Pool) Drop(address string) {
+	pool.mutex.Lock()
+	resting := pool.idle[address]
+	delete(pool.idle, address)
+	pool.mutex.Unlock()
+	for _, conn := range resting {
+		conn.close()
+	}
+}
+
 // Exchange sends a request and returns its answer once the head is there. The
 // caller must Close the answer. When the context ends, the connection is cut.
 func (pool *Pool) Exchange(ctx context.Context, address string, request *Request) (*Answer, error) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -264,3 +265,32 @@
 	is.NoErr(err)
 	is.Equal(seen.Load(), int64(2))
 }
+
+// Connections that rest at the address of a process that has ended are dropped; others
+// stay, and so does what is under way.
+func TestADroppedPeerIsConnectedToAnew(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	pool := NewPool(Options{ConnectTimeout: time.Second, UnackedTimeout: time.Second})
+	exchange := func() *Answer {
+		answer, err := pool.Exchange(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+		is.NoErr(err)
+		_, err = io.ReadAll(answer)
+		is.NoErr(err)
+		return answer
+	}
+	exchange().Close()
+	underWay := exchange()
+	is.Equal(pool.Dials(), uint64(1))
+	pool.Drop(address)
+	pool.Drop("another")
+	underWay.Close()
+	is.True(pool.Rests(address)) // its peer answered
+	pool.Drop(address)
+	is.True(!pool.Rests(address))
+	is.Equal(pool.Open(address), 0)
+	exchange().Close()
+	is.Equal(pool.Dials(), uint64(2))
+}
