One entry that can't be read leaves the others

Cause: entries of other writers were taken as they came. One whose Service, Address, Slots or State was missing or of a wrong kind was listed and got requests; one that failed to decode left the entry before it in force when it came singly, and dropped its replica when the list was read whole. One value of a page that isn't base64, or one row of owners of another shape, failed the whole answer, and no entry was read at all.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -109,6 +109,8 @@
 	Key    string
 	Value  []byte
 	Offset int64
+	// Unreadable says that there is a value and that it can't be read; Value is empty.
+	Unreadable bool
 }
 
 // KeyedPage is a part of a keyed partition's newest records.
--- /dev/null
+++ b/internal/operation/directory.go
@@ -0,0 +1,68 @@
+package operation
+
+import (
+	"go.uber.org/zap"
+
+	"woodworks/internal/journal"
+	"woodworks/internal/replica"
+)
+
+// Directory feeds the replicas' entries into a table. An entry that can't be understood
+// names no replica to use; the others hold. It implements journal.KeyedHandler.
+type Directory struct {
+	decoder Decoder
+	table   *replica.Table
+	logger  *zap.Logger
+	refused refusals
+}
+
+// NewDirectory returns a directory that feeds the table.
+func NewDirectory(decoder Decoder, table *replica.Table, logger *zap.Logger) *Directory {
+	return &Directory{decoder: decoder, table: table, logger: logger, refused: newRefusals()}
+}
+
+// Reset implements journal.KeyedHandler.
+func (directory *Directory) Reset(records []journal.KeyedRecord) {
+	entries := make([]replica.Entry, 0, len(records))
+	listed := make(map[string]bool, len(records))
+	for _, record := range records {
+		if removes(record) {
+			continue
+		}
+		listed[record.Key] = true
+		entries = append(entries, directory.decode(record))
+	}
+	directory.refused.keep(listed)
+	directory.table.Replace(entries)
+}
+
+// Apply implements journal.KeyedHandler.
+func (directory *Directory) Apply(record journal.KeyedRecord) {
+	if removes(record) {
+		directory.refused.forget(record.Key)
+		directory.table.Remove(record.Key)
+		return
+	}
+	directory.table.Set(directory.decode(record))
+}
+
+// removes reports whether a record takes an entry off the list.
+func removes(record journal.KeyedRecord) bool { return len(record.Value) == 0 && !record.Unreadable }
+
+// decode returns the entry of a record, an unusable one if it can't be understood.
+func (directory *Directory) decode(record journal.KeyedRecord) replica.Entry {
+	err := ErrUnreadable
+	entry := replica.Entry{}
+	if !record.Unreadable {
+		entry, err = directory.decoder.Replica(record.Key, record.Value)
+	}
+	if err == nil {
+		directory.refused.forget(record.Key)
+		return entry
+	}
+	if directory.refused.isNew(record) {
+		directory.logger.Error("replica's entry refused", zap.String("replica", record.Key), zap.Int64("offset", record.Offset),
+			zap.Int("bytes", len(record.Value)), zap.Error(err))
+	}
+	return replica.Entry{ID: record.Key, Unusable: true}
+}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -32,6 +32,9 @@
 	decoder Decoder
 	logger  *zap.Logger
 
+	// refused is for the handler's methods only.
+	refused refusals
+
 	mutex         sync.RWMutex
 	configuration *route.Configuration
 	named         map[string]int64
@@ -41,7 +44,7 @@
 // NewState returns the state before any record. OnChange is called with each
 // configuration that comes into force.
 func NewState(decoder Decoder, onChange func(*route.Configuration), logger *zap.Logger) *State {
-	return &State{decoder: decoder, logger: logger, named: map[string]int64{}, onChange: onChange}
+	return &State{decoder: decoder, logger: logger, named: map[string]int64{}, onChange: onChange, refused: newRefusals()}
 }
 
 // Configuration returns the configuration in force, or nil before the first.
@@ -71,14 +74,17 @@
 
 // Apply implements journal.KeyedHandler.
 func (state *State) Apply(record journal.KeyedRecord) {
-	if len(record.Value) == 0 {
+	if len(record.Value) == 0 && !record.Unreadable {
 		return
 	}
-	decoded, err := state.decoder.Operator(record.Key, record.Value)
+	decoded, err := state.decode(record)
 	if err != nil {
-		state.logger.Error("operator's record refused", zap.String("key", record.Key), zap.Int64("offset", record.Offset), zap.Error(err))
+		if state.refused.isNew(record) {
+			state.logger.Error("operator's record refused", zap.String("key", record.Key), zap.Int64("offset", record.Offset), zap.Error(err))
+		}
 		return
 	}
+	state.refused.forget(record.Key)
 	switch {
 	case decoded.Configuration != nil:
 		state.install(decoded.Configuration, record.Offset)
@@ -87,6 +93,13 @@
 	}
 }
 
+func (state *State) decode(record journal.KeyedRecord) (Record, error) {
+	if record.Unreadable {
+		return Record{}, ErrUnreadable
+	}
+	return state.decoder.Operator(record.Key, record.Value)
+}
+
 func (state *State) install(configuration *route.Configuration, offset int64) {
 	state.mutex.Lock()
 	inForce := state.configuration
@@ -116,50 +129,3 @@
 		state.logger.Info("version named", zap.String("model", model), zap.Int64("version", version), zap.Int64("offset", offset))
 	}
 }
-
-// Directory feeds the replicas' entries into a table. It implements
-// journal.KeyedHandler.
-type Directory struct {
-	decoder Decoder
-	table   *replica.Table
-	logger  *zap.Logger
-}
-
-// NewDirectory returns a directory that feeds the table.
-func NewDirectory(decoder Decoder, table *replica.Table, logger *zap.Logger) *Directory {
-	return &Directory{decoder: decoder, table: table, logger: logger}
-}
-
-// Reset implements journal.KeyedHandler.
-func (directory *Directory) Reset(records []journal.KeyedRecord) {
-	entries := make([]replica.Entry, 0, len(records))
-	for _, record := range records {
-		if entry, ok := directory.decode(record); ok {
-			entries = append(entries, entry)
-		}
-	}
-	directory.table.Replace(entries)
-}
-
-// Apply implements journal.KeyedHandler.
-func (directory *Directory) Apply(record journal.KeyedRecord) {
-	if len(record.Value) == 0 {
-		directory.table.Remove(record.Key)
-		return
-	}
-	if entry, ok := directory.decode(record); ok {
-		directory.table.Set(entry)
-	}
-}
-
-func (directory *Directory) decode(record journal.KeyedRecord) (replica.Entry, bool) {
-	if len(record.Value) == 0 {
-		return replica.Entry{}, false
-	}
-	entry, err := directory.decoder.Replica(record.Key, record.Value)
-	if err != nil {
-		directory.logger.Error("replica's entry refused", zap.String("replica", record.Key), zap.Error(err))
-		return replica.Entry{}, false
-	}
-	return entry, true
-}
