--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ) ./internal/explain
 	go test -run '^$$' -fuzz FuzzNext -fuzztime $(FUZZ) ./internal/eventstream
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ) ./platform
+	go test -run '^$$' -fuzz FuzzReplica -fuzztime $(FUZZ) ./platform
 
 # A short run of real processes that asserts safety only.
 smoke: build
--- a/internal/modelsync/modelsync_test.go
+++ b/internal/modelsync/modelsync_test.go
@@ -192,7 +192,7 @@
 	is.Equal(changePauses.After(99), longestPause)
 }
 
-// What is remembered of engines goes with them, as ids never come again, but
+// What is remembered of engines goes with them, as most ids never come again, but
 // outlives a short absence: an outage of the journal may empty the list.
 func TestEnginesThatAreLongGoneAreForgotten(t *testing.T) {
 	is := is.New(t)
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -1,5 +1,17 @@
 // Package operation holds what the operator and the replicas have written on
 // the platform: the configuration in force, the versions named, the replicas.
+//
+// The partitions take records of any writer. One that can't be understood is logged once a
+// change, and changes nothing but what is believed of its own key.
+//
+// # Usage
+//
+// Few records change often (hundreds of replicas that write their entries anew after an
+// outage, configurations in quick succession) and all are read by each daemon:
+//
+//	state := operation.NewState(decoder, installed, logger)
+//	directory := operation.NewDirectory(decoder, table, logger)
+//	go journal.NewKeyedFollower(log, records, state, contactBound, logger).Run(ctx)
 package operation
 
 import (
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -1,5 +1,24 @@
 // Package replica holds what a daemon believes of the replicas: the platform's
 // list of them, and what this daemon's own exchanges with each have shown.
+//
+// Replicas end and start again under their ids, hundreds at a time where their service is
+// replaced, and their entries may be written late. What was learned belongs to one start
+// (Start): whoever has picked a replica tells the table of it by the start that was picked,
+// which changes nothing once another one has followed.
+//
+// Invariants: the newest birth of an id counts; a start's versions only rise; no count of
+// requests under way is below zero or has another start's requests.
+//
+// # Usage
+//
+// Many requests from many daemons share replicas of uneven load and speed: each daemon knows
+// its own requests, and for a moment what answers tell of all.
+//
+//	chosen, found := replica.Pick(table.Replicas(service), tried, now)
+//	table.Started(chosen.Start())
+//	defer table.Ended(chosen.Start())
+//	// after a sound answer:
+//	table.Succeeded(chosen.Start(), took)
 package replica
 
 import (
