--- a/internal/runner/sharing.go
+++ b/internal/runner/sharing.go
@@ -37,8 +37,8 @@
 	runner.sharing = &sharing{self: runner.self, table: table, changed: changed, logger: runner.logger, demands: map[string]occupancy.Demand{}, turns: map[string]*occupancy.Turn{}}
 }
 
-// KeyOf names a replica to other owners.
-func KeyOf(each replica.Replica) occupancy.Key { return occupancy.KeyOf(each.ID, time.Time{}) }
+// KeyOf names the start of a replica to other owners.
+func KeyOf(each replica.Replica) occupancy.Key { return occupancy.KeyOf(each.ID, each.Born) }
 
 // fill adds to an engine what other owners told of it.
 func (s *sharing) fill(engine scheduling.Engine, seen replica.Replica, now time.Time) scheduling.Engine {
