Plain requests that a daemon has seldom are handed to one of its zone

Cause: with 67 daemons that each get a plain request every five seconds, and replicas that close a connection after a second of rest, nearly every request made a connection, which takes the replica's time.

Changed: package handoff. A pure decision (rendezvous hashing over service and the zone's daemons) says whether a request goes direct or to a peer; it is switched on by the gap between own requests against the rest that answers grant. The peer runs it with its own configuration, which must be as new as the asker's, its own table and forwarder; what it can't or doesn't answer goes direct with the time and the attempts that are left. One hop, repeatable requests, short bodies and answers, nothing suspected. A caller's end is sent as a call by id. Runs are counted where they are sent. forward.Answer says how many attempts were used; forward.Call may name replicas to avoid. upstream.Pool.Rests no longer counts connections that have rested too long.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -86,6 +86,8 @@
 	// Left, if not nil, is how long the caller still waits. It counts the time in which
 	// this machine was suspended, which the end of a context does not.
 	Left func() time.Duration
+	// Avoid are replicas that it is not offered to: another daemon has done so.
+	Avoid []string
 	// Ran, if not nil, is told of each replica that ran the call or may have run it,
 	// with when the call was sent there, by the forwarder's clock.
 	Ran func(sentAt time.Time)
@@ -102,11 +104,17 @@
 	return call.content
 }
 
+// Content returns what the call asks for, for the quarantine. It must not be called while
+// offers of the call run.
+func (call *Call) Content() *quarantine.Content { return contentOf(call) }
+
 // Answer is a replica's whole answer, or its beginning with the rest to come.
 type Answer struct {
 	Status  int
 	Header  http.Header
 	Replica string
+	// Attempts is how many replicas have run the request, or may have.
+	Attempts int
 	// Body is the answer's body if Rest is nil, else its beginning.
 	Body []byte
 	Rest *Rest
@@ -137,7 +145,9 @@
 	if answer.Rest != nil {
 		answer.Rest.Close()
 	}
-	answer.end()
+	if answer.end != nil {
+		answer.end()
+	}
 }
 
 // Failure says why there is no answer to pass on.
@@ -186,7 +196,14 @@
 	contentOf(call)
 	run := &running{forwarder: forwarder, call: call, tried: map[string]bool{}, cancels: map[string]context.CancelFunc{},
 		outcomes: make(chan attempt, call.MaxAttempts+extraTries+1)}
-	return run.loop(ctx)
+	for _, id := range call.Avoid {
+		run.tried[id] = true
+	}
+	answer, err := run.loop(ctx)
+	if err == nil {
+		answer.Attempts = run.offered + run.open
+	}
+	return answer, err
 }
 
 // running is one call under way.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -53,6 +53,11 @@
 	Request(route, status, outcome string, took time.Duration)
 }
 
+// Sender gets plain requests answered, as a forward.Forwarder does.
+type Sender interface {
+	Do(ctx context.Context, call *forward.Call) (*forward.Answer, error)
+}
+
 // Retries decides on offers to further replicas.
 type Retries interface {
 	// Began is told of each request.
@@ -67,10 +72,12 @@
 	Codec         Codec
 	Configuration func() *route.Configuration
 	Forwarder     *forward.Forwarder
-	Runner        *runner.Runner
-	Results       *results.Reader
-	Observer      Observer
-	Logger        *zap.Logger
+	// Plain, if not nil, gets plain requests answered in place of the Forwarder.
+	Plain    Sender
+	Runner   *runner.Runner
+	Results  *results.Reader
+	Observer Observer
+	Logger   *zap.Logger
 	// Ran, if not nil, is told of each request of a tenant that a replica ran or may
 	// have run, with when it was sent there.
 	Ran func(tenant string, sentAt time.Time)
@@ -242,7 +249,7 @@
 		retries.Began(asked.route)
 		call.MayRetry = func(offers int) bool { return retries.May(asked.route, offers) }
 	}
-	answer, err := asked.handler.Forwarder.Do(ctx, call)
+	answer, err := asked.handler.plain().Do(ctx, call)
 	if err != nil {
 		asked.explain(err)
 		return
@@ -252,6 +259,14 @@
 	asked.passOn(answer)
 }
 
+// plain returns what gets plain requests answered.
+func (handler *Handler) plain() Sender {
+	if handler.Plain == nil {
+		return handler.Forwarder
+	}
+	return handler.Plain
+}
+
 // ran has a run of the request counted for its tenant.
 func (asked *request) ran(sentAt time.Time) {
 	if asked.tenant != nil && asked.handler.Ran != nil {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,6 +23,7 @@
 	journal  *prometheus.HistogramVec
 	attempts *prometheus.HistogramVec
 	batches  *prometheus.HistogramVec
+	handed   *prometheus.HistogramVec
 }
 
 // New returns a registry with the counters that the gateway feeds.
@@ -49,12 +50,16 @@
 			Namespace: namespace, Name: "attempt_seconds",
 			Help: "Time of offers of requests and items to replicas by service and outcome.", Buckets: latencyBuckets,
 		}, []string{"service", "outcome"}),
+		handed: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "handed_on_seconds",
+			Help: "Time of requests that were handed to another daemon, by outcome.", Buckets: latencyBuckets,
+		}, []string{"outcome"}),
 		batches: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "batch_part_seconds",
 			Help: "Where the time of the item went that each batch listed last, by part.", Buckets: latencyBuckets,
 		}, []string{"part"}),
 	}
-	metrics.registry.MustRegister(metrics.requests, metrics.latency, metrics.samples, metrics.journal, metrics.attempts, metrics.batches)
+	metrics.registry.MustRegister(metrics.requests, metrics.latency, metrics.samples, metrics.journal, metrics.attempts, metrics.batches, metrics.handed)
 	return metrics
 }
 
@@ -74,6 +79,11 @@
 	metrics.attempts.WithLabelValues(service, outcome).Observe(took.Seconds())
 }
 
+// HandedOn counts a request that was handed to another daemon.
+func (metrics *Metrics) HandedOn(outcome string, took time.Duration) {
+	metrics.handed.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
 // BatchPart counts a part of the time of the item that a batch listed last.
 func (metrics *Metrics) BatchPart(part string, took time.Duration) {
 	metrics.batches.WithLabelValues(part).Observe(took.Seconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"woodworks/internal/fleet"
 	"woodworks/internal/forward"
 	"woodworks/internal/group"
+	"woodworks/internal/handoff"
 	"woodworks/internal/headers"
 	"woodworks/internal/identity"
 	"woodworks/internal/ingress"
@@ -123,9 +124,11 @@
 	watcher          *runner.Watcher
 	member           *group.Member
 	// relay and peerFollower are nil where the settings name no address for peers.
-	relay          *relay.Journal
-	peerFollower   *journal.KeyedFollower
-	quarantine     *quarantineParts
+	relay        *relay.Journal
+	peerFollower *journal.KeyedFollower
+	quarantine   *quarantineParts
+	// handed runs plain requests of peers, nil where the settings name no address for them.
+	handed         *handoff.Service
 	assigner       *runner.Assigner
 	lease          *lease.Lease
 	syncer         *modelsync.Syncer
@@ -210,6 +213,7 @@
 		ConfigurationAge: node.configurationAge, Stop: node.shutdown,
 		Keys: ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
+	node.buildHandoff(forwarder)
 	node.front.handler = node.handler
 	node.internal = newFrontServer(logger)
 	node.internal.planned = node.shutdown
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -42,6 +42,7 @@
 	var draining sync.WaitGroup
 	if node.relay != nil {
 		draining.Go(func() { node.relay.Drain(ctx) })
+		draining.Go(func() { node.drainHandoff(ctx) })
 	}
 	for _, each := range []*frontServer{node.front, node.internal} {
 		draining.Go(func() { each.stop(ctx) })
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -117,12 +117,14 @@
 	return pool.open[address]
 }
 
-// Rests reports whether a connection to a peer rests. It may turn out to be closed, or to
-// have rested too long: Sweep drops such ones.
+// Rests reports whether a connection to a peer rests that may be used. It may turn out to
+// be closed.
 func (pool *Pool) Rests(address string) bool {
+	now := pool.now()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	return len(pool.idle[address]) > 0
+	resting := pool.idle[address]
+	return len(resting) > 0 && now.Before(resting[len(resting)-1].restUntil)
 }
 
 // Dials returns how many connections were made.
@@ -226,6 +228,9 @@
 	}
 }
 
+// RestOf returns how long a connection may rest here after an answer with a header.
+func RestOf(header http.Header) time.Duration { return restOf(header) }
+
 // restOf returns how long a connection may rest after an answer.
 func restOf(header http.Header) time.Duration {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
