--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -259,7 +259,9 @@
 		"no replica":   {func(_ *zone, peer *daemon) { peer.does = noReplica }, work, 1},
 		"replica's failure": {func(_ *zone, peer *daemon) { peer.does = answersWith(http.StatusInternalServerError, "") },
 			2 * work, 1},
-		"long answer": {func(_ *zone, peer *daemon) { peer.does = answersWith(http.StatusOK, string(make([]byte, maxAnswerBytes+1))) }, 2 * work, 1},
+		"long answer": {func(_ *zone, peer *daemon) {
+			peer.does = answersWith(http.StatusOK, string(make([]byte, maxAnswerBytes+1)))
+		}, 2 * work, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			virtually(t, func(is *is.I, z *zone, asker, peer *daemon) {
