Requests are handed on only once short rests have been seen

Changed: until an answer has told how long connections rest and a second request has shown how often callers come, requests go direct.

--- a/internal/handoff/belief.go
+++ b/internal/handoff/belief.go
@@ -29,8 +29,6 @@
 // beliefs are what a daemon has seen of services and peers. They are lost with it, which
 // costs time only. It is safe for concurrent use.
 type beliefs struct {
-	began time.Time
-
 	mu       sync.Mutex
 	services map[string]*service
 	peers    map[string]*peer
@@ -51,14 +49,14 @@
 	usual    time.Duration
 }
 
-func newBeliefs(now time.Time) *beliefs {
-	return &beliefs{began: now, services: map[string]*service{}, peers: map[string]*peer{}}
+func newBeliefs() *beliefs {
+	return &beliefs{services: map[string]*service{}, peers: map[string]*peer{}}
 }
 
 // service returns what is believed of a service. The mutex is held.
 func (b *beliefs) service(name string) *service {
 	if b.services[name] == nil {
-		b.services[name] = &service{asked: b.began}
+		b.services[name] = &service{}
 	}
 	return b.services[name]
 }
@@ -76,7 +74,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	found := b.service(name)
-	found.gap = average(found.gap, now.Sub(found.asked))
+	if !found.asked.IsZero() {
+		found.gap = average(found.gap, now.Sub(found.asked))
+	}
 	found.asked = now
 }
 
--- a/internal/handoff/decide.go
+++ b/internal/handoff/decide.go
@@ -22,9 +22,10 @@
 	Service string
 	// Connected says that a connection to a replica of the service rests here.
 	Connected bool
-	// Gap is the mean time between requests of this daemon's own callers for the service.
+	// Gap is the mean time between requests of this daemon's own callers for the service, 0
+	// before the second one.
 	Gap time.Duration
-	// Rest is how long a connection to the service may rest, 0 if none has told.
+	// Rest is how long a connection to the service may rest, 0 if no answer has told.
 	Rest time.Duration
 }
 
@@ -47,7 +48,9 @@
 	switch {
 	case s.Connected:
 		return Direct{Reason: "a connection rests here"}
-	case s.Rest > 0 && s.Gap*oftenFactor <= s.Rest:
+	case s.Rest == 0 || s.Gap == 0:
+		return Direct{Reason: "not known how long connections last"}
+	case s.Gap*oftenFactor <= s.Rest:
 		return Direct{Reason: "asked often enough to keep connections"}
 	}
 	best, bestWeight := s.Own, weight(s.Service, s.Own)
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -84,7 +84,7 @@
 	if options.Clock == nil {
 		options.Clock = bootclock.Now
 	}
-	return &Handoff{options: options, beliefs: newBeliefs(options.Clock())}
+	return &Handoff{options: options, beliefs: newBeliefs()}
 }
 
 // Do sends a call as a Forwarder's Do does, with the same errors.
--- a/internal/handoff/relay_test.go
+++ b/internal/handoff/relay_test.go
@@ -61,6 +61,7 @@
 func TestRequestsGoOverTheRelay(t *testing.T) {
 	is := is.New(t)
 	asker, peer, told := newLoopback(t)
+	asker.comesSeldom()
 	ended := make(chan forward.Call, 1)
 	peer.does = func(ctx context.Context, call *forward.Call) (*forward.Answer, error) {
 		select {
