What replicas take in connections is shared; repeatable requests use more of a short rest

Cause: MaxConns of a service was read and kept by nobody. And of a rest of one second that a replica grants, 0.4 s were taken off for all requests alike.

Changed: a daemon keeps to its part of the limit (nine tenths by the daemons known, one at least; for engines their slots in any case). A request that finds all in use waits until a quarter of its route's target latency is over, then is offered elsewhere, then is told "not run". Places are counted before a connection is made, so that requests that come together make no more. Without a peer address nothing is bounded, as before. A connection has two ends of its rest: as before for requests that can't be repeated, a tenth of the grant (0.1 to 0.4 s) before its end for those that can, items included. Grants of 4 s and more are used as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -86,6 +86,9 @@
 	// Left, if not nil, is how long the caller still waits. It counts the time in which
 	// this machine was suspended, which the end of a context does not.
 	Left func() time.Duration
+	// ConnectionUntil is until when a connection is waited for at a replica to which this
+	// daemon has as many as it may.
+	ConnectionUntil time.Time
 	// Avoid are replicas that it is not offered to: another daemon has done so.
 	Avoid []string
 	// Ran, if not nil, is told of each replica that ran the call or may have run it,
@@ -177,6 +180,9 @@
 	// Quarantine knows the contents under which replicas have ended.
 	Quarantine *quarantine.Table
 	Logger     *zap.Logger
+	// MaxOpen, if not nil, is how many connections to a replica this daemon may have, 0
+	// without bound.
+	MaxOpen func(chosen replica.Replica) int
 	// Observe is told of each offer to a replica: the service, how it ended and
 	// how long it took.
 	Observe func(service, outcome string, took time.Duration)
@@ -190,6 +196,13 @@
 	return forwarder.Clock()
 }
 
+func (forwarder *Forwarder) maxOpen(chosen replica.Replica) int {
+	if forwarder.MaxOpen == nil {
+		return 0
+	}
+	return forwarder.MaxOpen(chosen)
+}
+
 // Do sends the call until a replica has answered, the attempts are used up or
 // the context has ended.
 func (forwarder *Forwarder) Do(ctx context.Context, call *Call) (*Answer, error) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -353,3 +353,33 @@
 	seen, _ := f.forwarder.Table.Get("a")
 	is.True(seen.AvoidUntil.IsZero())
 }
+
+// A daemon that has as many connections to a replica as it may sends the request to another
+// one, and says that it has not run if there is none.
+func TestAtItsPartOfTheConnectionsACallGoesElsewhere(t *testing.T) {
+	for replicas, answered := range map[int]bool{1: false, 2: true} {
+		is := is.New(t)
+		f := newFloor(t, replicas, hangs, answers)
+		f.forwarder.MaxOpen = func(replica.Replica) int { return 1 }
+		ctx, cancel := context.WithCancel(t.Context())
+		first := make(chan error, 1)
+		go func() {
+			_, err := f.forwarder.Do(ctx, &Call{RequestID: "r", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Services: []string{"s"}, MaxAttempts: 1})
+			first <- err
+		}()
+		for f.offered() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_, err := f.call(t, func(*Call) {})
+		if answered {
+			is.NoErr(err)
+		} else {
+			var failure *Failure
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Certainty, NotRun)
+			is.Equal(failure.Attempts, 0)
+		}
+		cancel()
+		is.True(<-first != nil)
+	}
+}
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -63,6 +63,7 @@
 	outcomeDeclined = "declined"
 	outcomeCut      = "cut"
 	outcomeNotSent  = "not sent"
+	outcomeFull     = "no connection"
 	outcomeFailed   = "failed"
 	outcomeBroken   = "broken"
 )
@@ -76,6 +77,8 @@
 		return outcomeDeclined
 	case ctx.Err() != nil:
 		return outcomeCut
+	case errors.Is(err, upstream.ErrFull):
+		return outcomeFull
 	case errors.Is(err, upstream.ErrNotSent):
 		return outcomeNotSent
 	case errors.Is(err, ErrStatus):
@@ -86,7 +89,7 @@
 }
 
 func (forwarder *Forwarder) learn(chosen replica.Replica, err error) {
-	if errors.Is(err, errDeclined) {
+	if errors.Is(err, errDeclined) || errors.Is(err, upstream.ErrFull) {
 		forwarder.Table.Busy(chosen.ID, declinedPause)
 		return
 	}
@@ -106,7 +109,8 @@
 	}
 	response, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
 		Method: call.Method, Target: call.Target, Host: call.Host, Header: header, Body: call.Body,
-		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID, Sending: func() { sentAt = forwarder.now() },
+		EchoName: forwarder.Names.RequestID, EchoValue: call.RequestID,
+		Repeatable: call.Repeatable, MaxOpen: forwarder.maxOpen(chosen), WaitUntil: call.ConnectionUntil, Sending: func() { sentAt = forwarder.now() },
 	})
 	if err != nil {
 		return nil, sentAt, !errors.Is(err, upstream.ErrNotSent), err
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -77,6 +77,8 @@
 	Body      []byte
 	// Caller is the tenant that sent the request, "" where there are none.
 	Caller string
+	// Repeatable requests may run more than once.
+	Repeatable bool
 	// After is the last event that is known; HasAfter says that there is one.
 	After    int64
 	HasAfter bool
@@ -119,6 +121,7 @@
 	answer, err := forwarder.Pool.Exchange(ctx, chosen.Address, &upstream.Request{
 		Method: request.Method, Target: request.Target, Host: request.Host, Header: header, Body: request.Body,
 		EchoName: names.RequestID, EchoValue: request.RequestID,
+		Repeatable: request.Repeatable, MaxOpen: forwarder.maxOpen(chosen),
 	})
 	if err == nil {
 		err = forwarder.checkStreamHead(answer)
--- a/internal/handoff/service.go
+++ b/internal/handoff/service.go
@@ -164,7 +164,7 @@
 	call := &forward.Call{
 		RequestID: asked.RequestID, Method: asked.Method, Target: asked.Target, Host: asked.Host, Header: asked.Header, Body: asked.Body, Caller: asked.Caller,
 		Services: found.Order(asked.RequestID), Repeatable: true, MaxAttempts: max(min(asked.MaxAttempts, found.MaxAttempts), 1),
-		Hedge: true, HedgeAfter: found.HedgeAfter,
+		Hedge: true, HedgeAfter: found.HedgeAfter, ConnectionUntil: time.Now().Add(found.ConnectionWait()),
 		Left: func() time.Duration { return left - options.Clock().Sub(came) },
 		Ran: func(sentAt time.Time) {
 			if options.Ran != nil && asked.Caller != "" {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -244,6 +244,7 @@
 		Header: asked.headerOnward(configuration), Body: body, Caller: asked.tenantName(), Services: asked.route.Order(asked.id),
 		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable, HedgeAfter: asked.route.HedgeAfter,
 	}
+	call.ConnectionUntil = time.Now().Add(asked.route.ConnectionWait())
 	call.Left, call.Ran = asked.timeLeft, asked.ran
 	if retries := asked.handler.Retries; retries != nil {
 		retries.Began(asked.route)
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -136,7 +136,7 @@
 		relaying.request.ran(sentAt)
 	}
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrFull) {
 			forwarder.Table.Failed(chosen.ID)
 		}
 		return false, ran, err
--- /dev/null
+++ b/internal/node/connections.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"woodworks/internal/metrics"
+	"woodworks/internal/replica"
+	"woodworks/internal/upstream"
+)
+
+// maxOpen is how many connections to a replica this daemon may have of those that it takes
+// from all, 0 without bound. Where daemons don't know each other nothing is shared. Engines
+// run as many requests at once as they have slots, whoever sends them, and owners of batches
+// are few: an owner may use as many connections, which others leave idle.
+func (node *Node) maxOpen(chosen replica.Replica) int {
+	configuration := node.operator.Configuration()
+	if node.relay == nil || configuration == nil {
+		return 0
+	}
+	service := configuration.Services[chosen.Service]
+	daemons := node.daemons()
+	if !node.peerFollower.Synced() {
+		// Any number of others may be there.
+		daemons = max(service.MaxConnections, 1)
+	}
+	return upstream.Part(service.MaxConnections, daemons, max(service.Slots, chosen.Slots), service.Engine)
+}
+
+// registerConnectionMetrics tells of connections to replicas.
+func (node *Node) registerConnectionMetrics(registry *metrics.Metrics) {
+	registry.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
+	registry.Counter("replica_connections_lacking_total", "Requests that found as many connections to a replica in use as this daemon may have, and none free in time.", func() float64 { return float64(node.pool.Full()) })
+	registry.Gauge("replica_connections_used_ratio", "Connections to a replica against this daemon's part of what it takes, at the replica where that is highest.", node.connectionsUsed)
+}
+
+// connectionsUsed is the highest part of the connections allowed to one replica that there is.
+func (node *Node) connectionsUsed() float64 {
+	configuration, most := node.operator.Configuration(), 0.0
+	if configuration == nil {
+		return 0
+	}
+	for service := range configuration.Services {
+		for _, each := range node.table.Replicas(service) {
+			if part := node.maxOpen(each); part > 0 {
+				most = max(most, float64(node.pool.Open(each.Address))/float64(part))
+			}
+		}
+	}
+	return most
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,7 +195,7 @@
 	node.operatorFollower.SetPace(journal.SharedPace(drivers.Journal, operatorReadShare, node.daemons))
 	node.replicaFollower.SetPace(journal.SharedPace(drivers.Journal, replicaReadShare, node.daemons))
 	node.quarantine = newQuarantine(node, drivers.Journal)
-	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Quarantine: node.quarantine.table, Logger: logger, Observe: node.metrics.Attempt}
+	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Quarantine: node.quarantine.table, Logger: logger, Observe: node.metrics.Attempt, MaxOpen: node.maxOpen}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
 	node.member = group.New(drivers.Journal, node.identity, append(ledger.TopicNames(), runner.RunnersTopic), logger)
 	node.assigner = runner.NewAssigner(drivers.Journal, node.member, node.identity, logger)
@@ -276,7 +276,7 @@
 	}
 	node.registerDutyMetrics()
 	node.quarantine.registerMetrics(node.metrics)
-	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
+	node.registerConnectionMetrics(node.metrics)
 }
 
 // Start opens the listeners and runs the parts.
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -18,6 +18,7 @@
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/upstream"
 )
 
 const (
@@ -131,7 +132,7 @@
 	names.SetTenant(header, job.submission.Tenant)
 	return &forward.StreamRequest{
 		RequestID: each.ID, Method: http.MethodPost, Target: each.Path, Host: job.submission.Host,
-		Header: header, Body: each.Body, Caller: job.submission.Tenant, After: each.lastEvent, HasAfter: each.hasEvent, Deadline: itemDeadline,
+		Header: header, Body: each.Body, Caller: job.submission.Tenant, After: each.lastEvent, HasAfter: each.hasEvent, Deadline: itemDeadline, Repeatable: true,
 	}
 }
 
@@ -215,6 +216,8 @@
 		pause = quarantined.RetryAfter
 	case errors.Is(cause, forward.ErrDeclined), errors.Is(cause, errTooOld):
 		table.Declined(chosen.ID)
+	case errors.Is(cause, upstream.ErrFull):
+		table.Busy(chosen.ID, failedPause)
 	case errors.As(cause, &status):
 		dead = job.failureStatus(each, status.Status, found)
 	default:
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -28,12 +28,14 @@
 // connection is one connection to a peer; one request is under way on it at
 // most.
 type connection struct {
-	pool      *Pool
-	address   string
-	raw       net.Conn
-	reader    *bufio.Reader
-	restUntil time.Time
-	closeOnce sync.Once
+	pool    *Pool
+	address string
+	raw     net.Conn
+	reader  *bufio.Reader
+	// sureUntil is until when it may rest for any request, restUntil for one that may be
+	// repeated.
+	sureUntil, restUntil time.Time
+	closeOnce            sync.Once
 	// writing is closed when the request's body has been written; nil if the
 	// whole request was written before the answer was awaited.
 	writing  chan struct{}
@@ -52,6 +54,14 @@
 	})
 }
 
+// usable reports whether a resting connection has not rested too long for a request.
+func (conn *connection) usable(now time.Time, repeatable bool) bool {
+	if repeatable {
+		return now.Before(conn.restUntil)
+	}
+	return now.Before(conn.sureUntil)
+}
+
 // quiet reports whether a resting connection is open and has no bytes to read:
 // bytes there belong to no request of ours.
 func (conn *connection) quiet() bool {
@@ -204,12 +214,12 @@
 		answer.conn.close()
 		return
 	}
-	rest := restOf(answer.Header)
+	sure, rest := restOf(answer.Header)
 	if rest <= 0 {
 		answer.conn.close()
 		return
 	}
-	answer.conn.pool.put(answer.conn, answer.wholeAt.Add(rest))
+	answer.conn.pool.put(answer.conn, answer.wholeAt.Add(sure), answer.wholeAt.Add(rest))
 }
 
 func (answer *Answer) reusable() bool {
--- /dev/null
+++ b/internal/upstream/limit_test.go
@@ -0,0 +1,142 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// The parts of all daemons never exceed a limit that has a place for each of them, and no
+// daemon is shut out.
+func TestThePartsOfAllDaemonsKeepToTheLimit(t *testing.T) {
+	is := is.New(t)
+	for limit := 1; limit <= 600; limit++ {
+		for _, daemons := range []int{1, 2, 3, 67, 91, 300, 770} {
+			part := Part(limit, daemons, 8, false)
+			is.True(part >= 1)
+			is.True(part*daemons <= limit || part == 1 && daemons > limit-limit/reservePart)
+			// As many owners as there are slots' worth of the limit find their engines' slots.
+			is.True(Part(limit, daemons, 8, true) >= min(8, limit))
+		}
+	}
+	is.Equal(Part(0, 67, 8, true), 0)
+	is.Equal(Part(430, 67, 8, false), 5)
+	is.Equal(Part(430, 67, 8, true), 8)
+}
+
+// answersWhenTold is a peer that answers each request when it is told to.
+func answersWhenTold(t *testing.T, tell <-chan struct{}) string {
+	return peer(t, func(conn net.Conn, reader *bufio.Reader, _ int) {
+		for {
+			asked, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, asked.Body) // it is short
+			<-tell
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+}
+
+// bounded sends a request that waits for a connection.
+func bounded(t *testing.T, pool *Pool, address string, most int, wait time.Duration) error {
+	asked := request("r")
+	asked.MaxOpen, asked.WaitUntil = most, time.Now().Add(wait)
+	answer, err := pool.Exchange(t.Context(), address, asked)
+	if err != nil {
+		return err
+	}
+	defer answer.Close()
+	_, err = io.ReadAll(answer)
+	return err
+}
+
+// At the limit a request waits for a connection that another one gives back, and is told
+// that it was not sent if none is free in time.
+func TestARequestWaitsForAConnectionAtTheLimit(t *testing.T) {
+	is := is.New(t)
+	tell := make(chan struct{})
+	address, pool := answersWhenTold(t, tell), newTestPool()
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() { first <- bounded(t, pool, address, 1, 0) }()
+	for pool.Open(address) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	err := bounded(t, pool, address, 1, 0)
+	is.True(errors.Is(err, ErrFull))
+	is.True(errors.Is(err, ErrNotSent))
+	is.Equal(pool.Full(), uint64(1))
+	go func() { second <- bounded(t, pool, address, 1, time.Hour) }()
+	tell <- struct{}{}
+	is.NoErr(<-first)
+	tell <- struct{}{}
+	is.NoErr(<-second)
+	is.Equal(pool.Dials(), uint64(1))
+	is.Equal(pool.Open(address), 1)
+}
+
+// Requests that come together make no more connections than allowed, those that fail to be
+// made give their places back, and one whose caller has left is not sent.
+func TestConnectionsMadeTogetherKeepToTheLimit(t *testing.T) {
+	is := is.New(t)
+	tell := make(chan struct{})
+	address, pool := answersWhenTold(t, tell), newTestPool()
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() {
+			if err := bounded(t, pool, address, 3, time.Hour); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for range 40 {
+		tell <- struct{}{}
+	}
+	all.Wait()
+	is.True(pool.Dials() <= 3)
+
+	left, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := pool.take(left, "127.0.0.1:1", &Request{MaxOpen: 1})
+	is.True(err != nil)
+	is.Equal(pool.Open("127.0.0.1:1"), 0)
+}
+
+// Of the rest that a peer grants, a request that can't be repeated keeps well away from the
+// end. One that can uses more of a short grant, and the connection rests on for it.
+func TestARequestThatMayBeRepeatedUsesMoreOfAShortRest(t *testing.T) {
+	is := is.New(t)
+	for granted, want := range map[string][2]time.Duration{
+		"0": {0, 0}, "1": {600 * time.Millisecond, 900 * time.Millisecond}, "2": {1600 * time.Millisecond, 1800 * time.Millisecond}, "10": {9600 * time.Millisecond, 9600 * time.Millisecond},
+	} {
+		sure, rest := restOf(http.Header{"Keep-Alive": {"timeout=" + granted}})
+		is.Equal([2]time.Duration{sure, rest}, want)
+	}
+	now := time.Now()
+	pool := NewPool(Options{Clock: func() time.Time { return now }})
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() }) // it is not read any more
+	pool.open["peer"]++
+	pool.put(newConnection(pool, "peer", near), now.Add(600*time.Millisecond), now.Add(900*time.Millisecond))
+	now = now.Add(700 * time.Millisecond)
+	conn, _ := pool.claim("peer", &Request{})
+	is.True(conn == nil) // a new one is made
+	is.True(pool.Rests("peer"))
+	conn, _ = pool.claim("peer", &Request{Repeatable: true})
+	is.True(conn != nil)
+	pool.put(conn, now, now.Add(200*time.Millisecond))
+	// Where its place is needed it is closed for the request that can't be repeated.
+	conn, _ = pool.claim("peer", &Request{MaxOpen: 2})
+	is.True(conn != nil && !conn.usable(now, false))
+	conn.close()
+	is.Equal(pool.Open("peer"), 1) // the place that was counted for the new one
+}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -45,10 +45,14 @@
 func (pool *Pool) Probe(ctx context.Context, address string) Liveness {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	pool.mutex.Lock()
+	pool.open[address]++
+	pool.mutex.Unlock()
 	conn, err := pool.dial(bounded, address)
 	switch {
 	case err == nil:
-		pool.put(conn, pool.now().Add(restOf(http.Header{})))
+		sure, rest := restOf(http.Header{})
+		pool.put(conn, pool.now().Add(sure), pool.now().Add(rest))
 		return Alive
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Gone
--- a/internal/upstream/suspend_test.go
+++ b/internal/upstream/suspend_test.go
@@ -23,12 +23,13 @@
 	t.Cleanup(func() { _ = far.Close() }) // it is not read any more
 	none, cancel := context.WithCancel(t.Context())
 	cancel() // a connection that is not there is not made
-	pool.put(newConnection(pool, "peer", near), clock.Now().Add(restOf(http.Header{"Keep-Alive": {"timeout=2"}})))
+	sure, rest := restOf(http.Header{"Keep-Alive": {"timeout=2"}})
+	pool.put(newConnection(pool, "peer", near), clock.Now().Add(sure), clock.Now().Add(rest))
 	clock.Suspend(time.Second)
-	kept, err := pool.take(none, "peer")
+	kept, err := pool.take(none, "peer", &Request{})
 	is.NoErr(err)
-	pool.put(kept, clock.Now().Add(time.Second))
+	pool.put(kept, clock.Now().Add(time.Second), clock.Now().Add(time.Second))
 	clock.Suspend(time.Second)
-	_, err = pool.take(none, "peer")
+	_, err = pool.take(none, "peer", &Request{})
 	is.True(err != nil)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,10 @@
 	defaultIdle = 20 * time.Second
 	// idleMargin is taken off the rest that a peer grants.
 	idleMargin = 400 * time.Millisecond
+	// repeatableMarginPart is the part of it, one in so many, that is taken off for requests
+	// that may be repeated, and leastMargin the least: the way to another region and back.
+	repeatableMarginPart = 10
+	leastMargin          = 100 * time.Millisecond
 	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT option.
 	tcpUserTimeout = 18
 )
@@ -53,6 +58,12 @@
 	// EchoName, if set, is the header in which the answer must repeat EchoValue
 	// if it has that header at all.
 	EchoName, EchoValue string
+	// Repeatable requests may use a connection that the peer might be about to close.
+	Repeatable bool
+	// MaxOpen is how many connections to the peer there may be, 0 without bound.
+	MaxOpen int
+	// WaitUntil is until when one is waited for when there are as many.
+	WaitUntil time.Time
 	// Sending, if not nil, is called just before the first byte is sent.
 	Sending func()
 }
@@ -79,8 +90,12 @@
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
-	open  map[string]int
+	// open counts the connections to each peer, those that are being made included.
+	open map[string]int
+	// freed, where somebody waits, is closed when a connection rests or has ended.
+	freed map[string]chan struct{}
 	dials uint64
+	full  atomic.Uint64
 }
 
 // NewDialer returns a dialer whose connections keep to the options.
@@ -107,7 +122,7 @@
 	if now == nil {
 		now = bootclock.Now
 	}
-	return &Pool{options: options, dialer: NewDialer(options), now: now, idle: map[string][]*connection{}, open: map[string]int{}}
+	return &Pool{options: options, dialer: NewDialer(options), now: now, idle: map[string][]*connection{}, open: map[string]int{}, freed: map[string]chan struct{}{}}
 }
 
 // Open returns how many connections to a peer are open.
@@ -124,7 +139,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	resting := pool.idle[address]
-	return len(resting) > 0 && now.Before(resting[len(resting)-1].restUntil)
+	return len(resting) > 0 && resting[len(resting)-1].usable(now, true)
 }
 
 // Dials returns how many connections were made.
@@ -167,81 +182,72 @@
 		// A resting connection would take the request before the end closes it.
 		return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
 	}
-	conn, err := pool.take(ctx, address)
+	conn, err := pool.take(ctx, address, request)
+	if errors.Is(err, ErrFull) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	return conn.exchange(ctx, request)
 }
 
-// take returns a resting connection that is still sound, or a new one.
-func (pool *Pool) take(ctx context.Context, address string) (*connection, error) {
-	for {
-		conn := pool.pop(address)
-		if conn == nil {
-			return pool.dial(ctx, address)
-		}
-		if pool.now().Before(conn.restUntil) && conn.quiet() {
-			return conn, nil
-		}
-		conn.close()
-	}
-}
-
-func (pool *Pool) pop(address string) *connection {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	resting := pool.idle[address]
-	if len(resting) == 0 {
-		return nil
-	}
-	last := resting[len(resting)-1]
-	pool.idle[address] = resting[:len(resting)-1]
-	return last
-}
-
+// dial makes a connection, whose place is counted already.
 func (pool *Pool) dial(ctx context.Context, address string) (*connection, error) {
 	raw, err := pool.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		pool.closed(address)
 		return nil, err
 	}
 	pool.mutex.Lock()
-	pool.open[address]++
 	pool.dials++
 	pool.mutex.Unlock()
 	return newConnection(pool, address, raw), nil
 }
 
-func (pool *Pool) put(conn *connection, restUntil time.Time) {
-	conn.restUntil = restUntil
+// put lets a connection rest until a moment, for requests that may be repeated until a later
+// one.
+func (pool *Pool) put(conn *connection, sureUntil, restUntil time.Time) {
+	conn.sureUntil, conn.restUntil = sureUntil, restUntil
 	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	pool.idle[conn.address] = append(pool.idle[conn.address], conn)
-	pool.mutex.Unlock()
+	pool.signal(conn.address)
 }
 
 func (pool *Pool) closed(address string) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.open[address]--
+	pool.signal(address)
 	if pool.open[address] <= 0 {
 		delete(pool.open, address)
 	}
 }
 
-// RestOf returns how long a connection may rest here after an answer with a header.
-func RestOf(header http.Header) time.Duration { return restOf(header) }
+// RestOf returns how long a connection may rest here after an answer with a header, for
+// requests that may be repeated.
+func RestOf(header http.Header) time.Duration {
+	_, rest := restOf(header)
+	return rest
+}
 
-// restOf returns how long a connection may rest after an answer.
-func restOf(header http.Header) time.Duration {
+// restOf returns how long a connection may rest after an answer: for any request, and for
+// one that may be repeated. A peer counts from when it has sent the answer, and closes when
+// the time that it granted is over: a request that meets the end is lost. One that may be
+// repeated then costs a try; it uses nine tenths of a short grant, of which the way there
+// and back takes little.
+func restOf(header http.Header) (sure, rest time.Duration) {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !found {
 			continue
 		}
-		seconds, err := time.ParseDuration(value + "s")
+		granted, err := time.ParseDuration(value + "s")
 		if err == nil {
-			return max(seconds-idleMargin, 0)
+			margin := min(max(granted/repeatableMarginPart, leastMargin), idleMargin)
+			return max(granted-idleMargin, 0), max(granted-margin, 0)
 		}
 	}
-	return defaultIdle
+	return defaultIdle, defaultIdle
 }
