--- a/internal/handoff/run.go
+++ b/internal/handoff/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
@@ -10,8 +9,6 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/forward"
-	"woodworks/internal/relay"
-	"woodworks/internal/upstream"
 )
 
 const (
@@ -22,20 +19,6 @@
 	cancelTimeout = 400 * time.Millisecond
 )
 
-// Names of how requests that were handed on ended, in logs and metrics.
-const (
-	outcomeAnswered = "answered"
-	outcomeRefused  = "refused"
-	outcomeBusy     = "busy"
-	outcomeFailed   = "failed"
-	outcomeTooLong  = "too long"
-	outcomeLost     = "lost"
-	outcomeOvertook = "overtaken"
-	outcomeCut      = "cut"
-)
-
-var errSilent = errors.New("handoff: the peer is silent")
-
 // handed is one request that is at a peer.
 type handed struct {
 	h     *Handoff
@@ -57,23 +40,6 @@
 	err   error
 }
 
-// part is what the peer's run of a request came to: an answer or a failure.
-type part struct {
-	outcome string
-	answer  *forward.Answer
-	failure *forward.Failure
-	// spent is how many attempts it may have used.
-	spent int
-	// final says that no further replica may be asked.
-	final bool
-}
-
-// passable reports whether the peer's answer is the one to pass on, if further attempts
-// are left.
-func (p part) passable() bool {
-	return p.answer != nil && p.answer.Status < http.StatusInternalServerError
-}
-
 // result is what the request came to from here.
 type result struct {
 	answer *forward.Answer
@@ -130,77 +96,6 @@
 	return run
 }
 
-// partOf takes what the peer said into account.
-func (run *handed) partOf(got told) part {
-	made := run.judge(got)
-	now, took := run.h.options.Clock(), time.Since(run.began)
-	service := run.call.Services[0]
-	reason, attempts := "", made.spent
-	switch made.outcome {
-	case outcomeAnswered:
-		run.h.beliefs.answered(run.peer, took)
-		run.h.beliefs.rests(service, upstream.RestOf(made.answer.Header))
-	case outcomeTooLong:
-		run.h.beliefs.long(service, now)
-	case outcomeBusy, outcomeRefused:
-		run.h.beliefs.busy(run.peer, now)
-	case outcomeLost:
-		run.h.beliefs.silent(run.peer, now)
-	}
-	if made.failure != nil {
-		reason = made.failure.Reason
-	}
-	run.log(made.outcome, reason, attempts, made.answer)
-	return made
-}
-
-// judge says what a peer's reply, or its lack, amounts to.
-func (run *handed) judge(got told) part {
-	reply := got.reply
-	switch {
-	case errors.Is(got.err, relay.ErrNotReached):
-		return notRun(outcomeLost, got.err.Error())
-	case errors.Is(got.err, relay.ErrRefused):
-		// A daemon that knows no such call.
-		return notRun(outcomeRefused, got.err.Error())
-	case got.err != nil:
-		return run.lost(got.err)
-	}
-	switch reply.Outcome {
-	case Answered:
-		return part{outcome: outcomeAnswered, spent: reply.Attempts,
-			answer: &forward.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body, Replica: reply.Replica}}
-	case Refused:
-		return notRun(outcomeRefused, reply.Reason)
-	case Busy:
-		return notRun(outcomeBusy, reply.Reason)
-	case Failed:
-		return part{outcome: outcomeFailed, spent: reply.Attempts, final: reply.Alone, failure: failureOf(reply)}
-	case TooLong:
-		return part{outcome: outcomeTooLong, spent: reply.Attempts, failure: failureOf(reply)}
-	default:
-		return run.lost(errors.Errorf("handoff: outcome %d of a later version", reply.Outcome))
-	}
-}
-
-func notRun(outcome, reason string) part {
-	return part{outcome: outcome, failure: &forward.Failure{Certainty: forward.NotRun, Reason: reason}}
-}
-
-// lost is what a request came to whose peer said nothing: all may have run that it was
-// allowed.
-func (run *handed) lost(err error) part {
-	return part{outcome: outcomeLost, spent: run.granted, failure: &forward.Failure{Certainty: forward.MayHaveRun, Reason: err.Error(), Attempts: run.granted}}
-}
-
-func failureOf(reply *Reply) *forward.Failure {
-	failure := &forward.Failure{Certainty: forward.NotRun, Reason: reply.Reason, Attempts: reply.Attempts, Tried: reply.Tried}
-	if reply.MayHaveRun {
-		failure.Certainty = forward.MayHaveRun
-	}
-	return failure
-}
-
 // goOn passes the peer's answer on, or sends the request direct with what is left.
 func (run *handed) goOn(ctx context.Context, peers part) (*forward.Answer, error) {
 	if peers.passable() {
@@ -256,89 +151,6 @@
 	return nil, &merged
 }
 
-// race sends the request direct while the peer is silent. The first answer counts, and the
-// other run is ended.
-func (run *handed) race(ctx context.Context) (*forward.Answer, error) {
-	silent := run.lost(errSilent)
-	if !run.mayGoOn(ctx, silent) {
-		return run.await(ctx)
-	}
-	racing, stop := context.WithCancel(ctx)
-	direct := make(chan result, 1)
-	go func() {
-		answer, err := run.direct(racing, silent)
-		direct <- result{answer, err}
-	}()
-	select {
-	case got := <-run.told:
-		peers := run.partOf(got)
-		if peers.passable() {
-			stop()
-			go closeLate(direct)
-			return peers.answer, nil
-		}
-		ours := <-direct
-		return untilClosed(stop, peers, ours)
-	case ours := <-direct:
-		if ours.err == nil {
-			run.overtaken()
-			return untilClosed(stop, silent, ours)
-		}
-		stop()
-		return run.awaitAfter(ctx, ours)
-	}
-}
-
-// untilClosed merges the parts of a race. The context of an answer whose rest is still to
-// come goes with that of the request.
-func untilClosed(stop context.CancelFunc, peers part, ours result) (*forward.Answer, error) {
-	answer, err := merge(peers, ours)
-	if answer == nil || answer.Rest == nil {
-		stop()
-	}
-	return answer, err
-}
-
-// closeLate gives back the connection of an answer that came second.
-func closeLate(direct <-chan result) {
-	if late := <-direct; late.answer != nil {
-		late.answer.Close()
-	}
-}
-
-// await waits for a silent peer to the end, as there is no attempt left.
-func (run *handed) await(ctx context.Context) (*forward.Answer, error) {
-	return run.awaitAfter(ctx, result{})
-}
-
-// awaitAfter waits for the peer to the end, with what came of the request from here.
-func (run *handed) awaitAfter(ctx context.Context, ours result) (*forward.Answer, error) {
-	select {
-	case got := <-run.told:
-		peers := run.partOf(got)
-		if ours.err == nil {
-			ours.err = peers.failure
-		}
-		if peers.passable() {
-			return peers.answer, nil
-		}
-		return merge(peers, ours)
-	case <-ctx.Done():
-		peers := run.timeUp()
-		if ours.err == nil {
-			ours.err = peers.failure
-		}
-		return merge(peers, ours)
-	}
-}
-
-// overtaken ends the peer's run, as the request was answered from here meanwhile.
-func (run *handed) overtaken() {
-	rest := run.h.beliefs.silent(run.peer, run.h.options.Clock())
-	run.cancel()
-	run.log(outcomeOvertook, errSilent.Error()+", left alone for "+rest.String(), run.granted, nil)
-}
-
 // timeUp ends the peer's run as the caller has left or its time is up, and waits a moment
 // for whether the request was sent.
 func (run *handed) timeUp() part {
