A request that goes round a silent peer avoids the replica that it is at

Alone, a daemon never offers a request to a replica twice.

Changed: before a request goes direct beside a peer's run, the peer is asked where it is, for 20 ms, the last ones of its patience. Who answers is there, and is not left alone for its replica's silence. forward.Call tells of its offers.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,6 +89,8 @@
 	// ConnectionUntil is until when a connection is waited for at a replica to which this
 	// daemon has as many as it may.
 	ConnectionUntil time.Time
+	// Offered, if not nil, is told of each replica that the call is offered to.
+	Offered func(replica string)
 	// Avoid are replicas that it is not offered to: another daemon has done so.
 	Avoid []string
 	// Ran, if not nil, is told of each replica that ran the call or may have run it,
@@ -362,6 +364,9 @@
 	}
 	run.tried[chosen.ID] = true
 	run.open++
+	if run.call.Offered != nil {
+		run.call.Offered(chosen.ID)
+	}
 	offerContext, cancel := context.WithCancel(ctx)
 	run.cancels[chosen.ID] = cancel
 	go func() {
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -95,6 +95,23 @@
 	})
 }
 
+// A replica never answered the peer, and the request went direct to the same one, while others
+// were there (a trial of dls-refunds-grown scale-1, seed 98: both attempts at a replica whose
+// answers were lost, 504). The peer tells where it is; and as it is there itself, it gets the
+// next request.
+func TestARaceAvoidsTheReplicaThatIsSilent(t *testing.T) {
+	virtually(t, func(is *is.I, _ *zone, asker, peer *daemon) {
+		peer.does = hangs
+		answer, err := asker.ask(context.Background(), asItIs)
+		is.NoErr(err)
+		is.Equal(string(answer.Body), "whole")
+		is.Equal(asker.calls[0].Avoid, []string{"silent one"})
+		synctest.Wait()
+		is.Equal(time.Since(peer.ended), time.Duration(0))
+		is.True(!asker.beliefs.away(time.Now())(peer.options.Name))
+	})
+}
+
 // The end of the caller's wait, by leaving or by its deadline, ends the replica's work, and
 // the caller hears what is certain.
 func TestTheEndOfACallerReachesTheReplica(t *testing.T) {
--- a/internal/handoff/race.go
+++ b/internal/handoff/race.go
@@ -2,21 +2,32 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"woodworks/internal/forward"
 )
 
-var errSilent = errors.New("handoff: the peer is silent")
+var (
+	errSilent        = errors.New("handoff: the peer is silent")
+	errReplicaSilent = errors.New("handoff: the peer's replica is silent")
+)
 
 // race sends the request direct while the peer is silent. The first answer counts, and the
 // other run is ended.
 func (run *handed) race(ctx context.Context) (*forward.Answer, error) {
 	silent := run.lost(errSilent)
+	offers, there := run.offers(ctx)
+	select {
+	case got := <-run.told:
+		return run.goOn(ctx, run.partOf(got))
+	default:
+	}
 	if !run.mayGoOn(ctx, silent) {
 		return run.await(ctx)
 	}
+	silent.failure.Tried = offers
 	racing, stop := context.WithCancel(ctx)
 	direct := make(chan result, 1)
 	go func() {
@@ -35,7 +46,7 @@
 		return untilClosed(stop, peers, ours)
 	case ours := <-direct:
 		if ours.err == nil {
-			run.overtaken()
+			run.overtaken(there)
 			return untilClosed(stop, silent, ours)
 		}
 		stop()
@@ -43,6 +54,22 @@
 	}
 }
 
+// offers asks the peer where the request is, so that the direct way leads to another replica,
+// and whether it is there itself. Its silence is no error of the call between the daemons: the
+// time is short, and others call it as well.
+func (run *handed) offers(ctx context.Context) (tried []string, there bool) {
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := time.AfterFunc(offersTimeout, cancel)
+	defer late.Stop()
+	var told Offers
+	err := run.h.options.Peers.Ask(bounded, run.peer, methodOffers, Inquiry{ID: run.id}, &told)
+	if err != nil {
+		return nil, false // the log line of the request's end says so
+	}
+	return told.Tried, true
+}
+
 // untilClosed merges the parts of a race. The context of an answer whose rest is still to
 // come goes with that of the request.
 func untilClosed(stop context.CancelFunc, peers part, ours result) (*forward.Answer, error) {
@@ -86,9 +113,14 @@
 	}
 }
 
-// overtaken ends the peer's run, as the request was answered from here meanwhile.
-func (run *handed) overtaken() {
-	rest := run.h.beliefs.silent(run.peer, run.h.options.Clock())
+// overtaken ends the peer's run, as the request was answered from here meanwhile. A peer that
+// is there is not at fault.
+func (run *handed) overtaken(there bool) {
+	reason := errReplicaSilent.Error()
+	if !there {
+		rest := run.h.beliefs.silent(run.peer, run.h.options.Clock())
+		reason = errSilent.Error() + ", left alone for " + rest.String()
+	}
 	run.cancel()
-	run.log(outcomeOvertook, errSilent.Error()+", left alone for "+rest.String(), run.granted, nil)
+	run.log(outcomeOvertook, reason, run.granted, nil)
 }
--- a/internal/handoff/run.go
+++ b/internal/handoff/run.go
@@ -15,6 +15,9 @@
 	// lastWord is how long a peer has to say whether a request was sent whose time is up,
 	// a part of what ingress keeps back for the final answer.
 	lastWord = 8 * time.Millisecond
+	// offersTimeout is how long a peer has to say where a request is, the end of its patience:
+	// several ways there and back inside a zone.
+	offersTimeout = 20 * time.Millisecond
 	// cancelTimeout bounds the call that ends a request at a peer.
 	cancelTimeout = 400 * time.Millisecond
 )
@@ -54,7 +57,7 @@
 	}
 	run := h.send(ctx, call, peer, left)
 	defer run.leave()
-	silent := time.NewTimer(min(h.beliefs.patience(peer), left/2))
+	silent := time.NewTimer(min(h.beliefs.patience(peer), left/2) - offersTimeout)
 	defer silent.Stop()
 	select {
 	case got := <-run.told:
--- a/internal/handoff/service.go
+++ b/internal/handoff/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,14 +36,20 @@
 	stopped bool
 	// running has the requests under way by the id of their handing on; ended are the ids
 	// of those that were ended before they came, with when.
-	running map[string]context.CancelFunc
+	running map[string]*taken
 	ended   map[string]time.Time
 	under   sync.WaitGroup
 }
 
+// taken is a request of a peer that runs here. The mutex of its service guards tried.
+type taken struct {
+	cancel context.CancelFunc
+	tried  []string
+}
+
 // Service returns what runs the requests of peers until the context ends.
 func (h *Handoff) Service(ctx context.Context) *Service {
-	return &Service{ctx: ctx, own: h, running: map[string]context.CancelFunc{}, ended: map[string]time.Time{}}
+	return &Service{ctx: ctx, own: h, running: map[string]*taken{}, ended: map[string]time.Time{}}
 }
 
 // Run runs a request of a peer. It is exported for net/rpc.
@@ -74,7 +81,7 @@
 	case len(s.running) >= maxTaken:
 		return "the peer has too many requests of others"
 	}
-	s.running[id] = cancel
+	s.running[id] = &taken{cancel: cancel}
 	s.under.Add(1)
 	return ""
 }
@@ -90,10 +97,10 @@
 func (s *Service) Cancel(asked Cancellation, done *Done) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cancel, found := s.running[asked.ID]
+	under, found := s.running[asked.ID]
 	done.Found = found
 	if found {
-		cancel()
+		under.cancel()
 		return nil
 	}
 	now := s.own.options.Clock()
@@ -108,6 +115,26 @@
 	return nil
 }
 
+// Offers tells to which replicas a request was offered that runs here. That it answers shows
+// as well that this daemon is there. It is exported for net/rpc.
+func (s *Service) Offers(asked Inquiry, offers *Offers) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if under := s.running[asked.ID]; under != nil {
+		offers.Tried = slices.Clone(under.tried)
+	}
+	return nil
+}
+
+// offered notes a replica that a request was offered to.
+func (s *Service) offered(id, replica string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if under := s.running[id]; under != nil {
+		under.tried = append(under.tried, replica)
+	}
+}
+
 // Drain takes no more requests and returns when those under way have ended, or the context
 // has. It is called before the context of the service ends.
 func (s *Service) Drain(ctx context.Context) {
@@ -165,7 +192,8 @@
 		RequestID: asked.RequestID, Method: asked.Method, Target: asked.Target, Host: asked.Host, Header: asked.Header, Body: asked.Body, Caller: asked.Caller,
 		Services: found.Order(asked.RequestID), Repeatable: true, MaxAttempts: max(min(asked.MaxAttempts, found.MaxAttempts), 1),
 		Hedge: true, HedgeAfter: found.HedgeAfter, ConnectionUntil: time.Now().Add(found.ConnectionWait()),
-		Left: func() time.Duration { return left - options.Clock().Sub(came) },
+		Offered: func(replica string) { s.offered(asked.ID, replica) },
+		Left:    func() time.Duration { return left - options.Clock().Sub(came) },
 		Ran: func(sentAt time.Time) {
 			if options.Ran != nil && asked.Caller != "" {
 				options.Ran(asked.Caller, sentAt)
--- a/internal/handoff/wire.go
+++ b/internal/handoff/wire.go
@@ -11,6 +11,7 @@
 const (
 	methodRun    = ServiceName + ".Run"
 	methodCancel = ServiceName + ".Cancel"
+	methodOffers = ServiceName + ".Offers"
 )
 
 const (
@@ -101,3 +102,9 @@
 
 // Done is the answer to a Cancellation.
 type Done struct{ Found bool }
+
+// Inquiry asks where a request is that was handed on.
+type Inquiry struct{ ID string }
+
+// Offers is the answer to an Inquiry: the replicas that the request was offered to.
+type Offers struct{ Tried []string }
--- a/internal/handoff/zone_test.go
+++ b/internal/handoff/zone_test.go
@@ -49,6 +49,9 @@
 }
 
 func hangs(ctx context.Context, call *forward.Call) (*forward.Answer, error) {
+	if call.Offered != nil {
+		call.Offered("silent one")
+	}
 	call.Ran(time.Now())
 	<-ctx.Done()
 	return nil, &forward.Failure{Certainty: forward.MayHaveRun, Reason: "cut", Attempts: 1}
@@ -154,8 +157,8 @@
 	case unknownCall:
 		return relay.ErrRefused
 	}
-	if method == methodCancel {
-		return service.Cancel(asked.(Cancellation), answer.(*Done))
+	if method != methodRun {
+		return w.tell(ctx, service, method, asked, answer)
 	}
 	done, reply := make(chan struct{}), &Reply{}
 	go func() {
@@ -179,6 +182,27 @@
 	}
 }
 
+// tell makes the calls that are about a request.
+func (w ways) tell(ctx context.Context, service *Service, method string, asked, answer any) error {
+	done, offers := &Done{}, &Offers{}
+	if method == methodCancel {
+		_ = service.Cancel(asked.(Cancellation), done) // it returns none
+	} else {
+		_ = service.Offers(asked.(Inquiry), offers) // it returns none
+	}
+	if w.zone.fault == unheard {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	switch into := answer.(type) {
+	case *Done:
+		*into = *done
+	case *Offers:
+		*into = *offers
+	}
+	return nil
+}
+
 // newZone returns a zone of two daemons: one that has a request, and the one that handles
 // its service.
 func newZone(t *testing.T) (z *zone, asker, peer *daemon) {
