--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -86,6 +86,13 @@
 	// Left, if not nil, is how long the caller still waits. It counts the time in which
 	// this machine was suspended, which the end of a context does not.
 	Left func() time.Duration
+	// ConnectionUntil is until when a connection is waited for at a replica to which this
+	// daemon has as many as it may.
+	ConnectionUntil time.Time
+	// Offered, if not nil, is told of each replica that the call is offered to.
+	Offered func(replica string)
+	// Avoid are replicas that it is not offered to: another daemon has done so.
+	Avoid []string
 	// Ran, if not nil, is told of each replica that ran the call or may have run it,
 	// with when the call was sent there, by the forwarder's clock.
 	Ran func(sentAt time.Time)
@@ -102,11 +109,17 @@
 	return call.content
 }
 
+// Content returns what the call asks for, for the quarantine. It must not be called while
+// offers of the call run.
+func (call *Call) Content() *quarantine.Content { return contentOf(call) }
+
 // Answer is a replica's whole answer, or its beginning with the rest to come.
 type Answer struct {
 	Status  int
 	Header  http.Header
 	Replica string
+	// Attempts is how many replicas have run the request, or may have.
+	Attempts int
 	// Body is the answer's body if Rest is nil, else its beginning.
 	Body []byte
 	Rest *Rest
@@ -137,7 +150,9 @@
 	if answer.Rest != nil {
 		answer.Rest.Close()
 	}
-	answer.end()
+	if answer.end != nil {
+		answer.end()
+	}
 }
 
 // Failure says why there is no answer to pass on.
@@ -167,6 +182,9 @@
 	// Quarantine knows the contents under which replicas have ended.
 	Quarantine *quarantine.Table
 	Logger     *zap.Logger
+	// MaxOpen, if not nil, is how many connections to a replica this daemon may have, 0
+	// without bound.
+	MaxOpen func(chosen replica.Replica) int
 	// Observe is told of each offer to a replica: the service, how it ended and
 	// how long it took.
 	Observe func(service, outcome string, took time.Duration)
@@ -180,13 +198,27 @@
 	return forwarder.Clock()
 }
 
+func (forwarder *Forwarder) maxOpen(chosen replica.Replica) int {
+	if forwarder.MaxOpen == nil {
+		return 0
+	}
+	return forwarder.MaxOpen(chosen)
+}
+
 // Do sends the call until a replica has answered, the attempts are used up or
 // the context has ended.
 func (forwarder *Forwarder) Do(ctx context.Context, call *Call) (*Answer, error) {
 	contentOf(call)
 	run := &running{forwarder: forwarder, call: call, tried: map[string]bool{}, cancels: map[string]context.CancelFunc{},
 		outcomes: make(chan attempt, call.MaxAttempts+extraTries+1)}
-	return run.loop(ctx)
+	for _, id := range call.Avoid {
+		run.tried[id] = true
+	}
+	answer, err := run.loop(ctx)
+	if err == nil {
+		answer.Attempts = run.offered + run.open
+	}
+	return answer, err
 }
 
 // running is one call under way.
@@ -332,6 +364,9 @@
 	}
 	run.tried[chosen.ID] = true
 	run.open++
+	if run.call.Offered != nil {
+		run.call.Offered(chosen.ID)
+	}
 	offerContext, cancel := context.WithCancel(ctx)
 	run.cancels[chosen.ID] = cancel
 	go func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"woodworks/internal/fleet"
 	"woodworks/internal/forward"
 	"woodworks/internal/group"
+	"woodworks/internal/handoff"
 	"woodworks/internal/headers"
 	"woodworks/internal/identity"
 	"woodworks/internal/ingress"
@@ -124,10 +125,12 @@
 	watcher          *runner.Watcher
 	member           *group.Member
 	// relay and peerFollower are nil where the settings name no address for peers.
-	relay          *relay.Journal
-	peerFollower   *journal.KeyedFollower
-	occupancy      *occupancyParts
-	quarantine     *quarantineParts
+	relay        *relay.Journal
+	peerFollower *journal.KeyedFollower
+	occupancy    *occupancyParts
+	quarantine   *quarantineParts
+	// handed runs plain requests of peers, nil where the settings name no address for them.
+	handed         *handoff.Service
 	assigner       *runner.Assigner
 	lease          *lease.Lease
 	syncer         *modelsync.Syncer
@@ -195,7 +198,7 @@
 	node.operatorFollower.SetPace(journal.SharedPace(drivers.Journal, operatorReadShare, node.daemons))
 	node.replicaFollower.SetPace(journal.SharedPace(drivers.Journal, replicaReadShare, node.daemons))
 	node.quarantine = newQuarantine(node, drivers.Journal)
-	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Quarantine: node.quarantine.table, Logger: logger, Observe: node.metrics.Attempt}
+	forwarder := &forward.Forwarder{Pool: node.pool, Table: node.table, Names: drivers.Headers, Zone: node.settings.Zone, Quarantine: node.quarantine.table, Logger: logger, Observe: node.metrics.Attempt, MaxOpen: node.maxOpen}
 	node.ledger = ledger.New(node.context, drivers.Journal, logger)
 	node.member = group.New(drivers.Journal, node.identity, append(ledger.TopicNames(), runner.RunnersTopic), logger)
 	node.assigner = runner.NewAssigner(drivers.Journal, node.member, node.identity, logger)
@@ -216,6 +219,7 @@
 		ConfigurationAge: node.configurationAge, Stop: node.shutdown,
 		Keys: ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
+	node.buildHandoff(forwarder)
 	node.front.handler = node.handler
 	node.internal = newFrontServer(logger)
 	node.internal.planned = node.shutdown
@@ -279,7 +283,7 @@
 	node.registerDutyMetrics()
 	node.quarantine.registerMetrics(node.metrics)
 	node.registerOccupancyMetrics()
-	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
+	node.registerConnectionMetrics(node.metrics)
 }
 
 // Start opens the listeners and runs the parts.
