--- a/internal/scheduling/length.go
+++ b/internal/scheduling/length.go
@@ -16,17 +16,26 @@
 	assumedWeight = 8
 	// rememberedTexts is how many texts the means reach back.
 	rememberedTexts = 1000
+	// telling is from how many texts on the longest of them bounds the forecasts: makers
+	// of texts bound their lengths, and many come to that bound.
+	telling = 100
 	// leastSpread keeps a forecast from certainty.
 	leastSpread = 0.05
 )
 
 // Lengths forecasts how long texts get, from their hints and from how texts before
-// compared with theirs: lengths by hints are taken to be log-normal. It is safe for
-// concurrent use. The zero value is not ready; use NewLengths.
+// compared with theirs: lengths by hints are taken to be log-normal, and a hint that is
+// far off the usual one to be so in part by its own error. It is safe for concurrent use.
+// The zero value is not ready; use NewLengths.
 type Lengths struct {
 	mu sync.Mutex
 	// weight, mean and square are of the logarithms of events by hinted tokens.
 	weight, mean, square float64
+	// hint and spread are the mean of the logarithms of the hints and the mean square
+	// of their distance from it, along how that distance goes with the first logarithms'.
+	hint, spread, along float64
+	// longest is the greatest length of late, in events.
+	longest float64
 }
 
 // NewLengths returns a forecast before any text.
@@ -40,35 +49,67 @@
 	if hint <= 0 || events <= 0 {
 		return
 	}
-	value := math.Log(float64(events) / float64(hint))
+	hinted := math.Log(float64(hint))
+	value := math.Log(float64(events)) - hinted
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.longest == 0 {
+		l.hint = hinted
+	}
 	l.weight = min(l.weight+1, rememberedTexts)
-	off := value - l.mean
+	off, hintOff := value-l.mean, hinted-l.hint
 	l.mean += off / l.weight
+	l.hint += hintOff / l.weight
 	l.square += (off*(value-l.mean) - l.square) / l.weight
+	l.spread += (hintOff*(hinted-l.hint) - l.spread) / l.weight
+	l.along += (hintOff*(value-l.mean) - l.along) / l.weight
+	l.longest = max(float64(events), l.longest*(1-1/float64(rememberedTexts)))
+}
+
+// forecast is the logarithm of a text's length to expect by its hint, with the standard
+// deviation, and the length that no text of late had; infinite if too few were seen.
+func (l *Lengths) forecast(hint int64) (median, deviation, longest float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hinted := math.Log(float64(max(hint, 1)))
+	slope := l.along / (l.spread + assumedWeight*assumedSpread*assumedSpread/l.weight)
+	median = hinted + l.mean + slope*(hinted-l.hint)
+	square := l.square - 2*slope*l.along + slope*slope*l.spread
+	longest = math.Inf(1)
+	if l.weight >= assumedWeight+telling {
+		longest = l.longest
+	}
+	return min(median, math.Log(longest)), max(math.Sqrt(max(square, 0)), leastSpread), longest
 }
 
 // Remaining returns how many events are expected to come of a text with a hint, in
 // tokens, and some events already: the median over the texts that got as far.
-func (l *Lengths) Remaining(hint int64, events int) float64 {
-	l.mu.Lock()
-	median := l.mean + math.Log(float64(max(hint, 1)))
-	spread := max(math.Sqrt(l.square), leastSpread)
-	l.mu.Unlock()
+func (l *Lengths) Remaining(hint int64, events int) float64 { return l.quantile(hint, events, 0.5) }
+
+// Most returns how many events come at most of a text, but for a few in a hundred of the
+// texts that got as far.
+func (l *Lengths) Most(hint int64, events int) float64 {
+	return l.quantile(hint, events, mostlyBelow)
+}
+
+// quantile returns how many more events a part of the texts get that got as far.
+func (l *Lengths) quantile(hint int64, events int, part float64) float64 {
+	median, spread, longest := l.forecast(hint)
 	if events <= 0 {
-		return math.Exp(median)
+		return min(math.Exp(median+spread*upperQuantile(part)), longest)
 	}
 	so := float64(events)
 	// above is the part of the texts that get longer than this one is.
 	above := upperTail((math.Log(so) - median) / spread)
-	if above < leastAbove {
-		return so * outgrown
+	if above < leastAbove || so >= longest {
+		return so * outgrown * math.Log(1/part) / math.Ln2
 	}
-	return max(math.Exp(median+spread*upperQuantile(above/2))-so, 1)
+	return max(min(math.Exp(median+spread*upperQuantile(above*part)), longest)-so, 1)
 }
 
 const (
+	// mostlyBelow is the part of the texts that get longer than is said of all.
+	mostlyBelow = 0.05
 	// leastAbove is the smallest part of longer texts that is told from none.
 	leastAbove = 1e-9
 	// outgrown is what is expected of a text far beyond any forecast, by its length.
--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -17,6 +17,9 @@
 	// clearlyFaster is how much of the time at its engine an item may take at
 	// another one for a move: paces are known to within a few hundredths.
 	clearlyFaster = 0.92
+	// decisive is how long an item may take, by the time in which its step could end, and
+	// stay where it is: a move within the noise of forecasts costs a connection for nothing.
+	decisive = 1.05
 )
 
 // candidate is a running item with the engine that it runs at.
@@ -26,8 +29,10 @@
 	time float64
 }
 
-// moves returns the running items that end sooner at another engine with room. The
-// cost counts as lost, so that an item is not moved to and fro.
+// moves returns the running items whose step ends sooner if they go on at another engine
+// with room: those that would end after its longest text could. The cost counts as lost,
+// so that an item is not moved to and fro. Of the items of which the first event is
+// overdue one at a time leaves an engine, as it may only be changing its weights.
 func (p *planner) moves() []Decision {
 	if p.Settled {
 		return nil
@@ -35,8 +40,11 @@
 	var decisions []Decision
 	for _, each := range p.movable() {
 		item := &p.Items[each.item]
-		target := p.pool(item).top()
-		if target < 0 || target == each.engine {
+		if !p.decides(item, each.time) {
+			continue
+		}
+		target := p.target(item, each.engine)
+		if target < 0 {
 			continue
 		}
 		there := item.Remaining * p.pace(target)
@@ -45,6 +53,7 @@
 			continue
 		}
 		p.take(target, item)
+		p.left(item, each.engine)
 		decisions = append(decisions, Move{Item: each.item, Engine: target, Gain: gain})
 	}
 	return decisions
@@ -54,13 +63,22 @@
 // worth it: those that must be whole, then those that take longest.
 func (p *planner) movable() []candidate {
 	var found []candidate
+	asked := make([]bool, len(p.Engines))
 	for i := range p.Items {
 		item := &p.Items[i]
 		engine, known := p.byID[item.Engine]
-		if !known || item.Fixed || item.RunFor < leastRun || p.Engines[engine].Pace == 0 {
+		if !known || item.Fixed {
+			continue
+		}
+		time := item.Remaining * float64(p.Engines[engine].Pace)
+		switch {
+		case item.Silent > 0 && !asked[engine]:
+			asked[engine] = true
+			time += float64(item.RunFor)
+		case item.Silent > 0 || item.RunFor < leastRun || p.Engines[engine].Pace == 0:
 			continue
 		}
-		found = append(found, candidate{item: i, engine: engine, time: item.Remaining * float64(p.Engines[engine].Pace)})
+		found = append(found, candidate{item: i, engine: engine, time: time})
 	}
 	sort.SliceStable(found, func(a, b int) bool {
 		first, second := &p.Items[found[a].item], &p.Items[found[b].item]
@@ -71,3 +89,27 @@
 	})
 	return found
 }
+
+// decides reports whether an item that takes some time more at its engine ends after its
+// step could.
+func (p *planner) decides(item *Item, time float64) bool {
+	return item.Silent > 0 || time > decisive*p.step(item).end
+}
+
+// target returns the engine that an item should go on at, or -1.
+func (p *planner) target(item *Item, at int) int {
+	top := p.pool(item, false).top()
+	if top != at {
+		return top
+	}
+	if item.Silent == 0 {
+		return -1
+	}
+	best := -1
+	for i := range p.Engines {
+		if i != at && p.mayRun(i, item) && (best < 0 || p.score(i) < p.score(best)) {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/scheduling/need.go
@@ -0,0 +1,138 @@
+package scheduling
+
+import (
+	"slices"
+	"time"
+)
+
+// clearlyFast is how long an engine may take for an event, by those of the slower half
+// of the engines, to be one that long texts need: less than that is what load and
+// noise make of equal engines.
+const clearlyFast = 0.75
+
+// tiers are the engines that may run the items of one class, by how fast they are.
+type tiers struct {
+	// fast engines are kept for texts that need them.
+	fast []bool
+	// best is the time between two events at the best engine, ordinary at the others, in
+	// nanoseconds; 0 if too few paces are known.
+	best, ordinary float64
+	// needed is how many texts want a fast engine and are not at one.
+	needed int
+}
+
+// tier returns the engines of an item's class by how fast they are.
+func (p *planner) tier(item *Item) *tiers {
+	key := classOf(item)
+	if known := p.tiers[key]; known != nil {
+		return known
+	}
+	made := &tiers{fast: make([]bool, len(p.Engines))}
+	p.tiers[key] = made
+	var paces []float64
+	usable := 0
+	for i := range p.Engines {
+		if !p.holds(i, item) || p.Engines[i].Resting {
+			continue
+		}
+		usable++
+		if p.Engines[i].Pace > 0 {
+			paces = append(paces, p.pace(i))
+		}
+	}
+	if len(paces) == 0 || 2*len(paces) < usable {
+		return made
+	}
+	slices.Sort(paces)
+	made.best = paces[0]
+	upper := paces[len(paces)*3/4]
+	for i := range p.Engines {
+		made.fast[i] = p.Engines[i].Pace > 0 && p.pace(i) < clearlyFast*upper
+	}
+	made.ordinary = upper
+	return made
+}
+
+// kept reports whether the fast engines have room only for texts that need it.
+func (t *tiers) kept(p *planner) bool {
+	room := 0
+	for i, fast := range t.fast {
+		if fast && p.hasRoom(i) {
+			room += slotsOf(&p.Engines[i]) - p.inFlight[i]
+		}
+	}
+	return room <= t.needed
+}
+
+// stepKey names the items of one batch and class.
+type stepKey struct {
+	class
+	since time.Time
+}
+
+// step is what the items of one batch come to.
+type step struct {
+	// end is in how long its longest text could be whole at the best engine, in
+	// nanoseconds.
+	end float64
+	// running is how many of its short texts are under way, work the time that these and
+	// those that wait take at an ordinary engine, in nanoseconds.
+	running int
+	work    float64
+}
+
+func (p *planner) step(item *Item) *step {
+	key := stepKey{class: classOf(item), since: item.BatchSince}
+	known := p.steps[key]
+	if known == nil {
+		known = &step{}
+		p.steps[key] = known
+	}
+	return known
+}
+
+// foresee works out when each step could end, which of its texts decide that, and what
+// the others come to.
+func (p *planner) foresee() {
+	for i := range p.Items {
+		item := &p.Items[i]
+		step := p.step(item)
+		step.end = max(step.end, item.Remaining*p.tier(item).best)
+	}
+	for i := range p.Items {
+		item := &p.Items[i]
+		step, tier := p.step(item), p.tier(item)
+		engine, runs := p.byID[item.Engine]
+		if p.short(item) {
+			step.work += item.Remaining * tier.ordinary
+			if runs {
+				step.running++
+			}
+			continue
+		}
+		if !runs || !tier.fast[engine] && p.decides(item, item.Remaining*tier.ordinary) {
+			tier.needed++
+		}
+	}
+}
+
+// short reports whether a text surely ends before its step, at any engine.
+func (p *planner) short(item *Item) bool {
+	tier := p.tier(item)
+	return item.Most > 0 && !item.Required && tier.ordinary > 0 && item.Most*tier.ordinary <= p.step(item).end
+}
+
+// begun counts a text that was started, left one that goes on at another engine.
+func (p *planner) begun(item *Item) {
+	if p.short(item) {
+		p.step(item).running++
+		return
+	}
+	p.tier(item).needed--
+}
+
+func (p *planner) left(item *Item, from int) {
+	if tier := p.tier(item); !tier.fast[from] && !p.short(item) {
+		tier.needed = max(tier.needed-1, 0)
+	}
+}
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -12,8 +12,9 @@
 	defaultSlots = 8
 	// crowding is by how much each request under way slows the others at an engine,
 	// and eventCrowding by how much more for each event of its text, as an engine
-	// reads all that it has so far for each token: texts take 37 ms an event at an
-	// engine with one and 42 ms at one with twelve, some of them long.
+	// reads all that it has so far for each token. Together they are 0.7 % for a text of
+	// 20 events and 1.5 % for one of 100, which is what engines were seen to do. They are
+	// not learned: what one request adds is less than a pace is known to.
 	crowding      = 0.005
 	eventCrowding = 0.0001
 	// groupBonus is taken off the score of the engine that read the group's
@@ -23,6 +24,12 @@
 	// It is as much as a short text under way, as a long one is sooner done where
 	// there is less beside it.
 	otherZone = 0.008
+	// connecting is added, for texts that can wait, where no connection rests: making one
+	// takes the engine's time, and theirs does not decide.
+	connecting = 0.3
+	// silence is added where a first event is overdue: as much as for an engine that takes
+	// twice as long, so that it gets more only where all the others are no better.
+	silence = 1
 )
 
 // paces are the engines' paces relative to each other.
@@ -64,18 +71,44 @@
 	minVersion int64
 }
 
+func classOf(item *Item) class { return class{model: item.Model, minVersion: item.MinVersion} }
+
+// poolKey names the engines for the items of one class.
+type poolKey struct {
+	class
+	// spare leaves out the fast engines, and prefers those where a connection rests.
+	spare bool
+}
+
 // pool has the engines that may run the items of one class, the best on top. Its
 // order may be out of date as room is taken: top puts it right.
 type pool struct {
-	class
+	poolKey
 	planner *planner
 	engines []int
 	scores  []float64
 }
 
 // pick returns the engine that should run an item, or -1 if none may and has room.
+// Texts that are surely short go to the fast engines only if no other has room, and
+// these need not be kept.
 func (p *planner) pick(item *Item) int {
-	best := p.pool(item).top()
+	if !p.short(item) {
+		return p.best(item, false)
+	}
+	if engine := p.best(item, true); engine >= 0 {
+		return engine
+	}
+	if p.tier(item).kept(p) {
+		return -1
+	}
+	return p.best(item, false)
+}
+
+// best returns the best engine for an item, with the fast ones or without.
+func (p *planner) best(item *Item, spare bool) int {
+	pool := p.pool(item, spare)
+	best := pool.top()
 	if best < 0 {
 		return -1
 	}
@@ -83,26 +116,27 @@
 	if item.GroupEngine == "" || item.GroupEngine == p.Engines[best].ID {
 		return best
 	}
-	if near, ok := p.byID[item.GroupEngine]; ok && near != best && p.mayRun(near, item) && p.score(near)-groupBonus < p.score(best) {
+	near, ok := p.byID[item.GroupEngine]
+	if ok && near != best && p.mayRun(near, item) && !(spare && p.tier(item).fast[near]) && pool.score(near)-groupBonus < pool.score(best) {
 		return near
 	}
 	return best
 }
 
-func (p *planner) pool(item *Item) *pool {
-	key := class{model: item.Model, minVersion: item.MinVersion}
-	if p.last != nil && p.last.class == key {
+func (p *planner) pool(item *Item, spare bool) *pool {
+	key := poolKey{class: classOf(item), spare: spare}
+	if p.last != nil && p.last.poolKey == key {
 		return p.last
 	}
 	if known := p.pools[key]; known != nil {
 		p.last = known
 		return known
 	}
-	made := &pool{planner: p, class: key}
+	made := &pool{planner: p, poolKey: key}
 	for i := range p.Engines {
-		if p.mayRun(i, item) {
+		if p.mayRun(i, item) && !(spare && p.tier(item).fast[i]) {
 			made.engines = append(made.engines, i)
-			made.scores = append(made.scores, p.score(i))
+			made.scores = append(made.scores, made.score(i))
 		}
 	}
 	heap.Init(made)
@@ -111,6 +145,15 @@
 	return made
 }
 
+// score is lower for a better engine.
+func (pool *pool) score(engine int) float64 {
+	score := pool.planner.score(engine)
+	if pool.spare && pool.planner.resting[engine] == 0 {
+		score += connecting
+	}
+	return score
+}
+
 // top returns the best engine with room, or -1.
 func (pool *pool) top() int {
 	for len(pool.engines) > 0 {
@@ -119,7 +162,7 @@
 			heap.Pop(pool)
 			continue
 		}
-		score := pool.planner.score(engine)
+		score := pool.score(engine)
 		if score == pool.scores[0] {
 			return engine
 		}
@@ -155,14 +198,17 @@
 // take counts an item that an engine gets.
 func (p *planner) take(engine int, item *Item) {
 	p.inFlight[engine]++
+	p.resting[engine] = max(p.resting[engine]-1, 0)
 	p.loads[engine] += loadOf(item.Length())
 }
 
 // mayRun reports whether an engine may run an item now.
 func (p *planner) mayRun(engine int, item *Item) bool {
-	if !p.hasRoom(engine) {
-		return false
-	}
+	return p.hasRoom(engine) && p.holds(engine, item)
+}
+
+// holds reports whether an engine has weights that are new enough for an item.
+func (p *planner) holds(engine int, item *Item) bool {
 	version, known := p.Engines[engine].Versions[item.Model]
 	return !known || version >= item.MinVersion
 }
@@ -192,6 +238,9 @@
 	if p.Engines[engine].Zone != p.Zone {
 		score += otherZone
 	}
+	if p.silent[engine] {
+		score += silence
+	}
 	return score
 }
 
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -34,6 +34,8 @@
 	Others int
 	// Pace is the mean time between the events of a text, 0 if unknown.
 	Pace time.Duration
+	// Connected is how many connections to it rest here.
+	Connected int
 	// Resting engines get nothing for now: they failed or declined a moment ago.
 	Resting bool
 	// Declining engines declined the last request; one at a time finds out
@@ -57,6 +59,13 @@
 	// Done is how many events its text has, Remaining how many are expected to come.
 	Done      int
 	Remaining float64
+	// Most is how many events come at most, but for a few texts in a hundred; 0 if that
+	// is unknown. It is told of texts only that may be held back.
+	Most float64
+	// Waited is for how long its batch has been here.
+	Waited time.Duration
+	// Silent is for how long the first event of its run is overdue, 0 if it is not.
+	Silent time.Duration
 	// GroupEngine is the engine that last read the prompt of the item's group, "" if none.
 	GroupEngine string
 	// Engine runs the item; "" while it waits.
@@ -113,26 +122,36 @@
 	loads []float64
 	byID  map[string]int
 	paces paces
-	pools map[class]*pool
+	// resting is how many connections rest at each engine, silent says where a first
+	// event is overdue.
+	resting []int
+	silent  []bool
+	tiers   map[class]*tiers
+	steps   map[stepKey]*step
+	pools   map[poolKey]*pool
 	// last is the pool asked for last: items in order mostly share one.
 	last *pool
 }
 
 func newPlanner(snapshot Snapshot) *planner {
-	made := &planner{Snapshot: snapshot, byID: make(map[string]int, len(snapshot.Engines)), pools: map[class]*pool{}}
+	made := &planner{Snapshot: snapshot, byID: make(map[string]int, len(snapshot.Engines)), pools: map[poolKey]*pool{}, tiers: map[class]*tiers{}, steps: map[stepKey]*step{}}
 	made.inFlight, made.loads = make([]int, len(snapshot.Engines)), make([]float64, len(snapshot.Engines))
+	made.resting, made.silent = make([]int, len(snapshot.Engines)), make([]bool, len(snapshot.Engines))
 	for i, engine := range snapshot.Engines {
 		made.inFlight[i] = engine.InFlight + engine.Others
 		made.loads[i] = float64(made.inFlight[i]) * loadOf(0)
+		made.resting[i] = engine.Connected
 		made.byID[engine.ID] = i
 	}
 	for i := range snapshot.Items {
 		item := &snapshot.Items[i]
 		if engine, ok := made.byID[item.Engine]; ok {
 			made.loads[engine] += loadOf(item.Length()) - loadOf(0)
+			made.silent[engine] = made.silent[engine] || item.Silent > 0
 		}
 	}
 	made.paces = pacesOf(snapshot.Engines, made.loads)
+	made.foresee()
 	return made
 }
 
@@ -147,8 +166,13 @@
 	slices.SortFunc(waiting, func(a, b int) int { return cmp.Or(compare(&p.Items[a], &p.Items[b]), cmp.Compare(a, b)) })
 	var decisions []Decision
 	for _, i := range waiting {
-		if engine := p.pick(&p.Items[i]); engine >= 0 {
-			p.take(engine, &p.Items[i])
+		item := &p.Items[i]
+		if p.held(item) {
+			continue
+		}
+		if engine := p.pick(item); engine >= 0 {
+			p.take(engine, item)
+			p.begun(item)
 			decisions = append(decisions, Start{Item: i, Engine: engine})
 		}
 	}
