--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -61,7 +61,9 @@
 		seen.Zone = runner.forwarder.Zone
 		seen.replicas = runner.table.Replicas(service)
 		for _, each := range seen.replicas {
-			seen.Engines = append(seen.Engines, engineOf(each, now))
+			engine := engineOf(each, now)
+			engine.Connected = runner.forwarder.Pool.Resting(each.Address)
+			seen.Engines = append(seen.Engines, engine)
 		}
 	}
 	return views
@@ -115,12 +117,19 @@
 		Priority: priority, BatchSince: job.adoptedAt,
 		Model: job.submission.Model, MinVersion: job.submission.MinVersion,
 		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Remaining(each.cost, len(each.text)),
-		GroupEngine: job.groups[each.Group],
+		GroupEngine: job.groups[each.Group], Waited: now.Sub(job.adoptedAt),
+	}
+	if each.attempts == 0 || each.state == itemRunning {
+		// One that failed goes on at once.
+		described.Most = job.lengths.Most(each.cost, len(each.text))
 	}
 	if each.state == itemRunning {
 		described.Engine, described.RunFor = each.lastReplica, now.Sub(each.startedAt)
 		// A text of one version would begin anew at an engine of another.
 		described.Fixed = each.cut == nil || each.holding || found.SingleVersion && len(each.text) > 0
+		if !each.answered {
+			described.Silent = max(described.RunFor-job.runner.firsts.Patience(serviceOf(found, each)), 0)
+		}
 	}
 	return described
 }
@@ -143,6 +152,7 @@
 	item.startedAt = time.Now()
 	item.account.enter(phasePrompt, item.startedAt)
 	item.release()
+	item.answered = false
 	item.run++
 	run := item.run
 	job.groups[item.Group] = chosen.ID
--- a/internal/runner/handed_test.go
+++ b/internal/runner/handed_test.go
@@ -19,6 +19,7 @@
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/upstream"
 )
 
 // newOwner is a daemon that owns what it accepts, with one replica of the service "s".
@@ -32,7 +33,7 @@
 	logger := zap.NewNop()
 	table := replica.NewTable(time.Second, logger)
 	table.Replace([]replica.Entry{{ID: "engine", Service: "s", Slots: 4}})
-	forwarder := &forward.Forwarder{Names: headers.Names{}, Quarantine: quarantine.New("m", time.Now, logger), Table: table, Logger: logger}
+	forwarder := &forward.Forwarder{Names: headers.Names{}, Quarantine: quarantine.New("m", time.Now, logger), Table: table, Pool: upstream.NewPool(upstream.Options{}), Logger: logger}
 	return New(ctx, self, ledger.New(ctx, log, logger), forwarder, configured{configuration: configuration}, nil, NewAssigner(log, dealtTo(self), self, logger), logger)
 }
 
--- a/internal/runner/item.go
+++ b/internal/runner/item.go
@@ -18,6 +18,7 @@
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/scheduling"
 )
 
 const (
@@ -25,7 +26,7 @@
 	itemDeadline = 60 * time.Second
 	// headPatience is how long the first sign of an answer may take, for the
 	// first attempt; it doubles with each further one.
-	headPatience = 1500 * time.Millisecond
+	headPatience = scheduling.LongestFirstEvent
 	// gapPatience is the longest pause between events for a sound replica.
 	gapPatience = 1200 * time.Millisecond
 	maxPatience = 10 * time.Second
@@ -116,6 +117,9 @@
 		if err := job.take(each, run, event, version, found); err != nil {
 			return err
 		}
+		if last.IsZero() {
+			job.answers(each, run, found)
+		}
 		now := time.Now()
 		if !last.IsZero() {
 			job.runner.table.Paced(chosen.ID, now.Sub(last))
--- a/internal/runner/job.go
+++ b/internal/runner/job.go
@@ -67,6 +67,8 @@
 	// run numbers the run whose events count. A run that was handed over to another
 	// replica has a lower number.
 	run int
+	// answered says that the run has brought an event.
+	answered bool
 	// cut, if not nil, ends the run under way.
 	cut func()
 	// holding says that events are held back in held, while another replica is asked
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -9,6 +9,7 @@
 
 	"woodworks/internal/forward"
 	"woodworks/internal/replica"
+	"woodworks/internal/route"
 )
 
 // handOver lets an item go on at another replica. The run under way is cut only once
@@ -23,6 +24,10 @@
 		return
 	}
 	each.holding = true
+	if !each.answered {
+		// What was waited for in vain counts: where all engines get slow it becomes usual.
+		job.runner.firsts.Took(serviceOf(moved.route, each), time.Since(each.startedAt))
+	}
 	run := each.run
 	request := job.streamRequest(each, moved.route)
 	job.mutex.Unlock()
@@ -63,9 +68,11 @@
 		return 0, false
 	}
 	job.logger.Info("item moved", zap.String("item", each.ID), zap.String("replica", each.lastReplica), zap.String("to", to.ID),
-		zap.Int64("events", each.lastEvent), zap.Int("dropped", len(each.held)), zap.Duration("gain", gain))
+		zap.Int64("events", each.lastEvent), zap.Int("dropped", len(each.held)), zap.Duration("gain", gain),
+		zap.Bool("silent", !each.answered))
 	before := each.cut
 	each.release()
+	each.answered = false
 	each.run++
 	each.cut = cancel
 	each.attempts++
@@ -77,6 +84,17 @@
 	return each.run, true
 }
 
+// answers notes the first event of a run.
+func (job *job) answers(each *item, run int, found *route.Route) {
+	job.mutex.Lock()
+	defer job.mutex.Unlock()
+	if each.run != run {
+		return
+	}
+	each.answered = true
+	job.runner.firsts.Took(serviceOf(found, each), time.Since(each.startedAt))
+}
+
 // notTaken ends an exchange that has not become an item's run.
 func (job *job) notTaken(stream *forward.Stream, to replica.Replica, err error) {
 	if err == nil {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,7 @@
 	"woodworks/internal/ledger"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/scheduling"
 )
 
 // Errors of taking work in.
@@ -58,9 +59,11 @@
 	demands   *demand.Publisher
 	assigner  *Assigner
 	history   *history
-	observe   Observer
-	logger    *zap.Logger
-	context   context.Context
+	// firsts are how long first events take.
+	firsts  scheduling.FirstEvents
+	observe Observer
+	logger  *zap.Logger
+	context context.Context
 
 	mutex sync.Mutex
 	jobs  map[string]*job
--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -18,8 +18,8 @@
 	// another one for a move: paces are known to within a few hundredths.
 	clearlyFaster = 0.92
 	// decisive is how long an item may take, by the time in which its step could end, and
-	// stay where it is: a move within the noise of forecasts costs a connection for nothing.
-	decisive = 1.05
+	// stay where it is: forecasts are off by that much, and a move costs a connection.
+	decisive = 0.6
 )
 
 // candidate is a running item with the engine that it runs at.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -125,6 +125,20 @@
 	return len(pool.idle[address]) > 0
 }
 
+// Resting returns how many connections to a peer rest and may be used still.
+func (pool *Pool) Resting(address string) int {
+	now := pool.now()
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	count := 0
+	for _, conn := range pool.idle[address] {
+		if now.Before(conn.restUntil) {
+			count++
+		}
+	}
+	return count
+}
+
 // Dials returns how many connections were made.
 func (pool *Pool) Dials() uint64 {
 	pool.mutex.Lock()
