--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -99,7 +99,11 @@
 			seen = &view{}
 			views[service] = seen
 		}
-		seen.Items = append(seen.Items, job.describe(each, found, priority, now))
+		described := job.describe(each, found, priority, now)
+		if runs && !each.answered {
+			described.Silent = max(described.RunFor-job.runner.firsts.Patience(service), 0)
+		}
+		seen.Items = append(seen.Items, described)
 		seen.pending = append(seen.pending, pending{job: job, item: each, route: found})
 	}
 }
@@ -127,9 +131,6 @@
 		described.Engine, described.RunFor = each.lastReplica, now.Sub(each.startedAt)
 		// A text of one version would begin anew at an engine of another.
 		described.Fixed = each.cut == nil || each.holding || found.SingleVersion && len(each.text) > 0
-		if !each.answered {
-			described.Silent = max(described.RunFor-job.runner.firsts.Patience(serviceOf(found, each)), 0)
-		}
 	}
 	return described
 }
