--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -13,7 +13,7 @@
 	// and of the text so far at the other engine (10,000 tokens take 30 ms).
 	moveCost = 60 * time.Millisecond
 	// leastGain is by how much sooner an item must end for a move.
-	leastGain = 150 * time.Millisecond
+	leastGain = 300 * time.Millisecond
 	// clearlyFaster is how much of the time at its engine an item may take at
 	// another one for a move: paces are known to within a few hundredths.
 	clearlyFaster = 0.92
@@ -48,13 +48,12 @@
 			continue
 		}
 		there := item.Remaining * p.pace(target)
-		gain := rounded(each.time-there) - moveCost
-		if gain < leastGain || there > clearlyFaster*each.time {
+		if !worthMoving(each.time, there) {
 			continue
 		}
 		p.take(target, item)
 		p.left(item, each.engine)
-		decisions = append(decisions, Move{Item: each.item, Engine: target, Gain: gain})
+		decisions = append(decisions, Move{Item: each.item, Engine: target, Gain: rounded(each.time-there) - moveCost})
 	}
 	return decisions
 }
@@ -90,6 +89,12 @@
 	return found
 }
 
+// worthMoving reports whether an item that takes so long at its engine, and there at
+// another, in nanoseconds, should go on there.
+func worthMoving(here, there float64) bool {
+	return rounded(here-there)-moveCost >= leastGain && there <= clearlyFaster*here
+}
+
 // decides reports whether an item that takes some time more at its engine ends after its
 // step could.
 func (p *planner) decides(item *Item, time float64) bool {
--- a/internal/scheduling/need.go
+++ b/internal/scheduling/need.go
@@ -17,7 +17,10 @@
 	// best is the time between two events at the best engine, ordinary at the others, in
 	// nanoseconds; 0 if too few paces are known.
 	best, ordinary float64
-	// needed is how many texts want a fast engine and are not at one.
+	// least is what a text must have before it at least to need a fast engine: as many
+	// have that much as the fast engines have slots.
+	least float64
+	// needed is how many texts need a fast engine and are not at one.
 	needed int
 }
 
@@ -94,10 +97,15 @@
 // foresee works out when each step could end, which of its texts decide that, and what
 // the others come to.
 func (p *planner) foresee() {
+	remaining := map[*tiers][]float64{}
 	for i := range p.Items {
 		item := &p.Items[i]
-		step := p.step(item)
-		step.end = max(step.end, item.Remaining*p.tier(item).best)
+		step, tier := p.step(item), p.tier(item)
+		step.end = max(step.end, item.Remaining*tier.best)
+		remaining[tier] = append(remaining[tier], item.Remaining)
+	}
+	for tier, each := range remaining {
+		tier.least = leastOf(each, tier.slots(p))
 	}
 	for i := range p.Items {
 		item := &p.Items[i]
@@ -108,14 +116,48 @@
 			if runs {
 				step.running++
 			}
-			continue
 		}
-		if !runs || !tier.fast[engine] && p.decides(item, item.Remaining*tier.ordinary) {
+		if p.needs(item) && (!runs || !tier.fast[engine]) {
 			tier.needed++
 		}
 	}
 }
 
+// needs reports whether a text is one of the longest, for which the fast engines are, and
+// would go to one that has room.
+func (p *planner) needs(item *Item) bool {
+	tier := p.tier(item)
+	if p.short(item) || item.Remaining < tier.least {
+		return false
+	}
+	engine, runs := p.byID[item.Engine]
+	if !runs || tier.fast[engine] {
+		return true
+	}
+	time := item.Remaining * float64(p.Engines[engine].Pace)
+	return !item.Fixed && p.decides(item, time) && worthMoving(time, item.Remaining*tier.best)
+}
+
+// slots is how many requests of this owner the fast engines take.
+func (t *tiers) slots(p *planner) int {
+	slots := 0
+	for i, fast := range t.fast {
+		if fast {
+			slots += max(slotsOf(&p.Engines[i])-p.Engines[i].Others, 0)
+		}
+	}
+	return slots
+}
+
+// leastOf returns the smallest of the largest values, as many as are named.
+func leastOf(values []float64, count int) float64 {
+	if count >= len(values) {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-1-max(count-1, 0)]
+}
+
 // short reports whether a text surely ends before its step, at any engine.
 func (p *planner) short(item *Item) bool {
 	tier := p.tier(item)
@@ -126,13 +168,14 @@
 func (p *planner) begun(item *Item) {
 	if p.short(item) {
 		p.step(item).running++
-		return
 	}
-	p.tier(item).needed--
+	if p.needs(item) {
+		p.tier(item).needed--
+	}
 }
 
 func (p *planner) left(item *Item, from int) {
-	if tier := p.tier(item); !tier.fast[from] && !p.short(item) {
+	if tier := p.tier(item); !tier.fast[from] && p.needs(item) {
 		tier.needed = max(tier.needed-1, 0)
 	}
 }
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -90,16 +90,16 @@
 }
 
 // pick returns the engine that should run an item, or -1 if none may and has room.
-// Texts that are surely short go to the fast engines only if no other has room, and
-// these need not be kept.
+// Texts that need no fast engine go to one only if no other has room, and it need not be
+// kept.
 func (p *planner) pick(item *Item) int {
-	if !p.short(item) {
+	if p.needs(item) {
 		return p.best(item, false)
 	}
 	if engine := p.best(item, true); engine >= 0 {
 		return engine
 	}
-	if p.tier(item).kept(p) {
+	if item.Most > 0 && p.tier(item).kept(p) {
 		return -1
 	}
 	return p.best(item, false)
