--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -13,13 +14,13 @@
 	// and of the text so far at the other engine (10,000 tokens take 30 ms).
 	moveCost = 60 * time.Millisecond
 	// leastGain is by how much sooner an item must end for a move.
-	leastGain = 300 * time.Millisecond
+	leastGain = 150 * time.Millisecond
 	// clearlyFaster is how much of the time at its engine an item may take at
 	// another one for a move: paces are known to within a few hundredths.
 	clearlyFaster = 0.92
 	// decisive is how long an item may take, by the time in which its step could end, and
 	// stay where it is: forecasts are off by that much, and a move costs a connection.
-	decisive = 0.6
+	decisive = 0.3
 )
 
 // candidate is a running item with the engine that it runs at.
@@ -62,7 +63,6 @@
 // worth it: those that must be whole, then those that take longest.
 func (p *planner) movable() []candidate {
 	var found []candidate
-	asked := make([]bool, len(p.Engines))
 	for i := range p.Items {
 		item := &p.Items[i]
 		engine, known := p.byID[item.Engine]
@@ -71,10 +71,9 @@
 		}
 		time := item.Remaining * float64(p.Engines[engine].Pace)
 		switch {
-		case item.Silent > 0 && !asked[engine]:
-			asked[engine] = true
+		case item.Silent > 0:
 			time += float64(item.RunFor)
-		case item.Silent > 0 || item.RunFor < leastRun || p.Engines[engine].Pace == 0:
+		case item.RunFor < leastRun || p.Engines[engine].Pace == 0:
 			continue
 		}
 		found = append(found, candidate{item: i, engine: engine, time: time})
@@ -86,7 +85,15 @@
 		}
 		return found[a].time > found[b].time
 	})
-	return found
+	asked := make([]bool, len(p.Engines))
+	return slices.DeleteFunc(found, func(each candidate) bool {
+		if p.Items[each.item].Silent == 0 {
+			return false
+		}
+		before := asked[each.engine]
+		asked[each.engine] = true
+		return before
+	})
 }
 
 // worthMoving reports whether an item that takes so long at its engine, and there at
