--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -120,7 +120,7 @@
 	described := scheduling.Item{
 		Priority: priority, BatchSince: job.adoptedAt,
 		Model: job.submission.Model, MinVersion: job.submission.MinVersion,
-		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Reckoned(each.cost, len(each.text)),
+		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Remaining(each.cost, len(each.text)),
 		GroupEngine: job.groups[each.Group], Waited: now.Sub(job.adoptedAt),
 	}
 	if each.attempts == 0 || each.state == itemRunning {
--- a/internal/scheduling/first.go
+++ b/internal/scheduling/first.go
@@ -20,7 +20,7 @@
 	// usualFirsts is the part of the first events that comes in the usual time, and
 	// overdue by what that is exceeded where something is wrong.
 	usualFirsts = 0.9
-	overdue     = 4
+	overdue     = 2.5
 )
 
 // FirstEvents learns how long the engines of each service take for the first event of an
@@ -66,5 +66,5 @@
 	count := min(known.count, rememberedFirsts)
 	slices.Sort(sorted[:count])
 	usual := sorted[int(usualFirsts*float64(count))]
-	return min(max(overdue*usual, shortestFirstEvent), LongestFirstEvent)
+	return min(max(time.Duration(overdue*float64(usual)), shortestFirstEvent), LongestFirstEvent)
 }
--- a/internal/scheduling/length.go
+++ b/internal/scheduling/length.go
@@ -86,12 +86,6 @@
 // tokens, and some events already: the median over the texts that got as far.
 func (l *Lengths) Remaining(hint int64, events int) float64 { return l.quantile(hint, events, 0.5) }
 
-// Reckoned returns how many events to reckon with where being too late is worse than having
-// been too careful: a third of the texts that got as far get longer.
-func (l *Lengths) Reckoned(hint int64, events int) float64 {
-	return l.quantile(hint, events, reckonedBelow)
-}
-
 // Most returns how many events come at most of a text, but for a few in a hundred of the
 // texts that got as far.
 func (l *Lengths) Most(hint int64, events int) float64 {
@@ -114,8 +108,6 @@
 }
 
 const (
-	// reckonedBelow is the part of the texts that get longer than is reckoned with.
-	reckonedBelow = 0.3
 	// mostlyBelow is the part of the texts that get longer than is said of all.
 	mostlyBelow = 0.05
 	// leastAbove is the smallest part of longer texts that is told from none.
--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -14,13 +14,17 @@
 	// and of the text so far at the other engine (10,000 tokens take 30 ms).
 	moveCost = 60 * time.Millisecond
 	// leastGain is by how much sooner an item must end for a move.
-	leastGain = 150 * time.Millisecond
+	leastGain = 300 * time.Millisecond
 	// clearlyFaster is how much of the time at its engine an item may take at
 	// another one for a move: paces are known to within a few hundredths.
 	clearlyFaster = 0.92
+	// silentMoves is how many items leave an engine at a time because their first event is
+	// overdue. There are some looks a second, so that a dark engine is left by all within
+	// the time in which one that changes its weights loses a few.
+	silentMoves = 2
 	// decisive is how long an item may take, by the time in which its step could end, and
 	// stay where it is: forecasts are off by that much, and a move costs a connection.
-	decisive = 0.3
+	decisive = 0.6
 )
 
 // candidate is a running item with the engine that it runs at.
@@ -33,7 +37,7 @@
 // moves returns the running items whose step ends sooner if they go on at another engine
 // with room: those that would end after its longest text could. The cost counts as lost,
 // so that an item is not moved to and fro. Of the items of which the first event is
-// overdue one at a time leaves an engine, as it may only be changing its weights.
+// overdue a few at a time leave an engine, as it may only be changing its weights.
 func (p *planner) moves() []Decision {
 	if p.Settled {
 		return nil
@@ -49,12 +53,17 @@
 			continue
 		}
 		there := item.Remaining * p.pace(target)
-		if !worthMoving(each.time, there) {
+		gain := rounded(each.time-there) - moveCost
+		switch {
+		case item.Silent > 0:
+			// Where it is it may get nothing until it is given up.
+			gain = max(LongestFirstEvent-item.RunFor, leastGain)
+		case !worthMoving(each.time, there):
 			continue
 		}
 		p.take(target, item)
 		p.left(item, each.engine)
-		decisions = append(decisions, Move{Item: each.item, Engine: target, Gain: rounded(each.time-there) - moveCost})
+		decisions = append(decisions, Move{Item: each.item, Engine: target, Gain: gain})
 	}
 	return decisions
 }
@@ -70,10 +79,7 @@
 			continue
 		}
 		time := item.Remaining * float64(p.Engines[engine].Pace)
-		switch {
-		case item.Silent > 0:
-			time += float64(item.RunFor)
-		case item.RunFor < leastRun || p.Engines[engine].Pace == 0:
+		if item.Silent == 0 && (item.RunFor < leastRun || p.Engines[engine].Pace == 0) {
 			continue
 		}
 		found = append(found, candidate{item: i, engine: engine, time: time})
@@ -85,14 +91,13 @@
 		}
 		return found[a].time > found[b].time
 	})
-	asked := make([]bool, len(p.Engines))
+	leaving := make([]int, len(p.Engines))
 	return slices.DeleteFunc(found, func(each candidate) bool {
 		if p.Items[each.item].Silent == 0 {
 			return false
 		}
-		before := asked[each.engine]
-		asked[each.engine] = true
-		return before
+		leaving[each.engine]++
+		return leaving[each.engine] > silentMoves
 	})
 }
 
