--- a/internal/scheduling/need.go
+++ b/internal/scheduling/need.go
@@ -12,8 +12,10 @@
 
 // tiers are the engines that may run the items of one class, by how fast they are.
 type tiers struct {
-	// fast engines are kept for texts that need them.
-	fast []bool
+	class
+	// fast engines are kept for texts that need them; fastest are their indices.
+	fast    []bool
+	fastest []int
 	// best is the time between two events at the best engine, ordinary at the others, in
 	// nanoseconds; 0 if too few paces are known.
 	best, ordinary float64
@@ -27,11 +29,20 @@
 // tier returns the engines of an item's class by how fast they are.
 func (p *planner) tier(item *Item) *tiers {
 	key := classOf(item)
-	if known := p.tiers[key]; known != nil {
-		return known
+	if p.lastTier != nil && p.lastTier.class == key {
+		return p.lastTier
+	}
+	known := p.tiers[key]
+	if known == nil {
+		known = p.newTiers(key, item)
+		p.tiers[key] = known
 	}
-	made := &tiers{fast: make([]bool, len(p.Engines))}
-	p.tiers[key] = made
+	p.lastTier = known
+	return known
+}
+
+func (p *planner) newTiers(key class, item *Item) *tiers {
+	made := &tiers{class: key, fast: make([]bool, len(p.Engines))}
 	var paces []float64
 	usable := 0
 	for i := range p.Engines {
@@ -51,6 +62,9 @@
 	upper := paces[len(paces)*3/4]
 	for i := range p.Engines {
 		made.fast[i] = p.Engines[i].Pace > 0 && p.pace(i) < clearlyFast*upper
+		if made.fast[i] {
+			made.fastest = append(made.fastest, i)
+		}
 	}
 	made.ordinary = upper
 	return made
@@ -59,8 +73,8 @@
 // kept reports whether the fast engines have room only for texts that need it.
 func (t *tiers) kept(p *planner) bool {
 	room := 0
-	for i, fast := range t.fast {
-		if fast && p.hasRoom(i) {
+	for _, i := range t.fastest {
+		if p.hasRoom(i) {
 			room += slotsOf(&p.Engines[i]) - p.inFlight[i]
 		}
 	}
@@ -75,6 +89,7 @@
 
 // step is what the items of one batch come to.
 type step struct {
+	stepKey
 	// end is in how long its longest text could be whole at the best engine, in
 	// nanoseconds.
 	end float64
@@ -86,11 +101,15 @@
 
 func (p *planner) step(item *Item) *step {
 	key := stepKey{class: classOf(item), since: item.BatchSince}
+	if p.lastStep != nil && p.lastStep.stepKey == key {
+		return p.lastStep
+	}
 	known := p.steps[key]
 	if known == nil {
-		known = &step{}
+		known = &step{stepKey: key}
 		p.steps[key] = known
 	}
+	p.lastStep = known
 	return known
 }
 
@@ -141,10 +160,8 @@
 // slots is how many requests of this owner the fast engines take.
 func (t *tiers) slots(p *planner) int {
 	slots := 0
-	for i, fast := range t.fast {
-		if fast {
-			slots += max(slotsOf(&p.Engines[i])-p.Engines[i].Others, 0)
-		}
+	for _, i := range t.fastest {
+		slots += max(slotsOf(&p.Engines[i])-p.Engines[i].Others, 0)
 	}
 	return slots
 }
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -99,7 +99,7 @@
 	if engine := p.best(item, true); engine >= 0 {
 		return engine
 	}
-	if item.Most > 0 && p.tier(item).kept(p) {
+	if p.pool(item, false).top() < 0 || item.Most > 0 && p.tier(item).kept(p) {
 		return -1
 	}
 	return p.best(item, false)
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -129,8 +129,11 @@
 	tiers   map[class]*tiers
 	steps   map[stepKey]*step
 	pools   map[poolKey]*pool
-	// last is the pool asked for last: items in order mostly share one.
-	last *pool
+	// last is the pool asked for last, lastTier and lastStep are likewise: items in order
+	// mostly share one.
+	last     *pool
+	lastTier *tiers
+	lastStep *step
 }
 
 func newPlanner(snapshot Snapshot) *planner {
