--- /dev/null
+++ b/internal/runner/placement_test.go
@@ -0,0 +1,61 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"woodworks/internal/journal/journaltest"
+	"woodworks/internal/route"
+	"woodworks/internal/scheduling"
+)
+
+// told returns what the scheduler is told of the items of newOwner's batch.
+func told(owner *Runner) []scheduling.Item { return owner.views(time.Now())["s"].Items }
+
+// An item whose first event takes longer than is usual is told to be silent, until its
+// run brings one.
+func TestTheSchedulerHearsOfOverdueFirstEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		owner := newOwner(ctx, t, journaltest.New(), "a/1")
+		is.NoErr(owner.Accept(ctx, &twoItems))
+		synctest.Wait()
+		begun := running(owner, 1)
+		begun.items[0].startedAt = time.Now()
+		for range 100 {
+			owner.firsts.Took("s", 20*time.Millisecond)
+		}
+		usual := owner.firsts.Patience("s")
+		is.True(usual < scheduling.LongestFirstEvent)
+		time.Sleep(usual)
+		is.Equal(told(owner)[0].Silent, time.Duration(0))
+		time.Sleep(time.Second)
+		is.Equal(told(owner)[0].Silent, time.Second)
+		begun.answers(begun.items[0], 1, &route.Route{Shares: []route.Share{{Service: "s", Weight: 1}}})
+		is.Equal(told(owner)[0].Silent, time.Duration(0))
+	})
+}
+
+// Only items that were never begun may be held back for their step's sake.
+func TestItemsThatFailedAreNotHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		owner := newOwner(ctx, t, journaltest.New(), "a/1")
+		is.NoErr(owner.Accept(ctx, &twoItems))
+		synctest.Wait()
+		owner.jobList()[0].items[0].attempts = 1
+		time.Sleep(time.Second)
+		items := told(owner)
+		is.Equal(items[0].Most, 0.0)
+		is.True(items[1].Most > items[1].Remaining)
+		is.Equal(items[1].Waited, time.Second)
+	})
+}
--- a/internal/scheduling/length_test.go
+++ b/internal/scheduling/length_test.go
@@ -16,10 +16,14 @@
 		for range rapid.IntRange(0, 30).Draw(t, "texts") {
 			lengths.Finished(rapid.Int64Range(-1, 1<<40).Draw(t, "hint"), rapid.IntRange(-1, 1<<20).Draw(t, "events"))
 		}
-		remaining := lengths.Remaining(rapid.Int64Range(-1, 1<<40).Draw(t, "hint"), rapid.IntRange(0, 1<<20).Draw(t, "so far"))
+		hint, soFar := rapid.Int64Range(-1, 1<<40).Draw(t, "hint"), rapid.IntRange(0, 1<<20).Draw(t, "so far")
+		remaining, most := lengths.Remaining(hint, soFar), lengths.Most(hint, soFar)
 		if !(remaining > 0) || math.IsInf(remaining, 0) {
 			t.Fatalf("%v events remain", remaining)
 		}
+		if !(most >= remaining) || math.IsInf(most, 0) {
+			t.Fatalf("%v events remain, %v at most", remaining, most)
+		}
 	})
 }
 
@@ -41,3 +45,33 @@
 	// The longer hint stays the longer text while both run.
 	is.True(lengths.Remaining(20000, 50) > lengths.Remaining(10000, 50))
 }
+
+// A hint that is far off the usual is so in part by its own error, no text is expected to
+// get longer than the longest, and few get longer than is said of most.
+func TestForecastsOfUnevenTexts(t *testing.T) {
+	is := is.New(t)
+	source := rand.New(rand.NewPCG(3, 4))
+	draw := func() (hint int64, events int) {
+		length := max(min(math.Round(14*math.Exp(0.9*source.NormFloat64())), 145), 1)
+		return int64(max(length*75*math.Exp(0.5*source.NormFloat64()), 1)), int(length)
+	}
+	lengths := NewLengths()
+	for range 2000 {
+		lengths.Finished(draw())
+	}
+	is.True(lengths.Remaining(400*75, 0) <= 145)
+	is.True(lengths.Remaining(75, 0) > 1.5)
+	const texts = 2000
+	longer, below := 0, 0
+	for range texts {
+		hint, events := draw()
+		if float64(events) > lengths.Most(hint, 0) {
+			longer++
+		}
+		if float64(events) < lengths.Remaining(hint, 0) {
+			below++
+		}
+	}
+	is.True(longer > texts*2/100 && longer < texts*8/100)
+	is.True(below > texts*40/100 && below < texts*60/100)
+}
--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -46,3 +46,21 @@
 		})
 	}
 }
+
+// What rests no longer is not counted, also before it is swept away: texts are sent where
+// a connection may be used again.
+func TestOnlyConnectionsThatMayBeUsedCountAsResting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe()
+		pool := NewPool(Options{Clock: time.Now})
+		conn := newConnection(pool, "peer", near)
+		is.Equal(pool.Resting("peer"), 0)
+		pool.put(conn, time.Now().Add(time.Second))
+		is.Equal(pool.Resting("peer"), 1)
+		time.Sleep(time.Second)
+		is.Equal(pool.Resting("peer"), 0)
+		conn.close()
+		_ = far.Close() // it is not read any more
+	})
+}
