Fast engines that hold other weights count for nothing

Cause: engines hold the weights of one model at a time, and an owner remembers the paces of those that it used before. They were counted among the places that the longest texts could have, and as free ones, so that short texts took the places that were to be kept. TestOnlyEnginesThatMayRunATextCountAsFastForIt fails without.

--- a/internal/scheduling/need.go
+++ b/internal/scheduling/need.go
@@ -61,7 +61,7 @@
 	made.best = paces[0]
 	upper := paces[len(paces)*3/4]
 	for i := range p.Engines {
-		made.fast[i] = p.Engines[i].Pace > 0 && p.pace(i) < clearlyFast*upper
+		made.fast[i] = p.holds(i, item) && p.Engines[i].Pace > 0 && p.pace(i) < clearlyFast*upper
 		if made.fast[i] {
 			made.fastest = append(made.fastest, i)
 		}
--- a/internal/scheduling/placement_test.go
+++ b/internal/scheduling/placement_test.go
@@ -107,6 +107,20 @@
 	is.Equal(move.Item, 0)
 }
 
+// A fast engine that has only older weights, or another model's, counts for nothing: its
+// places are neither kept nor those that the longest texts could have.
+func TestOnlyEnginesThatMayRunATextCountAsFastForIt(t *testing.T) {
+	is := is.New(t)
+	item := Item{Model: testModel, MinVersion: 1, Remaining: 140, Most: 140}
+	snapshot := uneven(0, item)
+	other := paced("other", loadFast)
+	other.Versions = map[string]int64{testModel: 0}
+	snapshot.Engines = append(snapshot.Engines, other)
+	planner := newPlanner(snapshot)
+	is.Equal(planner.tier(&item).fastest, []int{0})
+	is.Equal(planner.tier(&item).slots(planner), 12)
+}
+
 // Short texts start as the step's end leaves room, where a connection rests if there is
 // one, and none is held longer than is stated.
 func TestShortTextsWaitWhileTheStepLeavesRoom(t *testing.T) {
