--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -14,7 +14,7 @@
 	// and of the text so far at the other engine (10,000 tokens take 30 ms).
 	moveCost = 60 * time.Millisecond
 	// leastGain is by how much sooner an item must end for a move.
-	leastGain = 200 * time.Millisecond
+	leastGain = 150 * time.Millisecond
 	// clearlyFaster is how much of the time at its engine an item may take at
 	// another one for a move: paces are known to within a few hundredths.
 	clearlyFaster = 0.92
