Connections count only for texts that are surely short

Cause: where engines are alike, or a text is no short one, the score of a connection that rests counted too, and long texts went to engines with more beside them. Engines are now chosen among all, all but the fast, or all but the fast with regard to connections.

--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -115,7 +115,7 @@
 
 // target returns the engine that an item should go on at, or -1.
 func (p *planner) target(item *Item, at int) int {
-	top := p.pool(item, false).top()
+	top := p.pool(item, anyEngine).top()
 	if top != at {
 		return top
 	}
--- a/internal/scheduling/pick.go
+++ b/internal/scheduling/pick.go
@@ -76,15 +76,27 @@
 // poolKey names the engines for the items of one class.
 type poolKey struct {
 	class
-	// spare leaves out the fast engines, and prefers those where a connection rests.
-	spare bool
+	choice choice
 }
 
+// choice is which engines a text may go to.
+type choice int
+
+const (
+	// anyEngine: all that may run it.
+	anyEngine choice = iota
+	// ordinary: all but the fast ones.
+	ordinary
+	// connected: likewise, and rather one to which a connection rests.
+	connected
+)
+
 // pool has the engines that may run the items of one class, the best on top. Its
 // order may be out of date as room is taken: top puts it right.
 type pool struct {
 	poolKey
 	planner *planner
+	tiers   *tiers
 	engines []int
 	scores  []float64
 }
@@ -93,21 +105,31 @@
 // Texts that need no fast engine go to one only if no other has room, and it need not be
 // kept.
 func (p *planner) pick(item *Item) int {
-	if p.needs(item) {
-		return p.best(item, false)
-	}
-	if engine := p.best(item, true); engine >= 0 {
+	wanted := p.choiceOf(item)
+	if engine := p.best(item, wanted); engine >= 0 || wanted == anyEngine {
 		return engine
 	}
-	if p.pool(item, false).top() < 0 || item.Most > 0 && p.tier(item).kept(p) {
+	if p.pool(item, anyEngine).top() < 0 || item.Most > 0 && p.tier(item).kept(p) {
 		return -1
 	}
-	return p.best(item, false)
+	return p.best(item, anyEngine)
 }
 
-// best returns the best engine for an item, with the fast ones or without.
-func (p *planner) best(item *Item, spare bool) int {
-	pool := p.pool(item, spare)
+// choiceOf returns to which engines an item should go.
+func (p *planner) choiceOf(item *Item) choice {
+	switch {
+	case p.short(item):
+		return connected
+	case len(p.tier(item).fastest) == 0 || p.needs(item):
+		return anyEngine
+	default:
+		return ordinary
+	}
+}
+
+// best returns the best engine for an item of those that it may go to.
+func (p *planner) best(item *Item, choice choice) int {
+	pool := p.pool(item, choice)
 	best := pool.top()
 	if best < 0 {
 		return -1
@@ -117,14 +139,14 @@
 		return best
 	}
 	near, ok := p.byID[item.GroupEngine]
-	if ok && near != best && p.mayRun(near, item) && !(spare && p.tier(item).fast[near]) && pool.score(near)-groupBonus < pool.score(best) {
+	if ok && near != best && p.mayRun(near, item) && pool.takes(near) && pool.score(near)-groupBonus < pool.score(best) {
 		return near
 	}
 	return best
 }
 
-func (p *planner) pool(item *Item, spare bool) *pool {
-	key := poolKey{class: classOf(item), spare: spare}
+func (p *planner) pool(item *Item, choice choice) *pool {
+	key := poolKey{class: classOf(item), choice: choice}
 	if p.last != nil && p.last.poolKey == key {
 		return p.last
 	}
@@ -132,9 +154,9 @@
 		p.last = known
 		return known
 	}
-	made := &pool{planner: p, poolKey: key}
+	made := &pool{planner: p, poolKey: key, tiers: p.tier(item)}
 	for i := range p.Engines {
-		if p.mayRun(i, item) && !(spare && p.tier(item).fast[i]) {
+		if p.mayRun(i, item) && made.takes(i) {
 			made.engines = append(made.engines, i)
 			made.scores = append(made.scores, made.score(i))
 		}
@@ -145,10 +167,15 @@
 	return made
 }
 
+// takes reports whether an engine is one of those that the pool is for.
+func (pool *pool) takes(engine int) bool {
+	return pool.choice == anyEngine || !pool.tiers.fast[engine]
+}
+
 // score is lower for a better engine.
 func (pool *pool) score(engine int) float64 {
 	score := pool.planner.score(engine)
-	if pool.spare && pool.planner.resting[engine] == 0 {
+	if pool.choice == connected && pool.planner.resting[engine] == 0 {
 		score += connecting
 	}
 	return score
