--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -63,7 +63,9 @@
 		seen.Zone = runner.forwarder.Zone
 		seen.replicas = runner.table.Replicas(service)
 		for _, each := range seen.replicas {
-			seen.Engines = append(seen.Engines, runner.sharing.fill(engineOf(each, now), each, now))
+			engine := runner.sharing.fill(engineOf(each, now), each, now)
+			engine.Connected = runner.forwarder.Pool.Resting(each.Address)
+			seen.Engines = append(seen.Engines, engine)
 		}
 		seen.nameGroupEngines()
 	}
@@ -112,7 +114,11 @@
 			seen = &view{}
 			views[service] = seen
 		}
-		seen.Items = append(seen.Items, job.describe(each, found, priority, now))
+		described := job.describe(each, found, priority, now)
+		if runs && !each.answered {
+			described.Silent = max(described.RunFor-job.runner.firsts.Patience(service), 0)
+		}
+		seen.Items = append(seen.Items, described)
 		seen.pending = append(seen.pending, pending{job: job, item: each, route: found})
 	}
 }
@@ -131,6 +137,11 @@
 		Model: job.submission.Model, MinVersion: job.submission.MinVersion,
 		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Remaining(each.cost, len(each.text)),
 		GroupEngine: string(job.groups[each.Group]), // becomes an engine's id in nameGroupEngines
+		Waited:      now.Sub(job.adoptedAt),
+	}
+	if each.attempts == 0 || each.state == itemRunning {
+		// One that failed goes on at once.
+		described.Most = job.lengths.Most(each.cost, len(each.text))
 	}
 	if each.state == itemRunning {
 		described.Engine, described.RunFor = each.lastReplica, now.Sub(each.startedAt)
@@ -158,6 +169,7 @@
 	item.startedAt = time.Now()
 	item.account.enter(phasePrompt, item.startedAt)
 	item.release()
+	item.answered = false
 	item.run++
 	run := item.run
 	job.groups[item.Group] = chosen.Start()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -18,6 +18,7 @@
 	"woodworks/internal/ledger"
 	"woodworks/internal/replica"
 	"woodworks/internal/route"
+	"woodworks/internal/scheduling"
 )
 
 // Errors of taking work in.
@@ -60,6 +61,8 @@
 	// locator is nil where nobody tells where batches begin.
 	locator Locator
 	history *history
+	// firsts are how long first events take.
+	firsts  scheduling.FirstEvents
 	observe Observer
 	// sharing is nil where other owners are not heard.
 	sharing *sharing
--- /dev/null
+++ b/internal/scheduling/load_test.go
@@ -0,0 +1,117 @@
+package scheduling
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// text is one text of the load: what is known of it, its true length, and how it goes.
+type text struct {
+	Item
+	group        int
+	hint         int64
+	length, made float64
+	// ready is when it begins to be made where it is, done when it was whole.
+	begins, ready, done time.Duration
+}
+
+// load plays bursts of two owners on engines of two speeds, in virtual time.
+type load struct {
+	engines []Engine
+	texts   []*text
+	// rests has until when connections of an owner rest at an engine.
+	rests              map[string][]time.Duration
+	lengths            *Lengths
+	connections, moves int
+}
+
+// newLoad makes 45 engines, a quarter of them fast, and bursts of 18 groups of 8 texts,
+// one for each owner every 4 s. Hints are off by a factor of e^0.5 (standard deviation).
+func newLoad(seed uint64) *load {
+	made := &load{rests: map[string][]time.Duration{}, lengths: NewLengths()}
+	for i := range 45 {
+		pace := []time.Duration{loadFast, loadSlow, loadSlow, loadSlow}[i%4]
+		made.engines = append(made.engines, Engine{ID: fmt.Sprint("e", i), Slots: 8, Pace: pace, Versions: map[string]int64{"0": 1, "1": 1}})
+	}
+	random := rand.New(rand.NewPCG(seed, seed))
+	for i := range loadBatches * loadGroups * 8 {
+		batch := i / (loadGroups * 8)
+		each := &text{group: i / 8, begins: time.Duration(batch/2) * 4 * time.Second}
+		each.length = max(min(math.Round(14*math.Exp(0.9*random.NormFloat64())), 145), 1)
+		each.hint = int64(max(each.length*tokensPerEvent*math.Exp(0.5*random.NormFloat64()), 1))
+		each.Item = Item{Model: fmt.Sprint(batch % 2), BatchSince: testStart.Add(each.begins)}
+		made.texts = append(made.texts, each)
+	}
+	return made
+}
+
+// play goes on in steps until all texts are whole.
+func (l *load) play() {
+	const tick = 25 * time.Millisecond
+	for now, open := time.Duration(0), len(l.texts); open > 0; now += tick {
+		for _, owner := range []string{"0", "1"} {
+			l.decide(owner, now)
+		}
+		loads := map[string]float64{}
+		for _, each := range l.texts {
+			loads[each.Engine] += loadOf(each.made)
+		}
+		for _, each := range l.texts {
+			if each.Engine == "" || now < each.ready {
+				continue
+			}
+			at := slices.IndexFunc(l.engines, func(engine Engine) bool { return engine.ID == each.Engine })
+			each.made += float64(tick) / (float64(l.engines[at].Pace) * (1 + loads[each.Engine]))
+			if each.made >= each.length {
+				l.rests[each.Model+each.Engine] = append(l.rests[each.Model+each.Engine], now+1100*time.Millisecond)
+				each.done, each.Engine = now+tick, ""
+				l.lengths.Finished(each.hint, int(each.length))
+				open--
+			}
+		}
+	}
+}
+
+// decide lets an owner plan, and does what it says.
+func (l *load) decide(owner string, now time.Duration) {
+	snapshot := Snapshot{Engines: slices.Clone(l.engines), Settled: now%(250*time.Millisecond) != 0}
+	var own []*text
+	for _, each := range l.texts {
+		at := slices.IndexFunc(l.engines, func(engine Engine) bool { return engine.ID == each.Engine })
+		switch {
+		case each.done > 0 || each.begins > now:
+		case each.Model != owner && at >= 0:
+			snapshot.Engines[at].Others++
+		case each.Model == owner:
+			each.Done, each.RunFor, each.Waited = int(each.made), now-each.ready, now-each.begins
+			each.Remaining, each.Most = l.lengths.Remaining(each.hint, each.Done), l.lengths.Most(each.hint, each.Done)
+			own, snapshot.Items = append(own, each), append(snapshot.Items, each.Item)
+			if at >= 0 {
+				snapshot.Engines[at].InFlight++
+			}
+		}
+	}
+	for i := range snapshot.Engines {
+		engine := &snapshot.Engines[i]
+		l.rests[owner+engine.ID] = slices.DeleteFunc(l.rests[owner+engine.ID], func(until time.Duration) bool { return until < now })
+		engine.Connected = len(l.rests[owner+engine.ID])
+		engine.Pace += engine.Pace * time.Duration(7*(engine.InFlight+engine.Others)) / 1000
+	}
+	for _, decision := range Plan(snapshot) {
+		start, starts := decision.(Start)
+		if move, moves := decision.(Move); moves {
+			start = Start{Item: move.Item, Engine: move.Engine}
+			l.moves++
+		}
+		resting := l.rests[owner+l.engines[start.Engine].ID]
+		l.rests[owner+l.engines[start.Engine].ID] = resting[min(1, len(resting)):]
+		l.connections += 1 - min(1, len(resting))
+		own[start.Item].Engine, own[start.Item].ready = l.engines[start.Engine].ID, now+moveCost
+		if starts {
+			own[start.Item].ready = now + 20*time.Millisecond
+		}
+	}
+}
--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -17,6 +18,13 @@
 	// clearlyFaster is how much of the time at its engine an item may take at
 	// another one for a move: paces are known to within a few hundredths.
 	clearlyFaster = 0.92
+	// silentMoves is how many items leave an engine at a time because their first event is
+	// overdue. There are some looks a second, so that a dark engine is left by all within
+	// the time in which one that changes its weights loses a few.
+	silentMoves = 2
+	// decisive is how long an item may take, by the time in which its step could end, and
+	// stay where it is: forecasts are off by that much, and a move costs a connection.
+	decisive = 0.6
 )
 
 // candidate is a running item with the engine that it runs at.
@@ -26,8 +34,10 @@
 	time float64
 }
 
-// moves returns the running items that end sooner at another engine with room. The
-// cost counts as lost, so that an item is not moved to and fro.
+// moves returns the running items whose step ends sooner if they go on at another engine
+// with room: those that would end after its longest text could. The cost counts as lost,
+// so that an item is not moved to and fro. Of the items of which the first event is
+// overdue a few at a time leave an engine, as it may only be changing its weights.
 func (p *planner) moves() []Decision {
 	if p.Settled {
 		return nil
@@ -35,16 +45,24 @@
 	var decisions []Decision
 	for _, each := range p.movable() {
 		item := &p.Items[each.item]
-		target := p.pool(item).top()
-		if target < 0 || target == each.engine {
+		if !p.decides(item, each.time) {
+			continue
+		}
+		target := p.target(item, each.engine)
+		if target < 0 {
 			continue
 		}
 		there := item.Remaining * p.pace(target)
 		gain := rounded(each.time-there) - moveCost
-		if gain < leastGain || there > clearlyFaster*each.time {
+		switch {
+		case item.Silent > 0:
+			// Where it is it may get nothing until it is given up.
+			gain = max(LongestFirstEvent-item.RunFor, leastGain)
+		case !worthMoving(each.time, there):
 			continue
 		}
 		p.take(target, item)
+		p.left(item, each.engine)
 		decisions = append(decisions, Move{Item: each.item, Engine: target, Gain: gain})
 	}
 	return decisions
@@ -57,10 +75,14 @@
 	for i := range p.Items {
 		item := &p.Items[i]
 		engine, known := p.byID[item.Engine]
-		if !known || item.Fixed || item.RunFor < leastRun || p.Engines[engine].Pace == 0 {
+		if !known || item.Fixed {
+			continue
+		}
+		time := item.Remaining * float64(p.Engines[engine].Pace)
+		if item.Silent == 0 && (item.RunFor < leastRun || p.Engines[engine].Pace == 0) {
 			continue
 		}
-		found = append(found, candidate{item: i, engine: engine, time: item.Remaining * float64(p.Engines[engine].Pace)})
+		found = append(found, candidate{item: i, engine: engine, time: time})
 	}
 	sort.SliceStable(found, func(a, b int) bool {
 		first, second := &p.Items[found[a].item], &p.Items[found[b].item]
@@ -69,5 +91,42 @@
 		}
 		return found[a].time > found[b].time
 	})
-	return found
+	leaving := make([]int, len(p.Engines))
+	return slices.DeleteFunc(found, func(each candidate) bool {
+		if p.Items[each.item].Silent == 0 {
+			return false
+		}
+		leaving[each.engine]++
+		return leaving[each.engine] > silentMoves
+	})
+}
+
+// worthMoving reports whether an item that takes so long at its engine, and there at
+// another, in nanoseconds, should go on there.
+func worthMoving(here, there float64) bool {
+	return rounded(here-there)-moveCost >= leastGain && there <= clearlyFaster*here
+}
+
+// decides reports whether an item that takes some time more at its engine ends after its
+// step could.
+func (p *planner) decides(item *Item, time float64) bool {
+	return item.Silent > 0 || time > decisive*p.step(item).end
+}
+
+// target returns the engine that an item should go on at, or -1.
+func (p *planner) target(item *Item, at int) int {
+	top := p.pool(item, anyEngine).top()
+	if top != at {
+		return top
+	}
+	if item.Silent == 0 {
+		return -1
+	}
+	best := -1
+	for i := range p.Engines {
+		if i != at && p.mayRun(i, item) && (best < 0 || p.score(i) < p.score(best)) {
+			best = i
+		}
+	}
+	return best
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -135,11 +135,21 @@
 // Rests reports whether a connection to a peer rests that may be used. It may turn out to
 // be closed.
 func (pool *Pool) Rests(address string) bool {
+	return pool.Resting(address) > 0
+}
+
+// Resting returns how many connections to a peer rest and may be used still.
+func (pool *Pool) Resting(address string) int {
 	now := pool.now()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	resting := pool.idle[address]
-	return len(resting) > 0 && resting[len(resting)-1].usable(now, true)
+	count := 0
+	for _, conn := range pool.idle[address] {
+		if conn.usable(now, true) {
+			count++
+		}
+	}
+	return count
 }
 
 // Dials returns how many connections were made.
