Headroom of the collector is a setting

Cause: how much garbage gathers between two collections was the runtime's own 100 % of what is live everywhere; where memory is dear an operator could not trade processor time for it. Change: limits.memory_headroom, in percent, 10 at least, in force at a reload; the default is as before. A reload of either bound applies both.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -29,6 +29,7 @@
 const (
 	keyStopGrace = "timing.stop_grace"
 	keyMemory    = "limits.memory_mb"
+	keyHeadroom  = "limits.memory_headroom"
 	keyLogLevel  = "log.level"
 )
 
@@ -109,7 +110,7 @@
 }
 
 // change brings one setting into force and reports whether it could. A file that is just
-// being written may lack its end, so that for the two bounds the default never replaces
+// being written may lack its end, so that for the bounds the default never replaces
 // what a whole file has named: a longer grace would be cut by the supervisor.
 func (l *live) change(key string, again settings.Settings) bool {
 	defaults := settings.Defaults()
@@ -119,7 +120,10 @@
 		l.setStopGrace(again.Timing.StopGrace.Std())
 	case key == keyMemory && again.Limits.MemoryMB != defaults.Limits.MemoryMB:
 		l.inForce.Limits.MemoryMB = again.Limits.MemoryMB
-		limitMemory(again.Limits)
+		limitMemory(l.inForce.Limits)
+	case key == keyHeadroom && again.Limits.MemoryHeadroom != defaults.Limits.MemoryHeadroom:
+		l.inForce.Limits.MemoryHeadroom = again.Limits.MemoryHeadroom
+		limitMemory(l.inForce.Limits)
 	case key == keyLogLevel:
 		if err := logging.SetLevel(again.Log.Level); err != nil {
 			l.logger.Error("log level refused", zap.Error(err))
@@ -132,13 +136,15 @@
 	return true
 }
 
-// limitMemory has the heap collected in time for the bound, if there is one.
+// limitMemory has the heap collected as the headroom says, and in time for the bound, if
+// there is one.
 func limitMemory(limits settings.Limits) {
 	limit := int64(math.MaxInt64)
 	if limits.MemoryMB > 0 {
 		limit = int64(memoryShare * float64(limits.MemoryMB) * (1 << 20))
 	}
 	debug.SetMemoryLimit(limit)
+	debug.SetGCPercent(limits.MemoryHeadroom)
 }
 
 // changedKeys returns the settings in which two values differ, as they are named in
--- a/internal/cli/reload_test.go
+++ b/internal/cli/reload_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"reflect"
+	"runtime/debug"
 	"strings"
 	"syscall"
 	"testing"
@@ -56,6 +57,21 @@
 	is.NoErr(d.end())
 }
 
+// The headroom of the collector comes into force with a reload, and a file that names none,
+// as it may be half written, leaves it.
+func TestAReloadChangesTheMemoryHeadroom(t *testing.T) {
+	is := is.New(t)
+	before := debug.SetGCPercent(100)
+	defer debug.SetGCPercent(before)
+	l := &live{inForce: settings.Defaults(), logger: zap.NewNop()}
+	again := settings.Defaults()
+	again.Limits.MemoryHeadroom = 37
+	l.take(reading{settings: again})
+	is.Equal(debug.SetGCPercent(37), 37)
+	l.take(reading{settings: settings.Defaults()})
+	is.Equal(debug.SetGCPercent(100), 37)
+}
+
 // Signals that storm in during a stop are one line at most each and delay nothing.
 func TestAStormOfReloadsDelaysNoStop(t *testing.T) {
 	is := is.New(t)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,10 @@
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// MemoryMB is what the process may use in all, in megabytes; 0 names no bound.
 	MemoryMB int `yaml:"memory_mb"`
+	// MemoryHeadroom is how much garbage may gather before the heap is collected, in
+	// percent of what is live: less of it costs processor time and saves memory. The
+	// bound of MemoryMB holds whatever it is.
+	MemoryHeadroom int `yaml:"memory_headroom"`
 }
 
 // Timing holds the daemon's bounds in time.
@@ -177,11 +181,20 @@
 // Std returns the value as a time.Duration.
 func (duration Duration) Std() time.Duration { return time.Duration(duration) }
 
+const (
+	// defaultHeadroom is the runtime's own, in percent.
+	defaultHeadroom = 100
+	// minHeadroom is the least headroom in percent: with less a process whose memory
+	// hardly changes does little else than collect.
+	minHeadroom = 10
+)
+
 // Defaults returns the settings used where the file and the flags say nothing.
 func Defaults() Settings {
 	return Settings{
 		Limits: Limits{
-			MaxBodyBytes: 8 << 20,
+			MaxBodyBytes:   8 << 20,
+			MemoryHeadroom: defaultHeadroom,
 		},
 		Timing: Timing{
 			ConfirmBound:    Duration(4 * time.Second),
@@ -305,6 +318,7 @@
 		require(digestPattern.MatchString(operator.KeySHA256), fmt.Sprintf("operators[%d].key_sha256", i), "must be 64 lower-case hexadecimal digits")
 	}
 	require(loaded.Limits.MemoryMB >= 0, "limits.memory_mb", "must not be below 0")
+	require(loaded.Limits.MemoryHeadroom >= minHeadroom, "limits.memory_headroom", fmt.Sprintf("must be at least %d", minHeadroom))
 	require(loaded.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "must be above 0")
 	checkPositive := func(duration Duration, key string) {
 		require(duration > 0, key, "must be above 0s")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,18 @@
 	is.Equal(keys, []string{"name", "listen.public", "limits.max_body_bytes", "timing.stop_grace", "log.level"})
 }
 
+// A headroom that leaves the process to collect all the time is refused, and a small one
+// that works is taken.
+func TestTheMemoryHeadroomIsChecked(t *testing.T) {
+	is := is.New(t)
+	for text, keys := range map[string]int{"9": 1, "-1": 1, "10": 0} {
+		loaded, err := settings.Parse([]byte(whole + "limits: {memory_headroom: " + text + "}\n"))
+		is.NoErr(err)
+		faults, _ := loaded.Check().(settings.Faults)
+		is.Equal(len(faults), keys)
+	}
+}
+
 func TestUnknownKeysAndWrongTypesAreRefused(t *testing.T) {
 	is := is.New(t)
 	_, err := settings.Parse([]byte(whole + "limit: 3\nlimits: {max_body_bytes: many}\n"))
