Repeated conditions are summed in the log, and its volume is bounded

The limiter knew no total: 200 lines a second of each of up to 500 kinds. Of a daemon 1,000 lines and 256 KiB a second are written in all, a fifth kept for warnings and errors. 'dependency lost' and 'regained' are edges already.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,7 @@
 
 	"woodworks/internal/bootclock"
 	"woodworks/internal/headers"
+	"woodworks/internal/logging"
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/upstream"
@@ -170,6 +172,9 @@
 	// Observe is told of each offer to a replica: the service, how it ended and
 	// how long it took.
 	Observe func(service, outcome string, took time.Duration)
+
+	failedOnce sync.Once
+	failed     *logging.Episodes
 }
 
 // now reads the clock by which callers wait.
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/logging"
 	"woodworks/internal/replica"
 	"woodworks/internal/upstream"
 )
@@ -91,7 +92,14 @@
 		return
 	}
 	forwarder.Table.Failed(chosen.ID)
-	forwarder.Logger.Info("replica failed", zap.String("replica", chosen.ID), zap.String("service", chosen.Service), zap.Error(err))
+	forwarder.failures().Note(logging.Occurrence{Key: chosen.ID}, zap.String("service", chosen.Service), zap.Error(err))
+}
+
+// failures sums the failures of each replica; what they did to a request is in its
+// "offer failed".
+func (forwarder *Forwarder) failures() *logging.Episodes {
+	forwarder.failedOnce.Do(func() { forwarder.failed = logging.NewEpisodes(forwarder.Logger, "replica failed", "replica", "") })
+	return forwarder.failed
 }
 
 // exchange sends the call and reads the answer, whole if it is short.
--- /dev/null
+++ b/internal/journal/flood_test.go
@@ -0,0 +1,49 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"woodworks/internal/journal"
+)
+
+// Answers that show others to be lost are summed likewise.
+func TestGivenUpCallsAreSummed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		core, logged := observer.New(zapcore.InfoLevel)
+		log := journal.Revive(&halfDeaf{}, zap.New(core))
+		for i := range 250 {
+			lost := journal.Read{Partition: journal.Partition{Topic: fmt.Sprint("t", i%4)}}
+			go func() { _, _ = log.Read(t.Context(), lost) }()
+			time.Sleep(200 * time.Millisecond)
+			_, _ = log.Read(t.Context(), journal.Read{Partition: lost.Partition, From: 1})
+		}
+		time.Sleep(time.Minute)
+		lines := logged.FilterMessage("journal answers again").All()
+		is.True(log.GivenUp() >= 200)
+		is.True(len(lines) <= 52)
+		last := lines[len(lines)-1].ContextMap()
+		is.Equal(last["times"], int64(log.GivenUp()))
+		is.Equal(last["topics"], int64(4))
+	})
+}
+
+// halfDeaf is a journal that never answers reads from the beginning.
+type halfDeaf struct{ journal.Journal }
+
+func (*halfDeaf) Read(ctx context.Context, request journal.Read) (journal.Records, error) {
+	if request.From == 0 {
+		<-ctx.Done()
+		return journal.Records{}, ctx.Err()
+	}
+	return journal.Records{}, nil
+}
--- a/internal/journal/revive.go
+++ b/internal/journal/revive.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"woodworks/internal/logging"
 )
 
 const (
@@ -39,7 +41,9 @@
 //	log := journal.Revive(log, logger)
 type Revived struct {
 	Journal
-	logger *zap.Logger
+	// answers sums the answers after which calls were given up: in an outage that takes
+	// part of all calls each of them is one.
+	answers *logging.Episodes
 
 	mu      sync.Mutex
 	pending map[*pendingCall]struct{}
@@ -63,7 +67,7 @@
 
 // Revive wraps a journal.
 func Revive(log Journal, logger *zap.Logger) *Revived {
-	return &Revived{Journal: log, logger: logger, pending: map[*pendingCall]struct{}{}, answeredAt: time.Now()}
+	return &Revived{Journal: log, answers: logging.NewEpisodes(logger, "journal answers again", "", "topics"), pending: map[*pendingCall]struct{}{}, answeredAt: time.Now()}
 }
 
 // GivenUp returns how many calls were given up.
@@ -109,8 +113,9 @@
 		return
 	}
 	r.givenUp += uint64(givenUp)
-	r.logger.Info("journal answers again", zap.Int("calls_given_up", givenUp), zap.String("topic", call.partition.Topic),
-		zap.Int("partition", call.partition.Number), zap.Duration("took", now.Sub(call.began)))
+	took := now.Sub(call.began)
+	r.answers.Note(logging.Occurrence{Subject: call.partition.Topic, Took: took, Times: givenUp}, zap.Int("calls_given_up", givenUp),
+		zap.String("topic", call.partition.Topic), zap.Int("partition", call.partition.Number), zap.Duration("took", took))
 }
 
 // patience returns how long a call may be overdue when another has been
--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -15,6 +15,14 @@
 	linesPerSecond = 200
 	// maxKinds bounds the kinds of lines told apart.
 	maxKinds = 500
+	// linesInAll and bytesInAll are how much is written in a second of all kinds together.
+	// A daemon writes some lines for each of its requests and items, and has a few hundred
+	// of those a second; one whose every call fails writes no more than this either.
+	linesInAll = 1000
+	bytesInAll = 256 << 10
+	// warningShare is one in so many of both that only warnings and errors may use: what is
+	// wrong is told beside any flood of what is usual.
+	warningShare = 5
 )
 
 // reasonKeys are the fields that tell lines of one event apart.
@@ -28,12 +36,28 @@
 	written, leftOut int
 }
 
-// limiter bounds the lines of each kind. What was left out is told once the
+// limiter bounds the lines of each kind, and of all. What was left out is told once the
 // second is over.
 type limiter struct {
 	mutex  sync.Mutex
 	second int64
 	counts map[kind]*count
+	// lines and bytes are what was written in the second of all kinds.
+	lines, bytes int
+}
+
+// meter counts for the limiter what is written.
+type meter struct {
+	zapcore.WriteSyncer
+	limits *limiter
+}
+
+// Write implements zapcore.WriteSyncer.
+func (m meter) Write(line []byte) (int, error) {
+	m.limits.mutex.Lock()
+	m.limits.bytes += len(line)
+	m.limits.mutex.Unlock()
+	return m.WriteSyncer.Write(line)
 }
 
 // boundedCore passes lines on within the limits and writes errors as one line.
@@ -43,8 +67,10 @@
 	now     func() time.Time
 }
 
-func newBoundedCore(core zapcore.Core) zapcore.Core {
-	return &boundedCore{Core: core, limiter: &limiter{counts: map[kind]*count{}}, now: time.Now}
+// newBoundedCore returns a core that writes to the target within the limits.
+func newBoundedCore(encoder zapcore.Encoder, target zapcore.WriteSyncer, enabled zapcore.LevelEnabler) *boundedCore {
+	limits := &limiter{counts: map[kind]*count{}}
+	return &boundedCore{Core: zapcore.NewCore(encoder, meter{target, limits}, enabled), limiter: limits, now: time.Now}
 }
 
 // With implements zapcore.Core.
@@ -63,7 +89,7 @@
 // Write implements zapcore.Core.
 func (core *boundedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
 	fields = plainFields(fields)
-	write, leftOut := core.limiter.admit(kindOf(entry.Message, fields), core.now())
+	write, leftOut := core.limiter.admit(kindOf(entry.Message, fields), entry.Level, core.now())
 	for _, each := range leftOut {
 		told := entry
 		told.Message = "log lines left out"
@@ -85,7 +111,7 @@
 
 // admit reports whether a line may be written, and what was left out in a
 // second that is over.
-func (limits *limiter) admit(of kind, now time.Time) (bool, []omission) {
+func (limits *limiter) admit(of kind, level zapcore.Level, now time.Time) (bool, []omission) {
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
 	var leftOut []omission
@@ -95,7 +121,8 @@
 				leftOut = append(leftOut, omission{each, counted.leftOut})
 			}
 		}
-		limits.second = second
+		limits.second, limits.bytes = second, 0
+		limits.lines = len(leftOut)
 		clear(limits.counts)
 	}
 	counted := limits.counts[of]
@@ -108,14 +135,24 @@
 			limits.counts[of] = counted
 		}
 	}
-	if counted.written >= linesPerSecond {
+	if counted.written >= linesPerSecond || !limits.room(level) {
 		counted.leftOut++
 		return false, leftOut
 	}
 	counted.written++
+	limits.lines++
 	return true, leftOut
 }
 
+// room reports whether the second has room for a line of a level. The mutex is held.
+func (limits *limiter) room(level zapcore.Level) bool {
+	lines, bytes := linesInAll, bytesInAll
+	if level < zapcore.WarnLevel {
+		lines, bytes = lines-lines/warningShare, bytes-bytes/warningShare
+	}
+	return limits.lines < lines && limits.bytes < bytes
+}
+
 func kindOf(event string, fields []zapcore.Field) kind {
 	reason := ""
 	for _, field := range fields {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -43,7 +43,7 @@
 		encoder.AppendString(at.UTC().Format("2006-01-02T15:04:05.000Z"))
 	}
 	output := NewAsyncWriter(os.Stdout)
-	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), output, level))
+	core := newBoundedCore(zaplogfmt.NewEncoder(encoding), output, level)
 	logger := zap.New(core, zap.ErrorOutput(output)).With(zap.String("node", node))
 	TakeOver(logger)
 	return logger, nil
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -36,7 +36,7 @@
 func newTestLogger(target io.Writer, now func() time.Time) *zap.Logger {
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.MessageKey = "event"
-	core := newBoundedCore(zapcore.NewCore(zaplogfmt.NewEncoder(encoding), zapcore.AddSync(target), zapcore.InfoLevel)).(*boundedCore)
+	core := newBoundedCore(zaplogfmt.NewEncoder(encoding), zapcore.AddSync(target), zapcore.InfoLevel)
 	core.now = now
 	return zap.New(core)
 }
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/journal"
+	"woodworks/internal/logging"
 	"woodworks/internal/periodic"
 	"woodworks/internal/upstream"
 )
@@ -74,6 +75,9 @@
 	options Options
 	dial    dial
 	logger  *zap.Logger
+	// left sums the turns from peers: where a store is busy, each call to each of them
+	// ends in one.
+	left *logging.Episodes
 
 	mu    sync.Mutex
 	known map[string]*peer
@@ -88,7 +92,7 @@
 	made := func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp4", address)
 	}
-	return &peers{options: options, dial: made, logger: logger, known: map[string]*peer{}}
+	return &peers{options: options, dial: made, logger: logger, left: logging.NewEpisodes(logger, "peer left alone", "reason", "peers"), known: map[string]*peer{}}
 }
 
 // Partition is where daemons announce themselves.
@@ -252,7 +256,7 @@
 		p.current = ""
 	}
 	p.mu.Unlock()
-	p.logger.Info("peer left alone", zap.String("peer", name), zap.String("reason", reason), zap.Duration("rest", rest), zap.Error(cause))
+	p.left.Note(logging.Occurrence{Key: reason, Subject: name, Took: rest}, zap.String("peer", name), zap.Duration("rest", rest), zap.Error(cause))
 }
 
 // close ends the connections to peers.
