What slow readers hold is counted and bounded

Cause: a client that reads slowly, or not at all, was held for as long as it liked with its whole answer; bodies and pages likewise; nothing bounded what all of them held together. A long answer stayed with its replica while its client read slowly, and replicas give such answers up. Change: internal/holding counts bytes in four shares (connections, bodies, answers, pages), by holder, share and all. limits.held_mb is 0.35 of memory_mb unless named, limits.held_per_client_mb 0.7 of it, in force at a reload; timing.unread is 5 s. A stream, a page or an item's body of which nothing is read for 5 s ends its connection as broken.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"woodworks/internal/holding"
 	"woodworks/internal/logging"
 	"woodworks/internal/settings"
 )
@@ -30,6 +31,8 @@
 	keyStopGrace = "timing.stop_grace"
 	keyMemory    = "limits.memory_mb"
 	keyHeadroom  = "limits.memory_headroom"
+	keyHeld      = "limits.held_mb"
+	keyHeldEach  = "limits.held_per_client_mb"
 	keyLogLevel  = "log.level"
 )
 
@@ -88,7 +91,9 @@
 	inForce settings.Settings
 	// setStopGrace sets the grace of the stop that follows.
 	setStopGrace func(time.Duration)
-	logger       *zap.Logger
+	// setHeld sets what the daemon may hold on behalf of clients.
+	setHeld func(holding.Limits)
+	logger  *zap.Logger
 }
 
 // take brings a reading into force, as far as that can be, and logs it. Of a file with a
@@ -121,6 +126,13 @@
 	case key == keyMemory && again.Limits.MemoryMB != defaults.Limits.MemoryMB:
 		l.inForce.Limits.MemoryMB = again.Limits.MemoryMB
 		limitMemory(l.inForce.Limits)
+		l.setHeld(l.inForce.Limits.Held())
+	case key == keyHeld && again.Limits.HeldMB != defaults.Limits.HeldMB:
+		l.inForce.Limits.HeldMB = again.Limits.HeldMB
+		l.setHeld(l.inForce.Limits.Held())
+	case key == keyHeldEach && again.Limits.HeldPerClientMB != defaults.Limits.HeldPerClientMB:
+		l.inForce.Limits.HeldPerClientMB = again.Limits.HeldPerClientMB
+		l.setHeld(l.inForce.Limits.Held())
 	case key == keyHeadroom && again.Limits.MemoryHeadroom != defaults.Limits.MemoryHeadroom:
 		l.inForce.Limits.MemoryHeadroom = again.Limits.MemoryHeadroom
 		limitMemory(l.inForce.Limits)
--- a/internal/cli/reload_test.go
+++ b/internal/cli/reload_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"woodworks/internal/holding"
 	"woodworks/internal/settings"
 	"woodworks/internal/signals"
 )
@@ -72,6 +73,23 @@
 	is.Equal(debug.SetGCPercent(100), 37)
 }
 
+// What may be held on behalf of clients follows the memory, unless it is named.
+func TestAReloadChangesWhatMayBeHeld(t *testing.T) {
+	is := is.New(t)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	var held holding.Limits
+	l := &live{inForce: settings.Defaults(), setHeld: func(limits holding.Limits) { held = limits }, logger: zap.NewNop()}
+	again := settings.Defaults()
+	again.Limits.MemoryMB = 100
+	l.take(reading{settings: again})
+	is.Equal(held.All, int64(35<<20))
+	is.True(held.Each < held.All)
+	again.Limits.HeldMB, again.Limits.HeldPerClientMB = 20, 3
+	l.take(reading{settings: again})
+	is.Equal(held.All, int64(20<<20))
+	is.Equal(held.Each, int64(3<<20))
+}
+
 // Signals that storm in during a stop are one line at most each and delay nothing.
 func TestAStormOfReloadsDelaysNoStop(t *testing.T) {
 	is := is.New(t)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -137,7 +137,7 @@
 		return err
 	}
 	taken.TakeUser()
-	l := &live{inForce: loaded, setStopGrace: running.SetStopGrace, logger: logger}
+	l := &live{inForce: loaded, setStopGrace: running.SetStopGrace, setHeld: running.SetHeld, logger: logger}
 	return untilStopped(running, taken, newReloader(func() (settings.Settings, error) { return loadSettings(chosen) }), l)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,7 @@
 
 	"woodworks/internal/bootclock"
 	"woodworks/internal/headers"
+	"woodworks/internal/holding"
 	"woodworks/internal/logging"
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
@@ -92,6 +94,10 @@
 	// with when the call was sent there, by the forwarder's clock.
 	Ran func(sentAt time.Time)
 
+	// Holder, if not nil, counts what is held of answers. An answer for which it has no
+	// room is passed on as it comes, like a long one.
+	Holder *holding.Holder
+
 	content *quarantine.Content
 }
 
@@ -120,6 +126,15 @@
 	*upstream.Answer
 	// ended is told how the reading ended, nil being the answer's proper end.
 	ended func(err error)
+	// given says that nobody wants the rest, so that its end says nothing of the replica.
+	given atomic.Bool
+}
+
+// GiveUp ends a Read under way, and all later ones, with an error. It may be called at any
+// time; Close must follow once no Read is under way.
+func (rest *Rest) GiveUp() {
+	rest.given.Store(true)
+	rest.Answer.Cut()
 }
 
 // Read implements io.Reader.
@@ -128,7 +143,7 @@
 	switch {
 	case err == io.EOF:
 		rest.ended(nil)
-	case err != nil:
+	case err != nil && !rest.given.Load():
 		rest.ended(err)
 	}
 	return count, err
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/holding"
 	"woodworks/internal/logging"
 	"woodworks/internal/replica"
 	"woodworks/internal/upstream"
@@ -129,7 +130,7 @@
 		response.Close()
 		return nil, sentAt, true, errors.Wrapf(errUnsound, "status %d without a signature", response.Status)
 	}
-	answer, err = forwarder.readAnswer(response)
+	answer, err = forwarder.readAnswer(call, response)
 	if err == nil && answer.Rest != nil {
 		answer.Rest.ended = func(err error) { forwarder.restEnded(ctx, call, chosen, err) }
 	}
@@ -166,16 +167,22 @@
 	}
 }
 
-func (forwarder *Forwarder) readAnswer(response *upstream.Answer) (*Answer, error) {
+// readAnswer reads an answer whole if it is short and there is room for it, else its
+// beginning. One that announces its length is read into one buffer of that size: growing
+// one costs twice the length.
+func (forwarder *Forwarder) readAnswer(call *Call, response *upstream.Answer) (*Answer, error) {
 	answer := &Answer{Status: response.Status, Header: response.Header}
-	body, err := io.ReadAll(io.LimitReader(response, bufferedBytes))
+	announced := response.Length()
+	if call.Method == http.MethodHead {
+		announced = 0 // it tells the length of what does not come
+	}
+	body, whole, err := call.Holder.Read(holding.Answers, response, announced, bufferedBytes, func(n int64) bool { return call.Holder.Take(holding.Answers, n) })
 	if err != nil {
 		response.Close()
 		return nil, err
 	}
 	answer.Body = body
-	if len(body) < bufferedBytes {
-		// The limit was not reached, so the end of the body was.
+	if whole {
 		response.Close()
 		return answer, nil
 	}
--- /dev/null
+++ b/internal/holding/holding.go
@@ -0,0 +1,192 @@
+// Package holding counts the bytes that a daemon holds on behalf of others, and bounds them.
+//
+// A client may be slow to send its request or to read its answer, and a replica slow to
+// take a body; what they have not taken stays in the daemon's memory. One of them may hold
+// so much at most, all of one kind so much, and all together so much. Whoever holds bytes
+// asks before it takes more, and waits, reads no further or gives up when there is no room:
+// the budget itself decides nothing and never blocks.
+//
+// # Usage
+//
+// For clients by the hundred that read a byte a second while others are prompt: the slow
+// ones fill the share of answers, and what is left stays for the small holdings of the
+// prompt.
+//
+//	budget := holding.New(holding.LimitsOf(bytes))
+//	held, ok := budget.Begin(base)   // false: the request is turned away
+//	defer held.End()
+//	if !held.Take(holding.Answers, n) { ... read no further ... }
+//	held.Give(holding.Answers, n)
+package holding
+
+import "sync"
+
+// Share names what bytes are held for.
+type Share int
+
+// Shares.
+const (
+	// Connections are the fixed costs of requests under way.
+	Connections Share = iota
+	// Bodies are bodies that come in, or that a replica has not taken yet.
+	Bodies
+	// Answers are answers of replicas that are not written yet.
+	Answers
+	// Pages are results of batches that are not written yet.
+	Pages
+	shares
+)
+
+// String names the share in metrics and logs.
+func (s Share) String() string {
+	return [shares]string{"connections", "bodies", "answers", "pages"}[s]
+}
+
+// All returns all shares.
+func All() []Share { return []Share{Connections, Bodies, Answers, Pages} }
+
+// Limits are bounds in bytes. The zero value bounds nothing.
+type Limits struct {
+	// All bounds what is held in all, 0 being no bound of any kind.
+	All int64
+	// Each bounds what one holder has.
+	Each int64
+	// Of bounds each share.
+	Of [shares]int64
+}
+
+const (
+	// eachPart and sharePart are the parts of the whole, in percent, that one holder may
+	// have, and all holders of one kind. One body of the largest size must fit beside the
+	// answers of others; a quarter is always left for what is not in the fullest share.
+	eachPart  = 70
+	sharePart = 75
+)
+
+// LimitsOf returns the limits of a daemon that may hold so many bytes in all, 0 being no
+// bound.
+func LimitsOf(all int64) Limits {
+	limits := Limits{All: all, Each: all * eachPart / 100}
+	for _, share := range All() {
+		limits.Of[share] = all * sharePart / 100
+	}
+	return limits
+}
+
+// Budget is the account of a daemon. It is safe for concurrent use.
+//
+// Invariant: all is the sum of of, which are the sums of what the holders have.
+type Budget struct {
+	mu     sync.Mutex
+	limits Limits
+	all    int64
+	most   int64
+	of     [shares]int64
+}
+
+// New returns an empty budget.
+func New(limits Limits) *Budget { return &Budget{limits: limits} }
+
+// SetLimits changes the bounds. What is held beyond them stays held.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
+}
+
+// Held returns how many bytes a share holds.
+func (b *Budget) Held(share Share) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of[share]
+}
+
+// Sum returns how many bytes are held now, and the most that ever were.
+func (b *Budget) Sum() (now, most int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all, b.most
+}
+
+// Begin returns a holder with a base of fixed cost, and false if there is no room for it.
+// A nil budget bounds nothing.
+func (b *Budget) Begin(base int64) (*Holder, bool) {
+	h := &Holder{budget: b}
+	if b != nil && !h.Take(Connections, base) {
+		return nil, false
+	}
+	return h, true
+}
+
+// Holder is one on whose behalf bytes are held. It is safe for concurrent use. The zero
+// value, and nil, are of no budget and have no bound.
+type Holder struct {
+	budget *Budget
+	// of is what it has, guarded by the budget's mutex.
+	of [shares]int64
+}
+
+// Take counts n more bytes, and reports whether there was room; without room nothing is
+// counted.
+func (h *Holder) Take(share Share, n int64) bool {
+	if h == nil || h.budget == nil {
+		return true
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limits.All > 0 && (b.all+n > b.limits.All || b.of[share]+n > b.limits.Of[share] || h.sum()+n > b.limits.Each) {
+		return false
+	}
+	b.add(h, share, n)
+	return true
+}
+
+// MayEver reports whether a holder that had nothing else could have n bytes, however
+// little others hold.
+func (b *Budget) MayEver(share Share, n int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limits.All == 0 || n <= min(b.limits.Of[share], b.limits.Each)
+}
+
+// Give counts n bytes as held no more.
+func (h *Holder) Give(share Share, n int64) {
+	if h == nil || h.budget == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.budget.add(h, share, -n)
+}
+
+// End counts all that is left as held no more. It may be called again.
+func (h *Holder) End() {
+	if h == nil || h.budget == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	for _, share := range All() {
+		h.budget.add(h, share, -h.of[share])
+	}
+}
+
+// sum is what a holder has of all shares. The mutex is held.
+func (h *Holder) sum() (n int64) {
+	for _, of := range h.of {
+		n += of
+	}
+	return n
+}
+
+// add counts bytes of a holder. The mutex is held.
+func (b *Budget) add(h *Holder, share Share, n int64) {
+	h.of[share] += n
+	b.of[share] += n
+	b.all += n
+	b.most = max(b.most, b.all)
+}
--- /dev/null
+++ b/internal/holding/holding_test.go
@@ -0,0 +1,163 @@
+package holding_test
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+
+	"woodworks/internal/holding"
+)
+
+// Whatever is asked for in whatever order, no bound is passed, and nothing stays counted
+// once all have ended.
+func TestNoBoundIsPassed(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	limits := holding.LimitsOf(10_000)
+	budget := holding.New(limits)
+	holders := map[*holding.Holder][4]int64{}
+	for range 20_000 {
+		if h, ok := budget.Begin(random.Int64N(100)); ok && len(holders) < 50 {
+			holders[h] = [4]int64{}
+		} else {
+			h.End()
+		}
+		for h, had := range holders {
+			share := holding.Share(random.IntN(4))
+			n := random.Int64N(2000)
+			switch {
+			case random.IntN(3) > 0:
+				if h.Take(share, n) {
+					had[share] += n
+				}
+			case had[share] > 0:
+				h.Give(share, had[share])
+				had[share] = 0
+			case random.IntN(10) == 0:
+				h.End()
+				h.End()
+				delete(holders, h)
+				continue
+			}
+			holders[h] = had
+			break
+		}
+		sum := int64(0)
+		for _, share := range holding.All() {
+			is.True(budget.Held(share) <= limits.Of[share])
+			sum += budget.Held(share)
+		}
+		now, most := budget.Sum()
+		is.Equal(now, sum)
+		is.True(now <= most && most <= limits.All)
+	}
+	for h := range holders {
+		h.End()
+	}
+	now, _ := budget.Sum()
+	is.Equal(now, int64(0))
+}
+
+// One holder can't take all, nor one share: there is always room for others.
+func TestOneHolderLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	budget := holding.New(holding.LimitsOf(1000))
+	greedy, _ := budget.Begin(0)
+	for greedy.Take(holding.Answers, 10) {
+	}
+	is.Equal(budget.Held(holding.Answers), int64(700))
+	for {
+		other, _ := budget.Begin(0)
+		if !other.Take(holding.Answers, 10) {
+			break
+		}
+	}
+	is.Equal(budget.Held(holding.Answers), int64(750))
+	prompt, ok := budget.Begin(100)
+	is.True(ok)
+	is.True(prompt.Take(holding.Bodies, 100))
+	is.True(!budget.MayEver(holding.Bodies, 701))
+	is.True(budget.MayEver(holding.Bodies, 700))
+}
+
+// No budget and no limits bound nothing; limits set later hold from then on.
+func TestLimitsMayBeNone(t *testing.T) {
+	is := is.New(t)
+	var none *holding.Budget
+	free, ok := none.Begin(1 << 40)
+	is.True(ok && free.Take(holding.Bodies, 1<<40))
+	free.Give(holding.Bodies, 1)
+	free.End()
+	budget := holding.New(holding.Limits{})
+	h, ok := budget.Begin(1000)
+	is.True(ok)
+	budget.SetLimits(holding.LimitsOf(500))
+	_, ok = budget.Begin(1)
+	is.True(!ok)
+	h.End()
+	_, ok = budget.Begin(1)
+	is.True(ok)
+}
+
+// What is read is what the source has, whatever it announces, and no more is held than its
+// bytes and a part of them.
+func TestReadsAreWholeAndCounted(t *testing.T) {
+	for _, announced := range []int64{-1, 0, 1, 5, 100_000, 1_000_000, 2_000_000} {
+		for _, length := range []int{0, 1, 4096, 100_000, 1_000_000} {
+			is := is.New(t)
+			budget := holding.New(holding.LimitsOf(10_000_000))
+			h, _ := budget.Begin(0)
+			content := bytes.Repeat([]byte("x"), length)
+			read, whole, err := h.Read(holding.Bodies, iotest.HalfReader(bytes.NewReader(content)), announced, 3_000_000, func(n int64) bool { return h.Take(holding.Bodies, n) })
+			is.NoErr(err)
+			is.True(whole)
+			is.True(bytes.Equal(read, content))
+			is.Equal(budget.Held(holding.Bodies), int64(cap(read)))
+			if announced == int64(length) {
+				_, most := budget.Sum()
+				is.True(most <= int64(length)+max(int64(length)/8, 64<<10)+1)
+			}
+		}
+	}
+}
+
+// Without room, or beyond the bound, the rest stays with the source.
+func TestAReadStopsWhereThereIsNoRoom(t *testing.T) {
+	is := is.New(t)
+	budget := holding.New(holding.LimitsOf(100_000))
+	h, _ := budget.Begin(0)
+	source := strings.NewReader(strings.Repeat("x", 200_000))
+	read, whole, err := h.Read(holding.Answers, source, -1, 1<<30, func(n int64) bool { return h.Take(holding.Answers, n) })
+	is.NoErr(err)
+	is.True(!whole)
+	is.True(len(read) > 0)
+	is.Equal(len(read)+source.Len(), 200_000)
+	is.Equal(budget.Held(holding.Answers), int64(cap(read)))
+	read, whole, err = h.Read(holding.Answers, source, -1, 1000, func(int64) bool { return true })
+	is.NoErr(err)
+	is.True(!whole)
+	is.Equal(len(read), 1000)
+}
+
+// A page of 256 KiB with its length announced, read by Read and by the library.
+func BenchmarkRead(b *testing.B) {
+	page := bytes.Repeat([]byte("x"), 256<<10)
+	var unbounded *holding.Holder
+	b.Run("read", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _, _ = unbounded.Read(holding.Answers, bytes.NewReader(page), int64(len(page)), 1<<40, func(int64) bool { return true })
+		}
+	})
+	b.Run("library", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = io.ReadAll(bytes.NewReader(page))
+		}
+	})
+}
--- a/internal/ingress/batches.go
+++ b/internal/ingress/batches.go
@@ -90,8 +90,7 @@
 		asked.fail(http.StatusInternalServerError, "failed", err.Error())
 		return
 	}
-	asked.write(http.StatusOK, encoded)
-	asked.observe(http.StatusOK, "results", "")
+	asked.writePage(encoded)
 }
 
 // serveItem answers with the body of an item.
@@ -107,7 +106,7 @@
 	}
 	asked.writer.Header().Set("Content-Type", "application/octet-stream")
 	asked.writer.WriteHeader(http.StatusOK)
-	if _, err := asked.writer.Write(body.Bytes); err != nil {
+	if err := asked.writeSlowly(body.Bytes); err != nil {
 		asked.observe(http.StatusOK, "broken off", err.Error())
 		return
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -18,6 +17,7 @@
 	"woodworks/internal/bootclock"
 	"woodworks/internal/forward"
 	"woodworks/internal/headers"
+	"woodworks/internal/holding"
 	"woodworks/internal/results"
 	"woodworks/internal/route"
 	"woodworks/internal/runner"
@@ -44,8 +44,6 @@
 	// the client's leaving does not meet the bound. A route's time is held to be kept
 	// within a quarter of a second.
 	bodyGrace = 200 * time.Millisecond
-	// copyBufferBytes bounds one copy of an answer's rest, in bytes.
-	copyBufferBytes = 32 << 10
 )
 
 // Observer counts final answers.
@@ -85,6 +83,10 @@
 	Retries Retries
 	// Stop, if not nil, is the planned stop of the daemon.
 	Stop *shutdown.Stop
+	// Holding, if not nil, bounds what is held on behalf of clients.
+	Holding *holding.Budget
+	// Unread is how long what is written may stay unread, 0 for defaultUnread.
+	Unread time.Duration
 
 	inFlight atomic.Int64
 }
@@ -105,6 +107,8 @@
 	logger   *zap.Logger
 	replica  string
 	attempts int
+	// holder counts what is held for the request.
+	holder *holding.Holder
 }
 
 // ServeHTTP implements http.Handler.
@@ -113,6 +117,10 @@
 	defer handler.inFlight.Add(-1)
 	asked := &request{handler: handler, writer: writer, request: incoming, arrived: handler.now(), id: incoming.Header.Get(handler.Names.RequestID)}
 	asked.logger = handler.Logger.With(zap.String("request", asked.id))
+	if !asked.beginHolding() {
+		return
+	}
+	defer asked.endHolding()
 	configuration := handler.Configuration()
 	if configuration == nil {
 		asked.refuse("no configuration is known yet", retryAfter)
@@ -171,7 +179,7 @@
 			asked.setReadDeadline(time.Time{})
 		}
 	}()
-	body, err := io.ReadAll(http.MaxBytesReader(asked.writer, asked.request.Body, limit))
+	body, err := asked.takeBody(http.MaxBytesReader(asked.writer, asked.request.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		asked.fail(http.StatusRequestEntityTooLarge, "too large", "the body is longer than the limit")
@@ -183,6 +191,11 @@
 		asked.refuse("the body did not come in time", retryAfter)
 		return nil, false
 	}
+	if errors.Is(err, errNoRoom) {
+		asked.writer.Header().Set("Connection", "close")
+		asked.refuse(err.Error(), noRoomRetryAfter)
+		return nil, false
+	}
 	if err != nil {
 		asked.fail(http.StatusBadRequest, "cut off", "the body could not be read")
 		return nil, false
@@ -209,14 +222,19 @@
 // held is how long ago the request came.
 func (asked *request) held() time.Duration { return asked.handler.now().Sub(asked.arrived) }
 
-// timeLeft is how long the request may still be held.
-func (asked *request) timeLeft() time.Duration {
-	left := defaultTimeout
+// deadline is how long the client waits, from its request on.
+func (asked *request) deadline() time.Duration {
 	if text := asked.request.Header.Get(asked.handler.Names.DeadlineMs); text != "" {
 		if value, err := strconv.ParseFloat(text, 64); err == nil {
-			left = time.Duration(value * float64(time.Millisecond))
+			return time.Duration(value * float64(time.Millisecond))
 		}
 	}
+	return defaultTimeout
+}
+
+// timeLeft is how long the request may still be held.
+func (asked *request) timeLeft() time.Duration {
+	left := asked.deadline()
 	if asked.route != nil && asked.route.Kind != route.Batch && asked.route.Timeout > 0 {
 		left = min(left, asked.route.Timeout)
 	}
@@ -237,7 +255,7 @@
 		Header: asked.headerOnward(configuration), Body: body, Caller: asked.tenantName(), Services: asked.route.Order(asked.id),
 		Repeatable: repeatable, MaxAttempts: max(asked.route.MaxAttempts, 1), Hedge: repeatable, HedgeAfter: asked.route.HedgeAfter,
 	}
-	call.Left, call.Ran = asked.timeLeft, asked.ran
+	call.Left, call.Ran, call.Holder = asked.timeLeft, asked.ran, asked.holder
 	if retries := asked.handler.Retries; retries != nil {
 		retries.Began(asked.route)
 		call.MayRetry = func(offers int) bool { return retries.May(asked.route, offers) }
@@ -298,11 +316,9 @@
 	if length >= 0 && asked.request.Method != http.MethodHead {
 		target.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	asked.setWriteDeadline(asked.answerTime())
 	asked.writer.WriteHeader(answer.Status)
-	_, err := asked.writer.Write(answer.Body)
-	if err == nil && answer.Rest != nil {
-		_, err = io.CopyBuffer(asked.writer, answer.Rest, make([]byte, copyBufferBytes))
-	}
+	err := asked.writeAnswer(answer)
 	if err != nil && asked.request.Method != http.MethodHead {
 		asked.observe(answer.Status, "broken off", err.Error())
 		panic(http.ErrAbortHandler)
@@ -339,13 +355,20 @@
 }
 
 func (asked *request) write(status int, body []byte) {
+	asked.writeHead(status, len(body))
+	if err := asked.writeSlowly(body); err != nil {
+		asked.logger.Debug("answer of our own not taken", zap.Error(err)) // it says nothing that counts for others
+	}
+}
+
+// writeHead begins an answer of our own.
+func (asked *request) writeHead(status, length int) {
 	asked.writer.Header().Set("Content-Type", "application/json")
-	asked.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	asked.writer.Header().Set("Content-Length", strconv.Itoa(length))
 	if asked.id != "" {
 		asked.writer.Header().Set(asked.handler.Names.RequestID, asked.id)
 	}
 	asked.writer.WriteHeader(status)
-	_, _ = asked.writer.Write(body)
 }
 
 // observe counts and logs the end of a request.
--- a/internal/ingress/streams.go
+++ b/internal/ingress/streams.go
@@ -21,11 +21,13 @@
 // relay passes the events of one or more replicas on as one answer.
 type relay struct {
 	*request
-	asking  *forward.StreamRequest
-	tried   map[string]bool
-	ran     int
-	notRun  int
-	began   bool
+	asking *forward.StreamRequest
+	tried  map[string]bool
+	ran    int
+	notRun int
+	began  bool
+	// unread says that the client has not taken an event: no other replica changes that.
+	unread  bool
 	reasons error
 	// quarantined, if not nil, is why the stream may not run now.
 	quarantined *forward.QuarantinedError
@@ -113,7 +115,7 @@
 }
 
 func (relaying *relay) mayContinue(ctx context.Context) bool {
-	if ctx.Err() != nil || relaying.notRun > maxNotRun || relaying.ran >= max(relaying.route.MaxAttempts, 1) {
+	if ctx.Err() != nil || relaying.unread || relaying.notRun > maxNotRun || relaying.ran >= max(relaying.route.MaxAttempts, 1) {
 		return false
 	}
 	return relaying.ran == 0 || relaying.route.Resumable
@@ -155,10 +157,10 @@
 			return false, true, errors.Errorf("event %d after %d", event.ID, relaying.asking.After)
 		}
 		relaying.begin(stream)
-		if _, err := relaying.writer.Write(event.Raw); err != nil {
+		if err := relaying.writeEvent(event.Raw); err != nil {
+			relaying.unread = true
 			return false, true, err
 		}
-		_ = http.NewResponseController(relaying.writer).Flush()
 		if event.HasID {
 			relaying.asking.After, relaying.asking.HasAfter = event.ID, true
 		}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -59,6 +59,10 @@
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		c.handled()
 	}
+	// What bounded the writes of the request before does not bound those of this one.
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
+		front.logger.Debug("writes to the client's connection keep their bound", zap.Error(err))
+	}
 	ctx, release := front.planned.Bound(r.Context())
 	defer release()
 	told := &answer{ResponseWriter: w, front: front}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"woodworks/internal/forward"
 	"woodworks/internal/group"
 	"woodworks/internal/headers"
+	"woodworks/internal/holding"
 	"woodworks/internal/identity"
 	"woodworks/internal/ingress"
 	"woodworks/internal/journal"
@@ -137,6 +138,7 @@
 	// fleet is nil where the platform starts no replicas on order.
 	fleet    *fleet.Manager
 	handler  *ingress.Handler
+	holding  *holding.Budget
 	front    *frontServer
 	internal *frontServer
 	health   *healthServer
@@ -204,10 +206,11 @@
 	node.syncer = modelsync.New(node.settings.Name, node.lease, drivers.Engines, node.table, node.operator.Configuration, node.operator.Named, node.demands, logger)
 	node.demandFollower = journal.NewKeyedFollower(drivers.Journal, demand.Partition(drivers.Journal), node.demands, contact, logger)
 	node.results = node.newReader(drivers.Journal.Grants())
+	node.holding = holding.New(node.settings.Limits.Held())
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
-		ConfigurationAge: node.configurationAge, Stop: node.shutdown,
+		ConfigurationAge: node.configurationAge, Stop: node.shutdown, Holding: node.holding, Unread: node.settings.Timing.Unread.Std(),
 		Keys: ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
 	node.front.handler = node.handler
@@ -271,6 +274,7 @@
 		node.metrics.Counter("journal_calls_relayed_total", "Calls to the journal answered through a peer.", func() float64 { done, _ := node.relay.Relayed(); return float64(done) })
 	}
 	node.registerDutyMetrics()
+	node.registerHolding()
 	node.quarantine.registerMetrics(node.metrics)
 	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
 
+	"woodworks/internal/holding"
 	"woodworks/internal/journal"
 )
 
@@ -124,6 +125,32 @@
 	// percent of what is live: less of it costs processor time and saves memory. The
 	// bound of MemoryMB holds whatever it is.
 	MemoryHeadroom int `yaml:"memory_headroom"`
+	// HeldMB is how much may be held on behalf of clients in all, in megabytes: bodies and
+	// answers that they, or replicas, have not taken yet. 0 is heldPart of MemoryMB.
+	HeldMB int `yaml:"held_mb"`
+	// HeldPerClientMB is how much of that one request may have, 0 for the usual part of it.
+	HeldPerClientMB int `yaml:"held_per_client_mb"`
+}
+
+// heldPart is the part of the memory that may be held on behalf of clients, in percent: half
+// of what the heap may fill. The rest is for what the daemon knows and for batches.
+const heldPart = 35
+
+// mebibyte is the unit of memory settings, in bytes.
+const mebibyte = 1 << 20
+
+// Held returns the bounds on what is held on behalf of clients, none where the memory has
+// none.
+func (limits Limits) Held() holding.Limits {
+	all := int64(limits.HeldMB) * mebibyte
+	if all == 0 {
+		all = int64(limits.MemoryMB) * mebibyte * heldPart / 100
+	}
+	held := holding.LimitsOf(all)
+	if limits.HeldPerClientMB > 0 {
+		held.Each = int64(limits.HeldPerClientMB) * mebibyte
+	}
+	return held
 }
 
 // Timing holds the daemon's bounds in time.
@@ -152,6 +179,9 @@
 	// DrainBound is how long after a replica has left the list, or said that it
 	// will, new work may still reach it.
 	DrainBound Duration `yaml:"drain_bound"`
+	// Unread is how long what is written to a client may stay unread before its connection
+	// is ended. A replica's whole answer has its client's own time, if that is longer.
+	Unread Duration `yaml:"unread"`
 }
 
 // Log holds logging settings.
@@ -203,6 +233,7 @@
 			LeaseQuiet:      Duration(3 * time.Second),
 			ContactBound:    Duration(3 * time.Second),
 			DrainBound:      Duration(2 * time.Second),
+			Unread:          Duration(5 * time.Second),
 		},
 		Log: Log{Level: "info"},
 	}
@@ -319,6 +350,9 @@
 	}
 	require(loaded.Limits.MemoryMB >= 0, "limits.memory_mb", "must not be below 0")
 	require(loaded.Limits.MemoryHeadroom >= minHeadroom, "limits.memory_headroom", fmt.Sprintf("must be at least %d", minHeadroom))
+	require(loaded.Limits.HeldMB >= 0, "limits.held_mb", "must not be below 0")
+	require(loaded.Limits.MemoryMB == 0 || loaded.Limits.HeldMB < loaded.Limits.MemoryMB, "limits.held_mb", "must be below memory_mb")
+	require(loaded.Limits.HeldPerClientMB >= 0, "limits.held_per_client_mb", "must not be below 0")
 	require(loaded.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "must be above 0")
 	checkPositive := func(duration Duration, key string) {
 		require(duration > 0, key, "must be above 0s")
@@ -329,6 +363,7 @@
 	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
 	checkPositive(loaded.Timing.ContactBound, "timing.contact_bound")
 	checkPositive(loaded.Timing.DrainBound, "timing.drain_bound")
+	checkPositive(loaded.Timing.Unread, "timing.unread")
 	require(loaded.Timing.UsageWindow >= 0, "timing.usage_window", "must not be below 0s")
 	require(loaded.Timing.UsageWindow == 0 || loaded.Timing.UsageDue > 0, "timing.usage_due", "must be above 0s where usage_window is")
 	require(loaded.Timing.KeyBound >= 0, "timing.key_bound", "must not be below 0s")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,25 @@
 	is.Equal(keys, []string{"name", "listen.public", "limits.max_body_bytes", "timing.stop_grace", "log.level"})
 }
 
+// What may be held is less than the memory, and by default a part of it; without a bound of
+// the memory there is none.
+func TestWhatMayBeHeldFollowsTheMemory(t *testing.T) {
+	is := is.New(t)
+	for text, c := range map[string]struct {
+		faults int
+		held   int64
+	}{
+		"memory_mb: 100": {0, 35 << 20}, "memory_mb: 0": {0, 0}, "memory_mb: 100, held_mb: 100": {1, 100 << 20},
+		"memory_mb: 100, held_mb: 99": {0, 99 << 20}, "held_mb: 7": {0, 7 << 20}, "held_mb: -1": {1, -1 << 20}, "held_per_client_mb: -1": {1, 0},
+	} {
+		loaded, err := settings.Parse([]byte(whole + "limits: {" + text + "}\n"))
+		is.NoErr(err)
+		faults, _ := loaded.Check().(settings.Faults)
+		is.Equal(len(faults), c.faults)
+		is.Equal(loaded.Limits.Held().All, c.held)
+	}
+}
+
 // A headroom that leaves the process to collect all the time is refused, and a small one
 // that works is taken.
 func TestTheMemoryHeadroomIsChecked(t *testing.T) {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -195,6 +195,10 @@
 // Length is the body's length in bytes, or -1 if it is not known beforehand.
 func (answer *Answer) Length() int64 { return answer.response.ContentLength }
 
+// Cut ends the exchange's connection, so that a Read under way fails. Unlike all else it
+// may be called at any time; Close must follow.
+func (answer *Answer) Cut() { answer.conn.close() }
+
 // Close ends the exchange. The connection is kept if the body was read to its
 // end and nothing speaks against another request on it. It rests from that end on, as
 // for the peer, however late Close comes.
