--- a/internal/logging/episodes.go
+++ b/internal/logging/episodes.go
@@ -70,8 +70,8 @@
 	// times is how often it came, told how much of that was logged, first how much at once
 	// as it began.
 	times, told, first int
-	longest     time.Duration
-	subjects    map[string]struct{}
+	longest            time.Duration
+	subjects           map[string]struct{}
 }
 
 // NewEpisodes returns the episodes of an event. KeyName and subjectsAs are the fields that
