--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,7 +18,6 @@
 	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
 
-	"woodworks/internal/holding"
 	"woodworks/internal/journal"
 )
 
@@ -115,44 +114,6 @@
 	return journal.Grants{ReadsPerSecond: store.ReadsPerSecond, WritesPerSecond: store.WritesPerSecond, ReadBytesPerSecond: store.ReadMBPerSecond * megabyte}
 }
 
-// Limits bounds what one daemon holds at a time.
-type Limits struct {
-	// MaxBodyBytes is the largest request body accepted, in bytes.
-	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// MemoryMB is what the process may use in all, in megabytes; 0 names no bound.
-	MemoryMB int `yaml:"memory_mb"`
-	// MemoryHeadroom is how much garbage may gather before the heap is collected, in
-	// percent of what is live: less of it costs processor time and saves memory. The
-	// bound of MemoryMB holds whatever it is.
-	MemoryHeadroom int `yaml:"memory_headroom"`
-	// HeldMB is how much may be held on behalf of clients in all, in megabytes: bodies and
-	// answers that they, or replicas, have not taken yet. 0 is heldPart of MemoryMB.
-	HeldMB int `yaml:"held_mb"`
-	// HeldPerClientMB is how much of that one request may have, 0 for the usual part of it.
-	HeldPerClientMB int `yaml:"held_per_client_mb"`
-}
-
-// heldPart is the part of the memory that may be held on behalf of clients, in percent: half
-// of what the heap may fill. The rest is for what the daemon knows and for batches.
-const heldPart = 35
-
-// mebibyte is the unit of memory settings, in bytes.
-const mebibyte = 1 << 20
-
-// Held returns the bounds on what is held on behalf of clients, none where the memory has
-// none.
-func (limits Limits) Held() holding.Limits {
-	all := int64(limits.HeldMB) * mebibyte
-	if all == 0 {
-		all = int64(limits.MemoryMB) * mebibyte * heldPart / 100
-	}
-	held := holding.LimitsOf(all)
-	if limits.HeldPerClientMB > 0 {
-		held.Each = int64(limits.HeldPerClientMB) * mebibyte
-	}
-	return held
-}
-
 // Timing holds the daemon's bounds in time.
 type Timing struct {
 	// ConfirmBound is how old the last confirmation of the policy may be
@@ -211,14 +172,6 @@
 // Std returns the value as a time.Duration.
 func (duration Duration) Std() time.Duration { return time.Duration(duration) }
 
-const (
-	// defaultHeadroom is the runtime's own, in percent.
-	defaultHeadroom = 100
-	// minHeadroom is the least headroom in percent: with less a process whose memory
-	// hardly changes does little else than collect.
-	minHeadroom = 10
-)
-
 // Defaults returns the settings used where the file and the flags say nothing.
 func Defaults() Settings {
 	return Settings{
@@ -348,12 +301,7 @@
 		require(operator.Name != "", fmt.Sprintf("operators[%d].name", i), "is required")
 		require(digestPattern.MatchString(operator.KeySHA256), fmt.Sprintf("operators[%d].key_sha256", i), "must be 64 lower-case hexadecimal digits")
 	}
-	require(loaded.Limits.MemoryMB >= 0, "limits.memory_mb", "must not be below 0")
-	require(loaded.Limits.MemoryHeadroom >= minHeadroom, "limits.memory_headroom", fmt.Sprintf("must be at least %d", minHeadroom))
-	require(loaded.Limits.HeldMB >= 0, "limits.held_mb", "must not be below 0")
-	require(loaded.Limits.MemoryMB == 0 || loaded.Limits.HeldMB < loaded.Limits.MemoryMB, "limits.held_mb", "must be below memory_mb")
-	require(loaded.Limits.HeldPerClientMB >= 0, "limits.held_per_client_mb", "must not be below 0")
-	require(loaded.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "must be above 0")
+	loaded.Limits.check(require)
 	checkPositive := func(duration Duration, key string) {
 		require(duration > 0, key, "must be above 0s")
 	}
