--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +19,8 @@
 
 	"woodworks/internal/bootclock"
 	"woodworks/internal/headers"
+	"woodworks/internal/holding"
+	"woodworks/internal/logging"
 	"woodworks/internal/quarantine"
 	"woodworks/internal/replica"
 	"woodworks/internal/upstream"
@@ -97,6 +101,10 @@
 	// with when the call was sent there, by the forwarder's clock.
 	Ran func(sentAt time.Time)
 
+	// Holder, if not nil, counts what is held of answers. An answer for which it has no
+	// room is passed on as it comes, like a long one.
+	Holder *holding.Holder
+
 	content *quarantine.Content
 }
 
@@ -131,6 +139,15 @@
 	*upstream.Answer
 	// ended is told how the reading ended, nil being the answer's proper end.
 	ended func(err error)
+	// given says that nobody wants the rest, so that its end says nothing of the replica.
+	given atomic.Bool
+}
+
+// GiveUp ends a Read under way, and all later ones, with an error. It may be called at any
+// time; Close must follow once no Read is under way.
+func (rest *Rest) GiveUp() {
+	rest.given.Store(true)
+	rest.Answer.Cut()
 }
 
 // Read implements io.Reader.
@@ -139,7 +156,7 @@
 	switch {
 	case err == io.EOF:
 		rest.ended(nil)
-	case err != nil:
+	case err != nil && !rest.given.Load():
 		rest.ended(err)
 	}
 	return count, err
@@ -188,6 +205,9 @@
 	// Observe is told of each offer to a replica: the service, how it ended and
 	// how long it took.
 	Observe func(service, outcome string, took time.Duration)
+
+	failedOnce sync.Once
+	failed     *logging.Episodes
 }
 
 // now reads the clock by which callers wait.
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/holding"
+	"woodworks/internal/logging"
 	"woodworks/internal/replica"
 	"woodworks/internal/upstream"
 )
@@ -94,7 +96,14 @@
 		return
 	}
 	forwarder.Table.Failed(chosen.Start())
-	forwarder.Logger.Info("replica failed", zap.String("replica", chosen.ID), zap.String("service", chosen.Service), zap.Error(err))
+	forwarder.failures().Note(logging.Occurrence{Key: chosen.ID}, zap.String("service", chosen.Service), zap.Error(err))
+}
+
+// failures sums the failures of each replica; what they did to a request is in its
+// "offer failed".
+func (forwarder *Forwarder) failures() *logging.Episodes {
+	forwarder.failedOnce.Do(func() { forwarder.failed = logging.NewEpisodes(forwarder.Logger, "replica failed", "replica", "") })
+	return forwarder.failed
 }
 
 // exchange sends the call and reads the answer, whole if it is short.
@@ -125,7 +134,7 @@
 		response.Close()
 		return nil, sentAt, true, errors.Wrapf(errUnsound, "status %d without a signature", response.Status)
 	}
-	answer, err = forwarder.readAnswer(response)
+	answer, err = forwarder.readAnswer(call, response)
 	if err == nil && answer.Rest != nil {
 		answer.Rest.ended = func(err error) { forwarder.restEnded(ctx, call, chosen, err) }
 	}
@@ -166,16 +175,22 @@
 	}
 }
 
-func (forwarder *Forwarder) readAnswer(response *upstream.Answer) (*Answer, error) {
+// readAnswer reads an answer whole if it is short and there is room for it, else its
+// beginning. One that announces its length is read into one buffer of that size: growing
+// one costs twice the length.
+func (forwarder *Forwarder) readAnswer(call *Call, response *upstream.Answer) (*Answer, error) {
 	answer := &Answer{Status: response.Status, Header: response.Header}
-	body, err := io.ReadAll(io.LimitReader(response, bufferedBytes))
+	announced := response.Length()
+	if call.Method == http.MethodHead {
+		announced = 0 // it tells the length of what does not come
+	}
+	body, whole, err := call.Holder.Read(holding.Answers, response, announced, bufferedBytes, func(n int64) bool { return call.Holder.Take(holding.Answers, n) })
 	if err != nil {
 		response.Close()
 		return nil, err
 	}
 	answer.Body = body
-	if len(body) < bufferedBytes {
-		// The limit was not reached, so the end of the body was.
+	if whole {
 		response.Close()
 		return answer, nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"woodworks/internal/group"
 	"woodworks/internal/handoff"
 	"woodworks/internal/headers"
+	"woodworks/internal/holding"
 	"woodworks/internal/identity"
 	"woodworks/internal/ingress"
 	"woodworks/internal/journal"
@@ -142,6 +143,7 @@
 	// fleet is nil where the platform starts no replicas on order.
 	fleet    *fleet.Manager
 	handler  *ingress.Handler
+	holding  *holding.Budget
 	front    *frontServer
 	internal *frontServer
 	health   *healthServer
@@ -213,10 +215,11 @@
 	node.demandFollower = journal.NewKeyedFollower(drivers.Journal, demand.Partition(drivers.Journal), node.demands, contact, logger)
 	node.results = node.newReader(drivers.Journal.Grants())
 	node.runner.SetLocator(node.results)
+	node.holding = holding.New(node.settings.Limits.Held())
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
-		ConfigurationAge: node.configurationAge, Stop: node.shutdown,
+		ConfigurationAge: node.configurationAge, Stop: node.shutdown, Holding: node.holding, Unread: node.settings.Timing.Unread.Std(),
 		Keys: ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
 	node.buildHandoff(forwarder)
@@ -281,6 +284,7 @@
 		node.metrics.Counter("journal_calls_relayed_total", "Calls to the journal answered through a peer.", func() float64 { done, _ := node.relay.Relayed(); return float64(done) })
 	}
 	node.registerDutyMetrics()
+	node.registerHolding()
 	node.quarantine.registerMetrics(node.metrics)
 	node.registerOccupancyMetrics()
 	node.registerConnectionMetrics(node.metrics)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,14 +114,6 @@
 	return journal.Grants{ReadsPerSecond: store.ReadsPerSecond, WritesPerSecond: store.WritesPerSecond, ReadBytesPerSecond: store.ReadMBPerSecond * megabyte}
 }
 
-// Limits bounds what one daemon holds at a time.
-type Limits struct {
-	// MaxBodyBytes is the largest request body accepted, in bytes.
-	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// MemoryMB is what the process may use in all, in megabytes; 0 names no bound.
-	MemoryMB int `yaml:"memory_mb"`
-}
-
 // Timing holds the daemon's bounds in time.
 type Timing struct {
 	// ConfirmBound is how old the last confirmation of the policy may be
@@ -148,6 +140,9 @@
 	// DrainBound is how long after a replica has left the list, or said that it
 	// will, new work may still reach it.
 	DrainBound Duration `yaml:"drain_bound"`
+	// Unread is how long what is written to a client may stay unread before its connection
+	// is ended. A replica's whole answer has its client's own time, if that is longer.
+	Unread Duration `yaml:"unread"`
 }
 
 // Log holds logging settings.
@@ -181,7 +176,8 @@
 func Defaults() Settings {
 	return Settings{
 		Limits: Limits{
-			MaxBodyBytes: 8 << 20,
+			MaxBodyBytes:   8 << 20,
+			MemoryHeadroom: defaultHeadroom,
 		},
 		Timing: Timing{
 			ConfirmBound:    Duration(4 * time.Second),
@@ -190,6 +186,7 @@
 			LeaseQuiet:      Duration(3 * time.Second),
 			ContactBound:    Duration(3 * time.Second),
 			DrainBound:      Duration(2 * time.Second),
+			Unread:          Duration(5 * time.Second),
 		},
 		Log: Log{Level: "info"},
 	}
@@ -304,8 +301,7 @@
 		require(operator.Name != "", fmt.Sprintf("operators[%d].name", i), "is required")
 		require(digestPattern.MatchString(operator.KeySHA256), fmt.Sprintf("operators[%d].key_sha256", i), "must be 64 lower-case hexadecimal digits")
 	}
-	require(loaded.Limits.MemoryMB >= 0, "limits.memory_mb", "must not be below 0")
-	require(loaded.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "must be above 0")
+	loaded.Limits.check(require)
 	checkPositive := func(duration Duration, key string) {
 		require(duration > 0, key, "must be above 0s")
 	}
@@ -315,6 +311,7 @@
 	checkPositive(loaded.Timing.LeaseQuiet, "timing.lease_quiet")
 	checkPositive(loaded.Timing.ContactBound, "timing.contact_bound")
 	checkPositive(loaded.Timing.DrainBound, "timing.drain_bound")
+	checkPositive(loaded.Timing.Unread, "timing.unread")
 	require(loaded.Timing.UsageWindow >= 0, "timing.usage_window", "must not be below 0s")
 	require(loaded.Timing.UsageWindow == 0 || loaded.Timing.UsageDue > 0, "timing.usage_due", "must be above 0s where usage_window is")
 	require(loaded.Timing.KeyBound >= 0, "timing.key_bound", "must not be below 0s")
