Admission of plain requests while a service is full

Today every plain request is sent at once; a full service declines it at one replica after the other, and callers come back together. The new package decides at each daemon, for its part of the places, who runs, who waits and who is told at once that it can't be served in time. With room nothing waits.

Further offers to a full service draw on a budget.

--- /dev/null
+++ b/internal/admission/accounts.go
@@ -0,0 +1,33 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// fairSpan is over which time tenants are held equal. Most often one request waits at a
+// daemon at a time, or none, so that the order of those that wait is fair only if it remembers
+// what each tenant has had before; a tenant that has paused is not owed more than this.
+const fairSpan = 5 * time.Second
+
+// accounts are the work that each tenant has had lately, which decays over fairSpan.
+type accounts map[string]account
+
+type account struct {
+	work time.Duration
+	at   time.Time
+}
+
+// of is the work of a tenant as of now.
+func (a accounts) of(tenant string, now time.Time) time.Duration {
+	held, known := a[tenant]
+	if !known {
+		return 0
+	}
+	return time.Duration(float64(held.work) * math.Exp(-max(now.Sub(held.at), 0).Seconds()/fairSpan.Seconds()))
+}
+
+// charge adds to a tenant's work, or takes off it.
+func (a accounts) charge(tenant string, work time.Duration, now time.Time) {
+	a[tenant] = account{work: max(a.of(tenant, now)+work, 0), at: now}
+}
--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,228 @@
+package admission
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"woodworks/internal/replica"
+	"woodworks/internal/retrybudget"
+)
+
+const (
+	// mostWaiting is how many requests of a service wait at one daemon at most: more
+	// than a daemon's part of the places ends within the time of a plain request, and
+	// few enough to be put in order at each arrival.
+	mostWaiting = 64
+	// lookAgain is after which time those that wait are looked at again if nothing has
+	// woken them: replicas come and go, and times run out.
+	lookAgain = 50 * time.Millisecond
+	// needPart is the part of the answers whose time a request must have left.
+	needPart = 0.95
+	// mostlyPart is the part of the answers whose time a request must have left of its aim
+	// to go before those that are late anyway.
+	mostlyPart = 0.9
+	// slowBy is by how much answers take longer than usual where a service is taken to be
+	// full. Work that takes twice as long at a replica of several does not reach it.
+	slowBy = 3.0
+	// usualFollows is by which part the time that counts as usual follows each answer that
+	// is slower: a service that has become slow for good is not taken to be full for long.
+	usualFollows = 0.02
+	// offersPercent is how many further offers each hundred first ones of a full service
+	// earn, leastOffers how many a second there are at least.
+	offersPercent = 100
+	leastOffers   = 2
+	// demandSpan is over which time arrivals are counted.
+	demandSpan = 500 * time.Millisecond
+)
+
+// gate admits the requests for one service.
+type gate struct {
+	options *Options
+	service string
+	// draw returns numbers from 0 to 1.
+	draw func() float64
+
+	mu      sync.Mutex
+	pace    Pace
+	times   times
+	usual   time.Duration
+	offers  retrybudget.Budget
+	waiting []*waiter
+	// served has the work that tenants have had while the pace bound.
+	served accounts
+	// starts counts while the pace binds.
+	starts int
+	demand demand
+	timer  *time.Timer
+}
+
+// demand is the rate of arrivals, in requests a second.
+type demand struct {
+	rate float64
+	at   time.Time
+}
+
+// note decays the rate and, for each arrival, raises it.
+func (d *demand) note(now time.Time, arrivals float64) float64 {
+	passed := max(now.Sub(d.at), 0).Seconds() / demandSpan.Seconds()
+	d.rate = d.rate*math.Exp(-passed) + arrivals/demandSpan.Seconds()
+	d.at = now
+	return d.rate
+}
+
+// enter returns once a request may be sent.
+func (g *gate) enter(ctx context.Context, asked Request) (*Ticket, error) {
+	waiting, ticket := g.arrive(asked)
+	if ticket != nil {
+		return ticket, nil
+	}
+	select {
+	case got := <-waiting.turn:
+		return got.result()
+	case <-ctx.Done():
+	}
+	return g.leave(ctx, waiting)
+}
+
+// arrive lets a request start at once, or has it wait. No request overtakes here: one that
+// comes while others wait takes its place among them.
+func (g *gate) arrive(asked Request) (*waiter, *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Clock()
+	g.demand.note(now, 1)
+	replicas := g.options.Replicas(g.service)
+	g.look(now, replicas)
+	if len(g.waiting) == 0 && (len(replicas) == 0 || g.pace.Take(now)) {
+		return nil, g.start(asked)
+	}
+	added := &waiter{Request: asked, since: now, turn: make(chan word, 1)}
+	g.waiting = append(g.waiting, added)
+	g.decide(now, replicas)
+	return added, nil
+}
+
+// look takes what is believed of the replicas into account. The lock is held.
+func (g *gate) look(now time.Time, replicas []replica.Replica) {
+	if allFull(replicas) {
+		g.full(now, SignTold, g.share(replicas))
+	} else if len(g.waiting) == 0 {
+		g.pace.Rest(now)
+	}
+	if !g.pace.binds {
+		clear(g.served)
+		g.starts = 0
+	}
+}
+
+// allFull reports whether each replica is known to have as many requests as slots.
+func allFull(replicas []replica.Replica) bool {
+	for _, each := range replicas {
+		if each.Slots <= 0 || max(each.InFlight, each.Reported) < each.Slots {
+			return false
+		}
+	}
+	return len(replicas) > 0
+}
+
+func (g *gate) share(replicas []replica.Replica) Share {
+	slots := 0
+	for _, each := range replicas {
+		slots += max(each.Slots, 1)
+	}
+	return Share{Slots: slots, Daemons: g.options.Daemons(), Demand: g.demand.note(g.options.Clock(), 0), Usual: max(g.times.quantile(0.5), time.Millisecond)}
+}
+
+// start gives a request its turn. The lock is held.
+func (g *gate) start(asked Request) *Ticket {
+	ticket := &Ticket{gate: g, tenant: asked.Tenant, since: g.options.Clock()}
+	if !g.pace.binds {
+		return ticket
+	}
+	g.starts++
+	g.offers.FirstTry(offersPercent)
+	ticket.charged = g.times.quantile(0.5)
+	g.served.charge(asked.Tenant, ticket.charged, ticket.since)
+	return ticket
+}
+
+// snapshot is what decides on the order of those that wait. The lock is held.
+func (g *gate) snapshot(now time.Time) Snapshot {
+	rate := g.pace.rate
+	s := Snapshot{
+		Waiting: make([]Waiting, len(g.waiting)), Rate: rate, LateRate: max(rate-g.demand.note(now, 0), rate/longestTurn),
+		First: g.pace.Next(now), Need: g.times.quantile(needPart), Usual: g.times.quantile(0.5), Mostly: g.times.quantile(mostlyPart), Served: make(map[string]time.Duration), Starts: g.starts,
+	}
+	for i, each := range g.waiting {
+		held, aim := each.Held+now.Sub(each.since), time.Duration(math.MaxInt64)
+		if each.Aim > 0 {
+			aim = each.Aim - held
+		}
+		s.Served[each.Tenant] = g.served.of(each.Tenant, now)
+		s.Waiting[i] = Waiting{Held: held, Tenant: each.Tenant, Rank: each.Rank, Left: each.Left(), AimLeft: aim}
+	}
+	return s
+}
+
+// decide starts, keeps and refuses those that wait, and sees to it that it is called again.
+// The lock is held.
+func (g *gate) decide(now time.Time, replicas []replica.Replica) {
+	g.look(now, replicas)
+	for len(g.waiting) > 0 {
+		if len(replicas) == 0 || !g.pace.binds {
+			// Nothing is known to be full: what is sent says what is certain.
+			g.release(g.waiting[0], nil)
+			continue
+		}
+		if !g.step(now) {
+			break
+		}
+	}
+	if len(g.waiting) > 0 {
+		g.wakeAfter(max(min(g.pace.Next(now), lookAgain), time.Millisecond))
+	}
+}
+
+// step refuses those that have no time, and starts the first one if it may. It reports
+// whether one has started. The lock is held.
+func (g *gate) step(now time.Time) bool {
+	var first *waiter
+	s := g.snapshot(now)
+	turns := Plan(s)
+	all := g.waiting
+	drain := inSeconds(float64(len(turns)) / s.LateRate)
+	for i, turn := range turns {
+		each := all[turn.Index]
+		switch {
+		case turn.Refused:
+			g.refuse(each, NoTime, drain)
+		case i >= mostWaiting:
+			g.refuse(each, TooMany, drain)
+		case first == nil:
+			first = each
+		}
+	}
+	if first == nil || !g.pace.Take(now) {
+		return false
+	}
+	g.release(first, nil)
+	return true
+}
+
+// places is this daemon's part of the places, while the pace binds. The lock is held.
+func (g *gate) places() float64 { return g.pace.rate * g.times.quantile(0.5).Seconds() }
+
+func (g *gate) count(counts *Counts) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts.Waiting += len(g.waiting)
+	if len(g.waiting) == 0 {
+		g.pace.Rest(g.options.Clock())
+	}
+	if g.pace.binds {
+		counts.Full++
+		counts.Places += g.places()
+	}
+}
--- /dev/null
+++ b/internal/admission/plan.go
@@ -0,0 +1,137 @@
+package admission
+
+import (
+	"time"
+)
+
+// longestTurn is how often, one start in so many, the request goes first that has waited
+// longest. It is the bound on starvation: a request that keeps its time and has k requests
+// before it by arrival starts with one of the next longestTurn*(k+1) starts, whatever comes
+// meanwhile of higher ranks and other tenants. A thirtieth of the places is what this costs
+// the others.
+const longestTurn = 32
+
+// Waiting is a request that waits.
+type Waiting struct {
+	// Held is how long ago it arrived.
+	Held   time.Duration
+	Tenant string
+	Rank   int
+	// Left is how long its caller still waits, AimLeft within which its answer would earn
+	// its full credit.
+	Left, AimLeft time.Duration
+}
+
+// Snapshot is what decides on the order of those that wait.
+type Snapshot struct {
+	Waiting []Waiting
+	// Rate is that of starts, LateRate what it leaves to those that are late, as newer ones
+	// go before them. Both are in starts a second and above 0.
+	Rate, LateRate float64
+	// First is after which time the next request may start.
+	First time.Duration
+	// Need is within which time an answer comes nearly always, Mostly for most, Usual for
+	// half of them.
+	Need, Mostly, Usual time.Duration
+	// Served is the work that each tenant of those that wait has had lately.
+	Served map[string]time.Duration
+	// Starts is how many requests have started.
+	Starts int
+}
+
+// Turn is the place of a request in the order.
+type Turn struct {
+	// Index is that in Snapshot.Waiting.
+	Index int
+	// After is when it is likely to start.
+	After time.Duration
+	// Refused says that it can't be served in its time.
+	Refused bool
+}
+
+// Plan orders those that wait: by rank; those first whose answer can still earn its full credit;
+// then the tenant's that has had the least work; then the one whose caller leaves first.
+// Each start is reckoned as work of its tenant. Those refused have no place in the order.
+func Plan(s Snapshot) []Turn {
+	turns := make([]Turn, 0, len(s.Waiting))
+	done := make([]bool, len(s.Waiting))
+	had := make(map[string]time.Duration, len(s.Served))
+	for tenant, work := range s.Served {
+		had[tenant] = work
+	}
+	starts := 0
+	for range s.Waiting {
+		after := s.First + inSeconds(float64(starts)/s.Rate)
+		longest := (s.Starts+starts)%longestTurn == longestTurn-1
+		index := s.pick(done, had, after, longest)
+		picked := s.Waiting[index]
+		done[index] = true
+		if !longest && s.late(picked, after) {
+			after = s.First + inSeconds(float64(starts+1)/s.LateRate)
+		}
+		turn := Turn{Index: index, After: after, Refused: after+s.Need > picked.Left}
+		turns = append(turns, turn)
+		if !turn.Refused {
+			starts++
+			had[picked.Tenant] += s.Usual
+		}
+	}
+	return turns
+}
+
+func (s Snapshot) late(waiting Waiting, after time.Duration) bool {
+	return after+s.Mostly > waiting.AimLeft
+}
+
+// pick returns which request goes next. One at least is not done.
+func (s Snapshot) pick(done []bool, had map[string]time.Duration, after time.Duration, longest bool) int {
+	best := -1
+	for i, each := range s.Waiting {
+		if done[i] || longest && after+s.Need > each.Left {
+			continue
+		}
+		if best < 0 || longest && each.Held > s.Waiting[best].Held || !longest && s.before(each, s.Waiting[best], had, after) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return s.pick(done, had, after, false)
+	}
+	return best
+}
+
+// before reports whether one request goes before the other.
+func (s Snapshot) before(one, other Waiting, had map[string]time.Duration, after time.Duration) bool {
+	if one.Rank != other.Rank {
+		return one.Rank < other.Rank
+	}
+	if late := s.late(one, after); late != s.late(other, after) {
+		return !late
+	}
+	if had[one.Tenant] != had[other.Tenant] {
+		return had[one.Tenant] < had[other.Tenant]
+	}
+	if one.Left != other.Left {
+		return one.Left < other.Left
+	}
+	return one.Held > other.Held
+}
+
+const (
+	// leastComeBack is the shortest time that a refused caller is told to wait: a
+	// few requests' time.
+	leastComeBack = 100 * time.Millisecond
+	// comeBackPart is the part of the time left, one in so many, that it is told at most.
+	comeBackPart = 3
+	// lowestRank is from which rank on callers are told the same.
+	lowestRank = 3
+)
+
+// ComeBack is when a refused caller should come back: as the queue has drained, spread over
+// half of that time, so that callers refused together do not return together, and sooner the higher
+// its rank. Draw is between 0 and 1.
+func ComeBack(drain, left time.Duration, rank int, draw float64) time.Duration {
+	most := min(max(2*drain, 2*leastComeBack), max(left/comeBackPart, 0))
+	place := (float64(min(max(rank, 0), lowestRank)) + draw) / (lowestRank + 1)
+	return most/2 + time.Duration(place*float64(most/2))
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,125 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Outcomes of requests that waited or were refused, in logs and metrics.
+const (
+	outcomeStarted = "started"
+	outcomeRefused = "refused"
+	outcomeLeft    = "let go"
+)
+
+// waiter is a request that waits.
+type waiter struct {
+	Request
+	since time.Time
+	// turn has room for the one word that ends its wait.
+	turn chan word
+}
+
+// word ends the wait of a request: one of the two is not nil.
+type word struct {
+	ticket  *Ticket
+	refused *Refused
+}
+
+func (g *gate) refuse(each *waiter, reason Reason, drain time.Duration) {
+	g.release(each, &Refused{Reason: reason, ComeBack: ComeBack(drain, each.Left(), each.Rank, g.draw())})
+}
+
+// noPlace refuses a request that does not wait.
+func (g *gate) noPlace(asked Request) *Refused {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	each := &waiter{Request: asked, since: g.options.Clock().Add(-asked.Held)}
+	drain := inSeconds(float64(len(g.waiting)+1) / max(g.pace.rate, leastRate))
+	refused := &Refused{Reason: NoPlace, ComeBack: ComeBack(drain, asked.Left(), asked.Rank, g.draw())}
+	g.tell(each, outcomeRefused, string(NoPlace), refused.ComeBack)
+	return refused
+}
+
+// release ends the wait of a request, by its start if it is not refused. The lock is held.
+func (g *gate) release(each *waiter, refused *Refused) {
+	g.drop(each)
+	outcome, reason, comeBack := outcomeStarted, "", time.Duration(0)
+	if refused != nil {
+		outcome, reason, comeBack = outcomeRefused, string(refused.Reason), refused.ComeBack
+	}
+	g.tell(each, outcome, reason, comeBack)
+	if refused != nil {
+		each.turn <- word{refused: refused}
+		return
+	}
+	each.turn <- word{ticket: g.start(each.Request)}
+}
+
+// drop takes a request off those that wait, and reports whether it was among them. The lock is held.
+func (g *gate) drop(each *waiter) bool {
+	for i, other := range g.waiting {
+		if other == each {
+			// A plan under way holds the former slice.
+			g.waiting = append(append(make([]*waiter, 0, len(g.waiting)), g.waiting[:i]...), g.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// result is the word as a caller gets it.
+func (w word) result() (*Ticket, error) {
+	if w.refused != nil {
+		return nil, w.refused
+	}
+	return w.ticket, nil
+}
+
+// leave ends the wait of a request whose context has ended.
+func (g *gate) leave(ctx context.Context, each *waiter) (*Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.drop(each) {
+		g.giveBack(<-each.turn)
+	} else {
+		g.tell(each, outcomeLeft, context.Cause(ctx).Error(), 0)
+	}
+	g.decide(g.options.Clock(), g.options.Replicas(g.service))
+	return nil, &Refused{Reason: Ended, ComeBack: leastComeBack}
+}
+
+// giveBack takes a turn back that came together with the end of its request: it is not sent,
+// and its part goes to the next one. The lock is held.
+func (g *gate) giveBack(got word) {
+	if got.ticket != nil {
+		g.pace.Room(g.options.Clock())
+		g.charge(got.ticket, -got.ticket.charged)
+	}
+}
+
+// wakeAfter has those that wait looked at again. The lock is held.
+func (g *gate) wakeAfter(after time.Duration) {
+	if g.timer != nil {
+		g.timer.Reset(after)
+		return
+	}
+	g.timer = time.AfterFunc(after, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.decide(g.options.Clock(), g.options.Replicas(g.service))
+	})
+}
+
+// tell writes the line about a request that waited or was refused. The lock is held.
+func (g *gate) tell(each *waiter, outcome, reason string, comeBack time.Duration) {
+	now := g.options.Clock()
+	waited := now.Sub(each.since)
+	g.options.Observe(g.service, outcome, waited)
+	g.options.Logger.Info("admission", zap.String("request", each.ID), zap.String("service", g.service), zap.String("tenant", each.Tenant), zap.Int("rank", each.Rank),
+		zap.String("outcome", outcome), zap.String("reason", reason), zap.Int("queue", len(g.waiting)), zap.Float64("rate", g.pace.rate), zap.Float64("places", g.places()),
+		zap.Duration("usual", g.times.quantile(0.5)), zap.Duration("need", g.times.quantile(needPart)), zap.Duration("waited", waited), zap.Duration("left", each.Left()),
+		zap.Duration("full_age", now.Sub(g.pace.fullAt)), zap.Duration("come_back", comeBack))
+}
--- /dev/null
+++ b/internal/admission/service_test.go
@@ -0,0 +1,130 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodworks/internal/replica"
+)
+
+// fakeReplica runs as many requests as it has slots, lets some wait and declines the rest.
+type fakeReplica struct {
+	id             string
+	queue, waiting int
+	slots          chan struct{}
+	mu             sync.Mutex
+	slow           float64
+	asked          int
+}
+
+// run works on a request, or reports that it declined it. Load is what the answer tells.
+func (r *fakeReplica) run(ctx context.Context, work time.Duration) (load int, ran bool) {
+	r.mu.Lock()
+	r.asked++
+	if len(r.slots) == cap(r.slots) && r.waiting >= r.queue {
+		r.mu.Unlock()
+		return 0, false
+	}
+	r.waiting++
+	work = time.Duration(float64(work) * r.slow)
+	r.mu.Unlock()
+	select {
+	case r.slots <- struct{}{}:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	r.waiting--
+	r.mu.Unlock()
+	if ctx.Err() != nil {
+		return 0, true
+	}
+	wait(ctx, work)
+	<-r.slots
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.slots) + r.waiting, true
+}
+
+// wait waits for a time or the end of a context.
+func wait(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// service is three replicas of six slots.
+type service struct {
+	replicas map[string]*fakeReplica
+	tells    bool
+}
+
+func newService(queue int, tells bool) *service {
+	made := &service{replicas: map[string]*fakeReplica{}, tells: tells}
+	for i := range 3 {
+		id := fmt.Sprint("r", i)
+		made.replicas[id] = &fakeReplica{id: id, queue: queue, slots: make(chan struct{}, 6), slow: 1}
+	}
+	return made
+}
+
+// daemon has its own beliefs of the replicas.
+type daemon struct {
+	table      *replica.Table
+	controller *Controller
+	service    *service
+}
+
+func newDaemon(s *service, daemons int, logger *zap.Logger) *daemon {
+	made := &daemon{table: replica.NewTable(time.Second, zap.NewNop()), service: s}
+	for id := range s.replicas {
+		made.table.Set(replica.Entry{ID: id, Service: "s", Slots: 6})
+	}
+	made.controller = New(Options{Replicas: made.table.Replicas, Daemons: func() int { return daemons }, Clock: time.Now,
+		Observe: func(string, string, time.Duration) {}, Logger: logger})
+	return made
+}
+
+// send offers a request to one replica after the other. It reports how it ended and whether it was answered.
+func (d *daemon) send(ctx context.Context, work time.Duration, mayOffer func() bool) Outcome {
+	tried := map[string]bool{}
+	began := time.Now()
+	for offers := 0; offers == 0 || mayOffer(); offers++ {
+		chosen, found := replica.Pick(d.table.Replicas("s"), tried, time.Now())
+		if !found {
+			break
+		}
+		tried[chosen.ID] = true
+		d.table.Started(chosen.ID)
+		wait(ctx, time.Millisecond)
+		load, ran := d.service.replicas[chosen.ID].run(ctx, work)
+		d.table.Ended(chosen.ID)
+		if ctx.Err() != nil {
+			return Lost{}
+		}
+		if ran {
+			if d.service.tells {
+				d.table.Reported(chosen.ID, load)
+			}
+			return Answered{Took: time.Since(began)}
+		}
+		d.table.Busy(chosen.ID, 60*time.Millisecond)
+	}
+	return Declined{}
+}
+
+// workOf is 25 ms in the mean, with a tail.
+func workOf(random *rand.Rand) time.Duration {
+	work := 15 + 5*random.ExpFloat64()
+	if random.Float64() < 0.05 {
+		work += 100 * random.ExpFloat64()
+	}
+	return time.Duration(work * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/admission/ticket.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodworks/internal/replica"
+)
+
+// Outcome is what became of a request that was let to the replicas.
+type Outcome interface{ outcome() }
+
+// Answered: a replica answered it within the given time.
+type Answered struct{ Took time.Duration }
+
+// Declined: each replica that it was offered to was full. It has not run.
+type Declined struct{}
+
+// Lost: there is no answer, for reasons that say nothing of the room at the replicas.
+type Lost struct{}
+
+func (Answered) outcome() {}
+func (Declined) outcome() {}
+func (Lost) outcome()     {}
+
+// Ticket is a request's turn at its service. Done is called once, as it is over.
+type Ticket struct {
+	gate   *gate
+	tenant string
+	since  time.Time
+	// charged is the work that was reckoned for it.
+	charged time.Duration
+}
+
+// MayOffer reports whether the request may be offered to a further replica. While the
+// service is full, further offers are bounded by a part of the first ones.
+func (t *Ticket) MayOffer() bool {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.pace.binds || g.offers.TryRetry(g.options.Clock(), leastOffers)
+}
+
+// Done tells what became of the request.
+func (t *Ticket) Done(became Outcome) {
+	g := t.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Clock()
+	replicas := g.options.Replicas(g.service)
+	switch became := became.(type) {
+	case Answered:
+		g.answered(now, became.Took, replicas)
+		g.charge(t, became.Took-t.charged)
+	case Declined:
+		g.full(now, SignDeclined, g.share(replicas))
+		g.charge(t, -t.charged)
+	case Lost:
+	}
+	if len(g.waiting) > 0 {
+		g.decide(now, replicas)
+	}
+}
+
+// charge corrects the work that a tenant has had. The lock is held.
+func (g *gate) charge(t *Ticket, more time.Duration) {
+	if _, known := g.served[t.tenant]; known && t.charged > 0 {
+		g.served.charge(t.tenant, more, g.options.Clock())
+	}
+}
+
+// full notes a sign that the service is full. The lock is held.
+func (g *gate) full(now time.Time, sign Sign, share Share) {
+	before := g.pace.binds
+	g.pace.Full(now, share, sign)
+	if !before {
+		g.options.Logger.Info("service full", zap.String("service", g.service), zap.String("sign", string(sign)), zap.Int("slots", share.Slots),
+			zap.Int("daemons", share.Daemons), zap.Duration("usual", share.Usual), zap.Float64("rate", g.pace.rate))
+	}
+}
+
+// answered learns from the time of an answer. The lock is held.
+func (g *gate) answered(now time.Time, took time.Duration, replicas []replica.Replica) {
+	share := g.share(replicas)
+	g.times.note(took)
+	lately := g.times.lately()
+	if lately > 0 {
+		share.Usual = lately
+	}
+	if lately > 0 && (g.usual == 0 || lately < g.usual) {
+		g.usual = lately
+	}
+	slow := lately > time.Duration(slowBy*float64(g.usual))
+	if lately > g.usual {
+		g.usual += time.Duration(usualFollows * float64(lately-g.usual))
+	}
+	if slow {
+		g.times.seen = g.times.count
+		g.full(now, SignSlow, share)
+		return
+	}
+	g.pace.Answered(now, share)
+	if hasRoom(replicas) {
+		g.pace.Room(now)
+	}
+}
+
+// hasRoom reports whether a replica has told a moment ago that it has fewer requests than
+// slots. One that has just answered has room for another, so that each answer lets
+// one request of this daemon start, and no more than end.
+func hasRoom(replicas []replica.Replica) bool {
+	for _, each := range replicas {
+		if each.Reported > 0 && max(each.Reported, each.InFlight) < each.Slots {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -151,6 +151,9 @@
 	Attempts int
 	// Tried are the replicas that the request was offered to.
 	Tried []string
+	// Full says that each of them declined it: it has not run, and there is no other sign
+	// that something is wrong.
+	Full bool
 }
 
 // Error implements error.
@@ -200,7 +203,9 @@
 	// offered counts offers that may have run, notRun those that did not,
 	// open those without an outcome yet.
 	offered, notRun, open int
-	lastReason            string
+	// declined counts those of notRun that their replica turned away.
+	declined   int
+	lastReason string
 	// quarantined, if not nil, is why the content may not run now.
 	quarantined *QuarantinedError
 	// fallback is a replica's own failure, passed on if nothing better comes.
@@ -297,7 +302,8 @@
 	if reason == "" {
 		reason = errNoReplica.Error()
 	}
-	return &Failure{Certainty: certainty, Reason: reason, Quarantined: run.quarantined, Attempts: run.offered, Tried: slices.Sorted(maps.Keys(run.cancels))}
+	return &Failure{Certainty: certainty, Reason: reason, Quarantined: run.quarantined, Attempts: run.offered, Tried: slices.Sorted(maps.Keys(run.cancels)),
+		Full: certainty == NotRun && run.declined > 0 && run.declined == run.notRun && run.quarantined == nil}
 }
 
 // mayOffer reports whether another replica may be asked.
@@ -405,6 +411,9 @@
 		} else {
 			run.notRun++
 		}
+		if errors.Is(outcome.err, errDeclined) {
+			run.declined++
+		}
 		return nil
 	}
 	run.offered++
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"woodworks/internal/admission"
 	"woodworks/internal/bootclock"
 	"woodworks/internal/forward"
 	"woodworks/internal/headers"
@@ -83,6 +84,9 @@
 	Clock bootclock.Clock
 	// Retries, if not nil, bounds offers to further replicas.
 	Retries Retries
+	// Admission, if not nil, decides which plain requests wait or are refused while a
+	// service is full.
+	Admission *admission.Controller
 	// Stop, if not nil, is the planned stop of the daemon.
 	Stop *shutdown.Stop
 
@@ -242,7 +246,7 @@
 		retries.Began(asked.route)
 		call.MayRetry = func(offers int) bool { return retries.May(asked.route, offers) }
 	}
-	answer, err := asked.handler.Forwarder.Do(ctx, call)
+	answer, err := asked.doAdmitted(ctx, configuration, call)
 	if err != nil {
 		asked.explain(err)
 		return
@@ -265,6 +269,11 @@
 		asked.observe(0, "client left", err.Error())
 		panic(http.ErrAbortHandler)
 	}
+	var refused *admission.Refused
+	if errors.As(err, &refused) {
+		asked.refuseAdmission(refused)
+		return
+	}
 	var failure *forward.Failure
 	if !errors.As(err, &failure) {
 		asked.fail(http.StatusBadGateway, "failed", err.Error())
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,6 +23,7 @@
 	journal  *prometheus.HistogramVec
 	attempts *prometheus.HistogramVec
 	batches  *prometheus.HistogramVec
+	waits    *prometheus.HistogramVec
 }
 
 // New returns a registry with the counters that the gateway feeds.
@@ -53,8 +54,12 @@
 			Namespace: namespace, Name: "batch_part_seconds",
 			Help: "Where the time of the item went that each batch listed last, by part.", Buckets: latencyBuckets,
 		}, []string{"part"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "admission_wait_seconds",
+			Help: "Time that plain requests waited for a place at a full service, by service and how they went on.", Buckets: latencyBuckets,
+		}, []string{"service", "outcome"}),
 	}
-	metrics.registry.MustRegister(metrics.requests, metrics.latency, metrics.samples, metrics.journal, metrics.attempts, metrics.batches)
+	metrics.registry.MustRegister(metrics.requests, metrics.latency, metrics.samples, metrics.journal, metrics.attempts, metrics.batches, metrics.waits)
 	return metrics
 }
 
@@ -74,6 +79,11 @@
 	metrics.attempts.WithLabelValues(service, outcome).Observe(took.Seconds())
 }
 
+// Admission counts how the wait of a request for a place at a service ended.
+func (metrics *Metrics) Admission(service, outcome string, waited time.Duration) {
+	metrics.waits.WithLabelValues(service, outcome).Observe(waited.Seconds())
+}
+
 // BatchPart counts a part of the time of the item that a batch listed last.
 func (metrics *Metrics) BatchPart(part string, took time.Duration) {
 	metrics.batches.WithLabelValues(part).Observe(took.Seconds())
--- /dev/null
+++ b/internal/node/admission.go
@@ -0,0 +1,21 @@
+package node
+
+import (
+	"woodworks/internal/admission"
+	"woodworks/internal/bootclock"
+	"woodworks/internal/metrics"
+)
+
+// newAdmission makes the part that decides which plain requests wait while a service is full.
+func newAdmission(node *Node) *admission.Controller {
+	return admission.New(admission.Options{
+		Replicas: node.table.Replicas, Daemons: node.daemons, Clock: bootclock.Now,
+		Observe: node.metrics.Admission, Logger: node.logger,
+	})
+}
+
+func registerAdmissionMetrics(registry *metrics.Metrics, controller *admission.Controller) {
+	registry.Gauge("admission_waiting", "Plain requests that wait for a place at a full service.", func() float64 { return float64(controller.Count().Waiting) })
+	registry.Gauge("admission_full_services", "Services that this daemon has seen to be full.", func() float64 { return float64(controller.Count().Full) })
+	registry.Gauge("admission_places", "This daemon's part of the places of the services that are full.", func() float64 { return controller.Count().Places })
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,7 +207,7 @@
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
-		ConfigurationAge: node.configurationAge, Stop: node.shutdown,
+		ConfigurationAge: node.configurationAge, Stop: node.shutdown, Admission: newAdmission(node),
 		Keys: ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
 	node.front.handler = node.handler
@@ -272,6 +272,7 @@
 	}
 	node.registerDutyMetrics()
 	node.quarantine.registerMetrics(node.metrics)
+	registerAdmissionMetrics(node.metrics, node.handler.Admission)
 	node.metrics.Counter("replica_connections_total", "Connections made to replicas.", func() float64 { return float64(node.pool.Dials()) })
 }
 
