--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -75,6 +75,8 @@
 	Reason Reason
 	// ComeBack is when the caller should come back; it differs between callers.
 	ComeBack time.Duration
+	// drain is when those that wait will have had their turns.
+	drain time.Duration
 }
 
 // Error implements error.
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 )
 
@@ -21,8 +22,11 @@
 	// than an equal share: at that rate as many run as there are slots, by the times seen. At the
 	// replicas requests have no order and hold up those that come after them.
 	queuedCut = 0.5
-	// raiseBy is by which part of an equal share of the places an answer raises the rate. A
-	// cut then comes after some ten answers, so that most starts find a place.
+	// raiseBy is by which part of the mean of the rate and an equal share an answer raises
+	// the rate (the geometric mean: those above their share grow by less of it than those
+	// below, so that parts even out, and a daemon with all the demand keeps the places in
+	// use). At an equal share a cut then comes with each second start: a decline costs little, an idle
+	// place an answer.
 	raiseBy = 0.2
 	// regainBy is the same once no sign of fullness has come in calmAnswers.
 	regainBy = 0.5
@@ -114,7 +118,7 @@
 	if !p.full(now) {
 		step = regainBy
 	}
-	p.rate += step * share.equal()
+	p.rate += step * math.Sqrt(share.equal()*p.rate)
 	p.bound(share)
 }
 
--- /dev/null
+++ b/internal/admission/plan_test.go
@@ -0,0 +1,111 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const far = time.Hour
+
+// snapshotOf is one of a daemon that starts ten a second.
+func snapshotOf(waiting ...Waiting) Snapshot {
+	return Snapshot{Waiting: waiting, Rate: 10, LateRate: 10, Need: 50 * time.Millisecond, Mostly: 30 * time.Millisecond, Usual: 20 * time.Millisecond, Served: map[string]time.Duration{}}
+}
+
+func orderOf(s Snapshot) string {
+	order := ""
+	for _, turn := range Plan(s) {
+		if !turn.Refused {
+			order += fmt.Sprint(turn.Index)
+		}
+	}
+	return order
+}
+
+func TestPlanOrders(t *testing.T) {
+	in := func(rank int, tenant string, left time.Duration) Waiting {
+		return Waiting{Rank: rank, Tenant: tenant, Left: left, AimLeft: far}
+	}
+	aimless := in(0, "a", far)
+	aimless.AimLeft = 0
+	lowAim := in(1, "b", far)
+	cases := map[string]struct {
+		waiting []Waiting
+		served  map[string]time.Duration
+		order   string
+	}{
+		"nobody":                               {nil, nil, ""},
+		"rank before all else":                 {[]Waiting{in(1, "a", time.Second), in(0, "b", far)}, map[string]time.Duration{"b": time.Second}, "10"},
+		"the tenant that had less":             {[]Waiting{in(0, "a", time.Second), in(0, "b", far)}, map[string]time.Duration{"a": time.Second}, "10"},
+		"tenants take turns":                   {[]Waiting{in(0, "a", far), in(0, "a", far), in(0, "a", far), in(0, "b", far), in(0, "b", far)}, map[string]time.Duration{"b": time.Millisecond}, "03142"},
+		"the earliest deadline of a tenant":    {[]Waiting{in(0, "a", 2*time.Second), in(0, "a", time.Second)}, nil, "10"},
+		"one that is late goes behind":         {[]Waiting{aimless, in(0, "b", far)}, map[string]time.Duration{"b": time.Second}, "10"},
+		"a late one before those of less rank": {[]Waiting{lowAim, aimless}, nil, "10"},
+		"one without time has no place":        {[]Waiting{in(0, "a", 40*time.Millisecond), in(0, "b", 60*time.Millisecond)}, nil, "1"},
+		"one without time for its place":       {[]Waiting{in(0, "a", far), in(1, "b", 120*time.Millisecond), in(2, "c", 160*time.Millisecond)}, nil, "02"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := snapshotOf(c.waiting...)
+			if c.served != nil {
+				s.Served = c.served
+			}
+			is.Equal(orderOf(s), c.order)
+		})
+	}
+}
+
+// A plan names each request once, and refuses exactly those that would not be answered in time.
+func TestPlanIsTruthful(t *testing.T) {
+	is := is.New(t)
+	s := snapshotOf()
+	for i := range 40 {
+		s.Waiting = append(s.Waiting, Waiting{Rank: i % 3, Tenant: fmt.Sprint(i % 5), Left: time.Duration(i%8) * 400 * time.Millisecond, AimLeft: time.Duration(i%4) * 100 * time.Millisecond})
+	}
+	named := map[int]bool{}
+	for _, turn := range Plan(s) {
+		is.True(!named[turn.Index])
+		named[turn.Index] = true
+		is.Equal(turn.Refused, turn.After+s.Need > s.Waiting[turn.Index].Left)
+	}
+	is.Equal(len(named), 40)
+}
+
+// Whatever comes meanwhile, a request with k before it by arrival starts with one of the next
+// longestTurn*(k+1) starts.
+func TestNobodyStarves(t *testing.T) {
+	is := is.New(t)
+	const before = 3
+	s := snapshotOf()
+	for i := range before + 1 {
+		s.Waiting = append(s.Waiting, Waiting{Held: far - time.Duration(i), Tenant: "flood", Rank: 9, Left: far, AimLeft: 0})
+	}
+	s.Served["flood"] = far
+	for ; s.Starts < longestTurn*(before+1); s.Starts++ {
+		for range 2 {
+			s.Waiting = append(s.Waiting, Waiting{Tenant: fmt.Sprint("new", s.Starts), Left: far, AimLeft: far})
+		}
+		first := Plan(s)[0]
+		s.Waiting = append(append([]Waiting{}, s.Waiting[:first.Index]...), s.Waiting[first.Index+1:]...)
+	}
+	for _, each := range s.Waiting {
+		is.True(each.Tenant != "flood")
+	}
+}
+
+func TestRefusedCallersComeBackApartAndByRank(t *testing.T) {
+	is := is.New(t)
+	const drain, left = 400 * time.Millisecond, 2 * time.Second
+	is.True(ComeBack(drain, left, 0, 0.9)-ComeBack(drain, left, 0, 0.1) > 20*time.Millisecond)
+	for rank := range lowestRank {
+		is.True(ComeBack(drain, left, rank, 0.99) < ComeBack(drain, left, rank+1, 0))
+	}
+	for _, left := range []time.Duration{-time.Second, 0, 30 * time.Millisecond, time.Second} {
+		is.True(ComeBack(time.Hour, left, 9, 0.999) <= max(left/3, 0)) // within a third of the time left
+		is.True(ComeBack(time.Hour, left, 0, 0) >= 0)
+	}
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -28,8 +28,9 @@
 	refused *Refused
 }
 
+// refuse ends the wait of a request that has not run. The lock is held.
 func (g *gate) refuse(each *waiter, reason Reason, drain time.Duration) {
-	g.release(each, &Refused{Reason: reason, ComeBack: ComeBack(drain, each.Left(), each.Rank, g.draw())})
+	g.release(each, &Refused{Reason: reason, ComeBack: ComeBack(drain, each.Left(), each.Rank, g.draw()), drain: drain})
 }
 
 // noPlace refuses a request that does not wait.
@@ -38,23 +39,20 @@
 	defer g.mu.Unlock()
 	each := &waiter{Request: asked, since: g.options.Clock().Add(-asked.Held)}
 	drain := inSeconds(float64(len(g.waiting)+1) / max(g.pace.rate, leastRate))
-	refused := &Refused{Reason: NoPlace, ComeBack: ComeBack(drain, asked.Left(), asked.Rank, g.draw())}
-	g.tell(each, outcomeRefused, string(NoPlace), refused.ComeBack)
+	refused := &Refused{Reason: NoPlace, ComeBack: ComeBack(drain, asked.Left(), asked.Rank, g.draw()), drain: drain}
+	g.tell(each, outcomeRefused, refused)
 	return refused
 }
 
 // release ends the wait of a request, by its start if it is not refused. The lock is held.
 func (g *gate) release(each *waiter, refused *Refused) {
 	g.drop(each)
-	outcome, reason, comeBack := outcomeStarted, "", time.Duration(0)
-	if refused != nil {
-		outcome, reason, comeBack = outcomeRefused, string(refused.Reason), refused.ComeBack
-	}
-	g.tell(each, outcome, reason, comeBack)
 	if refused != nil {
+		g.tell(each, outcomeRefused, refused)
 		each.turn <- word{refused: refused}
 		return
 	}
+	g.tell(each, outcomeStarted, &Refused{})
 	each.turn <- word{ticket: g.start(each.Request)}
 }
 
@@ -85,7 +83,7 @@
 	if !g.drop(each) {
 		g.giveBack(<-each.turn)
 	} else {
-		g.tell(each, outcomeLeft, context.Cause(ctx).Error(), 0)
+		g.tell(each, outcomeLeft, &Refused{Reason: Reason(context.Cause(ctx).Error())})
 	}
 	g.decide(g.options.Clock(), g.options.Replicas(g.service))
 	return nil, &Refused{Reason: Ended, ComeBack: leastComeBack}
@@ -114,12 +112,12 @@
 }
 
 // tell writes the line about a request that waited or was refused. The lock is held.
-func (g *gate) tell(each *waiter, outcome, reason string, comeBack time.Duration) {
+func (g *gate) tell(each *waiter, outcome string, why *Refused) {
 	now := g.options.Clock()
 	waited := now.Sub(each.since)
 	g.options.Observe(g.service, outcome, waited)
 	g.options.Logger.Info("admission", zap.String("request", each.ID), zap.String("service", g.service), zap.String("tenant", each.Tenant), zap.Int("rank", each.Rank),
-		zap.String("outcome", outcome), zap.String("reason", reason), zap.Int("queue", len(g.waiting)), zap.Float64("rate", g.pace.rate), zap.Float64("places", g.places()),
+		zap.String("outcome", outcome), zap.String("reason", string(why.Reason)), zap.Int("queue", len(g.waiting)), zap.Float64("rate", g.pace.rate), zap.Float64("places", g.places()),
 		zap.Duration("usual", g.times.quantile(0.5)), zap.Duration("need", g.times.quantile(needPart)), zap.Duration("waited", waited), zap.Duration("left", each.Left()),
-		zap.Duration("full_age", now.Sub(g.pace.fullAt)), zap.Duration("come_back", comeBack))
+		zap.Duration("full_age", now.Sub(g.pace.fullAt)), zap.Duration("drain", why.drain), zap.Duration("come_back", why.ComeBack))
 }
