--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -18,17 +18,9 @@
 	// lookAgain is after which time those that wait are looked at again if nothing has
 	// woken them: replicas come and go, and times run out.
 	lookAgain = 50 * time.Millisecond
-	// needPart is the part of the answers whose time a request must have left.
-	needPart = 0.95
-	// mostlyPart is the part of the answers whose time a request must have left of its aim
-	// to go before those that are late anyway.
-	mostlyPart = 0.9
-	// slowBy is by how much answers take longer than usual where a service is taken to be
-	// full. Work that takes twice as long at a replica of several does not reach it.
-	slowBy = 3.0
-	// usualFollows is by which part the time that counts as usual follows each answer that
-	// is slower: a service that has become slow for good is not taken to be full for long.
-	usualFollows = 0.02
+	// needPart is the part of the answers whose time a request must have left: the few that
+	// take longest are no reason to refuse others.
+	needPart = 0.9
 	// offersPercent is how many further offers each hundred first ones of a full service
 	// earn, leastOffers how many a second there are at least.
 	offersPercent = 100
@@ -47,7 +39,6 @@
 	mu      sync.Mutex
 	pace    Pace
 	times   times
-	usual   time.Duration
 	offers  retrybudget.Budget
 	waiting []*waiter
 	// served has the work that tenants have had while the pace bound.
@@ -86,8 +77,8 @@
 	return g.leave(ctx, waiting)
 }
 
-// arrive lets a request start at once, or has it wait. No request overtakes here: one that
-// comes while others wait takes its place among them.
+// arrive lets a request start if its service is not seen to be full, or has it take its place
+// among those that wait, where it may start or be refused at once.
 func (g *gate) arrive(asked Request) (*waiter, *Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -95,7 +86,7 @@
 	g.demand.note(now, 1)
 	replicas := g.options.Replicas(g.service)
 	g.look(now, replicas)
-	if len(g.waiting) == 0 && (len(replicas) == 0 || g.pace.Take(now)) {
+	if len(replicas) == 0 || !g.pace.binds {
 		return nil, g.start(asked)
 	}
 	added := &waiter{Request: asked, since: now, turn: make(chan word, 1)}
@@ -153,7 +144,7 @@
 	rate := g.pace.rate
 	s := Snapshot{
 		Waiting: make([]Waiting, len(g.waiting)), Rate: rate, LateRate: max(rate-g.demand.note(now, 0), rate/longestTurn),
-		First: g.pace.Next(now), Need: g.times.quantile(needPart), Usual: g.times.quantile(0.5), Mostly: g.times.quantile(mostlyPart), Served: make(map[string]time.Duration), Starts: g.starts,
+		First: g.pace.Next(now), Need: g.times.quantile(needPart), Usual: g.times.quantile(0.5), Served: make(map[string]time.Duration), Starts: g.starts,
 	}
 	for i, each := range g.waiting {
 		held, aim := each.Held+now.Sub(each.since), time.Duration(math.MaxInt64)
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -30,9 +30,8 @@
 	Rate, LateRate float64
 	// First is after which time the next request may start.
 	First time.Duration
-	// Need is within which time an answer comes nearly always, Mostly for most, Usual for
-	// half of them.
-	Need, Mostly, Usual time.Duration
+	// Need is within which time most answers come, Usual half of them.
+	Need, Usual time.Duration
 	// Served is the work that each tenant of those that wait has had lately.
 	Served map[string]time.Duration
 	// Starts is how many requests have started.
@@ -80,7 +79,7 @@
 }
 
 func (s Snapshot) late(waiting Waiting, after time.Duration) bool {
-	return after+s.Mostly > waiting.AimLeft
+	return after+s.Need > waiting.AimLeft
 }
 
 // pick returns which request goes next. One at least is not done.
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -12,7 +12,7 @@
 
 // snapshotOf is one of a daemon that starts ten a second.
 func snapshotOf(waiting ...Waiting) Snapshot {
-	return Snapshot{Waiting: waiting, Rate: 10, LateRate: 10, Need: 50 * time.Millisecond, Mostly: 30 * time.Millisecond, Usual: 20 * time.Millisecond, Served: map[string]time.Duration{}}
+	return Snapshot{Waiting: waiting, Rate: 10, LateRate: 10, Need: 50 * time.Millisecond, Usual: 20 * time.Millisecond, Served: map[string]time.Duration{}}
 }
 
 func orderOf(s Snapshot) string {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -52,7 +52,9 @@
 		each.turn <- word{refused: refused}
 		return
 	}
-	g.tell(each, outcomeStarted, &Refused{})
+	if g.options.Clock().After(each.since) {
+		g.tell(each, outcomeStarted, &Refused{})
+	}
 	each.turn <- word{ticket: g.start(each.Request)}
 }
 
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -83,20 +83,8 @@
 // answered learns from the time of an answer. The lock is held.
 func (g *gate) answered(now time.Time, took time.Duration, replicas []replica.Replica) {
 	share := g.share(replicas)
-	g.times.note(took)
-	lately := g.times.lately()
-	if lately > 0 {
+	if lately, slow := g.times.note(now, took, g.pace.binds); slow {
 		share.Usual = lately
-	}
-	if lately > 0 && (g.usual == 0 || lately < g.usual) {
-		g.usual = lately
-	}
-	slow := lately > time.Duration(slowBy*float64(g.usual))
-	if lately > g.usual {
-		g.usual += time.Duration(usualFollows * float64(lately-g.usual))
-	}
-	if slow {
-		g.times.seen = g.times.count
 		g.full(now, SignSlow, share)
 		return
 	}
--- a/internal/admission/times.go
+++ b/internal/admission/times.go
@@ -13,45 +13,72 @@
 	knownFrom = 4
 	// unknownTime is reckoned with before that: most plain requests take less.
 	unknownTime = 50 * time.Millisecond
-	// latelyKept is over how many answers a service counts as slower than usual.
-	latelyKept = 5
+	// slowAnswers is how many answers in a row must be slow, within slowSpan, for a service to be
+	// taken to be full: with room, one of so many is as fast as most, however much
+	// requests differ.
+	slowAnswers = 6
+	slowSpan    = 2 * time.Second
+	// slowBy is by how much they take longer than usuallyPart of the answers do.
+	slowBy      = 2
+	usuallyPart = 0.75
+	// usualFollows is how often, one answer in so many, what is usual follows while the service
+	// is taken to be full: one that has become slow for good is soon as usual.
+	usualFollows = 8
 )
 
-// times are those that the answers of a service took.
-type times struct {
+// samples are the times of the last answers.
+type samples struct {
 	kept  [timesKept]time.Duration
 	count int
-	// seen is what count was as a conclusion was drawn from the last answers.
-	seen int
 }
 
-func (t *times) note(took time.Duration) {
-	t.kept[t.count%timesKept] = took
-	t.count++
+func (s *samples) note(took time.Duration) {
+	s.kept[s.count%timesKept] = took
+	s.count++
 }
 
 // quantile returns the time within which a part of the answers came. One answer that took
 // for ever does not move it.
-func (t *times) quantile(part float64) time.Duration {
-	if t.count < knownFrom {
+func (s *samples) quantile(part float64) time.Duration {
+	if s.count < knownFrom {
 		return unknownTime
 	}
-	sorted := t.kept
-	known := sorted[:min(t.count, timesKept)]
+	sorted := s.kept
+	known := sorted[:min(s.count, timesKept)]
 	slices.Sort(known)
 	return known[int(part*float64(len(known)-1))]
 }
 
-// lately is the median of the last answers, 0 if there are too few of which no conclusion
-// was drawn yet.
-func (t *times) lately() time.Duration {
-	if t.count-t.seen < latelyKept {
-		return 0
+// times are those that the answers of a service took.
+type times struct {
+	samples
+	// calm are those while it was not taken to be full.
+	calm samples
+	// last are the slow answers in a row, of which no conclusion was drawn yet.
+	last []time.Duration
+	// since is when the first of them came.
+	since time.Time
+}
+
+// note takes an answer into account. It reports whether the service is slow, and by which
+// time: as fast as half of the last answers.
+func (t *times) note(now time.Time, took time.Duration, full bool) (lately time.Duration, slow bool) {
+	usual := t.calm.quantile(usuallyPart)
+	t.samples.note(took)
+	if !full || t.samples.count%usualFollows == 0 {
+		t.calm.note(took)
+	}
+	if t.calm.count < timesKept/2 || took < slowBy*usual || now.Sub(t.since) > slowSpan {
+		t.last, t.since = t.last[:0], now
+	}
+	if took >= slowBy*usual {
+		t.last = append(t.last, took)
 	}
-	var last [latelyKept]time.Duration
-	for i := range last {
-		last[i] = t.kept[(t.count-1-i)%timesKept]
+	if len(t.last) < slowAnswers {
+		return 0, false
 	}
-	slices.Sort(last[:])
-	return last[latelyKept/2]
+	slices.Sort(t.last)
+	lately = t.last[len(t.last)/2]
+	t.last, t.since = t.last[:0], now
+	return lately, true
 }
--- a/internal/explain/conclusion.go
+++ b/internal/explain/conclusion.go
@@ -20,6 +20,9 @@
 	for _, each := range ofRequest {
 		told = append(told, each.befell(id))
 	}
+	if turn := admissionOf(story, own, id); turn != "" {
+		told = append(told, turn)
+	}
 	if window := windowOf(story, own, id); window != nil {
 		told = append(told, window...)
 	}
@@ -81,6 +84,24 @@
 	return false
 }
 
+// admissionOf is why a request waited for its turn at a full service, or got none, "" if it
+// did neither.
+func admissionOf(story []*line, own map[*line]bool, request string) string {
+	for i := len(story) - 1; i >= 0; i-- {
+		each := story[i]
+		if !own[each] || each.event != "admission" || each.get("request") != request {
+			continue
+		}
+		text := fmt.Sprintf("service %s was full for %s: %s after %s s of waiting", each.get("service"), each.node, each.get("outcome"), each.get("waited"))
+		if reason := each.get("reason"); reason != "" {
+			text += ", because: " + reason
+		}
+		return text + fmt.Sprintf(" (%s others waited, %s places were this daemon's part, the queue would have drained in %s s, an answer needed %s s of the %s s left; last seen to be full %s s before)",
+			each.get("queue"), each.get("places"), each.get("drain"), each.get("need"), each.get("left"), each.get("full_age"))
+	}
+	return ""
+}
+
 // orderOf is the last order for replicas of a service with its reason, "" if there is none.
 func orderOf(story []*line, own map[*line]bool, service string) string {
 	for i := len(story) - 1; i >= 0; i-- {
