--- a/internal/admission/times.go
+++ b/internal/admission/times.go
@@ -16,7 +16,7 @@
 	// slowAnswers is how many answers in a row must be slow, within slowSpan, for a service to be
 	// taken to be full: with room, one of so many is as fast as most, however much
 	// requests differ.
-	slowAnswers = 6
+	slowAnswers = 4
 	slowSpan    = 2 * time.Second
 	// slowBy is by how much they take longer than usuallyPart of the answers do.
 	slowBy      = 2
