--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -268,6 +268,26 @@
 	})
 }
 
+// A full service is offered at most one more replica for each request in the long run.
+func TestFurtherOffersAreBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, d *daemon, clock *clocktest.Clock) {
+		d.fill(t)
+		offers, starts := 0, 0
+		for began := time.Now(); time.Since(began) < 2*time.Second; starts++ {
+			got := <-d.enter(t.Context(), clock.Now, "a", far)
+			is.NoErr(got.err)
+			for range 4 {
+				if got.ticket.MayOffer() {
+					offers++
+				}
+			}
+			got.ticket.Done(Declined{})
+		}
+		is.True(starts > 2)
+		is.True(offers <= starts+3*leastOffers+2) // and so many a second
+	})
+}
+
 // Each request that waited or was refused has one line, with what decided it.
 func TestOneLineForEachRequestThatWaited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -109,3 +109,13 @@
 		is.True(ComeBack(time.Hour, left, 0, 0) >= 0)
 	}
 }
+
+func BenchmarkPlan(b *testing.B) {
+	s := snapshotOf()
+	for i := range mostWaiting {
+		s.Waiting = append(s.Waiting, Waiting{Rank: i % 3, Tenant: fmt.Sprint(i % 8), Left: far, AimLeft: time.Duration(i) * 10 * time.Millisecond})
+	}
+	for b.Loop() {
+		Plan(s)
+	}
+}
