Admission: a request waits for a quarter of its aim; slow answers raise nothing

Changed: while the aim can be reached a request waits for a quarter of it at most; a refused caller has the rest for another try. Where the aim is out of reach it waits as before, by its deadline. An answer that lingers raises the rate no more (replicas that queue without telling).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -25,6 +25,10 @@
 	// earn, leastOffers how many a second there are at least.
 	offersPercent = 100
 	leastOffers   = 2
+	// patiencePart is the part of its aim, one in so many, that a request waits at most while
+	// the aim can be reached: a caller that is refused within it has the rest of the time for another
+	// try.
+	patiencePart = 4
 	// demandSpan is over which time arrivals are counted.
 	demandSpan = 500 * time.Millisecond
 )
@@ -148,11 +152,13 @@
 	}
 	for i, each := range g.waiting {
 		held, aim := each.Held+now.Sub(each.since), time.Duration(math.MaxInt64)
+		patience := aim
 		if each.Aim > 0 {
 			aim = each.Aim - held
+			patience = max(each.Aim/patiencePart-held, 0)
 		}
 		s.Served[each.Tenant] = g.served.of(each.Tenant, now)
-		s.Waiting[i] = Waiting{Held: held, Tenant: each.Tenant, Rank: each.Rank, Left: each.Left(), AimLeft: aim}
+		s.Waiting[i] = Waiting{Held: held, Tenant: each.Tenant, Rank: each.Rank, Left: each.Left(), AimLeft: aim, Patience: patience}
 	}
 	return s
 }
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -18,8 +18,9 @@
 	Tenant string
 	Rank   int
 	// Left is how long its caller still waits, AimLeft within which its answer would earn
-	// its full credit.
-	Left, AimLeft time.Duration
+	// its full credit, Patience how long it may wait so that a caller that is
+	// refused can still be served soon elsewhere.
+	Left, AimLeft, Patience time.Duration
 }
 
 // Snapshot is what decides on the order of those that wait.
@@ -44,7 +45,7 @@
 	Index int
 	// After is when it is likely to start.
 	After time.Duration
-	// Refused says that it can't be served in its time.
+	// Refused says that it can't be served in its time, or not before its patience ends.
 	Refused bool
 }
 
@@ -65,10 +66,11 @@
 		index := s.pick(done, had, after, longest)
 		picked := s.Waiting[index]
 		done[index] = true
-		if !longest && s.late(picked, after) {
+		late := s.late(picked, after)
+		if !longest && late {
 			after = s.First + inSeconds(float64(starts+1)/s.LateRate)
 		}
-		turn := Turn{Index: index, After: after, Refused: after+s.Need > picked.Left}
+		turn := Turn{Index: index, After: after, Refused: after+s.Need > picked.Left || !late && after > picked.Patience}
 		turns = append(turns, turn)
 		if !turn.Refused {
 			starts++
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -83,11 +83,16 @@
 // answered learns from the time of an answer. The lock is held.
 func (g *gate) answered(now time.Time, took time.Duration, replicas []replica.Replica) {
 	share := g.share(replicas)
+	lingers := g.times.slow(took)
 	if lately, slow := g.times.note(now, took, g.pace.binds); slow {
 		share.Usual = lately
 		g.full(now, SignSlow, share)
 		return
 	}
+	if lingers && g.pace.binds {
+		// It may have waited at the replica: it shows no room, and is no sign by itself.
+		return
+	}
 	g.pace.Answered(now, share)
 	if hasRoom(replicas) {
 		g.pace.Room(now)
--- a/internal/admission/times.go
+++ b/internal/admission/times.go
@@ -60,18 +60,23 @@
 	since time.Time
 }
 
+// slow reports whether an answer took far longer than is usual.
+func (t *times) slow(took time.Duration) bool {
+	return t.calm.count >= timesKept/2 && took >= slowBy*t.calm.quantile(usuallyPart)
+}
+
 // note takes an answer into account. It reports whether the service is slow, and by which
 // time: as fast as half of the last answers.
 func (t *times) note(now time.Time, took time.Duration, full bool) (lately time.Duration, slow bool) {
-	usual := t.calm.quantile(usuallyPart)
+	slow = t.slow(took)
 	t.samples.note(took)
 	if !full || t.samples.count%usualFollows == 0 {
 		t.calm.note(took)
 	}
-	if t.calm.count < timesKept/2 || took < slowBy*usual || now.Sub(t.since) > slowSpan {
+	if !slow || now.Sub(t.since) > slowSpan {
 		t.last, t.since = t.last[:0], now
 	}
-	if took >= slowBy*usual {
+	if slow {
 		t.last = append(t.last, took)
 	}
 	if len(t.last) < slowAnswers {
