--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -132,7 +132,7 @@
 
 // start gives a request its turn. The lock is held.
 func (g *gate) start(asked Request) *Ticket {
-	ticket := &Ticket{gate: g, tenant: asked.Tenant, since: g.options.Clock()}
+	ticket := &Ticket{gate: g, tenant: asked.Tenant, aim: asked.Aim, since: g.options.Clock()}
 	if !g.pace.binds {
 		return ticket
 	}
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -28,6 +28,7 @@
 type Ticket struct {
 	gate   *gate
 	tenant string
+	aim    time.Duration
 	since  time.Time
 	// charged is the work that was reckoned for it.
 	charged time.Duration
@@ -51,7 +52,7 @@
 	replicas := g.options.Replicas(g.service)
 	switch became := became.(type) {
 	case Answered:
-		g.answered(now, became.Took, replicas)
+		g.answered(now, became.Took, t.aim, replicas)
 		g.charge(t, became.Took-t.charged)
 	case Declined:
 		g.full(now, SignDeclined, g.share(replicas))
@@ -81,10 +82,10 @@
 }
 
 // answered learns from the time of an answer. The lock is held.
-func (g *gate) answered(now time.Time, took time.Duration, replicas []replica.Replica) {
+func (g *gate) answered(now time.Time, took, aim time.Duration, replicas []replica.Replica) {
 	share := g.share(replicas)
-	lingers := g.times.slow(took)
-	if lately, slow := g.times.note(now, took, g.pace.binds); slow {
+	lingers := g.times.slow(took, aim, g.pace.binds)
+	if lately, slow := g.times.note(now, took, lingers, g.pace.binds); slow {
 		share.Usual = lately
 		g.full(now, SignSlow, share)
 		return
--- a/internal/admission/times.go
+++ b/internal/admission/times.go
@@ -21,6 +21,9 @@
 	// slowBy is by how much they take longer than usuallyPart of the answers do.
 	slowBy      = 2
 	usuallyPart = 0.75
+	// slowAimPart is the part of its aim, one in so many, from which on an answer of a full service
+	// is slow.
+	slowAimPart = 2
 	// usualFollows is how often, one answer in so many, what is usual follows while the service
 	// is taken to be full: one that has become slow for good is soon as usual.
 	usualFollows = 8
@@ -60,15 +63,19 @@
 	since time.Time
 }
 
-// slow reports whether an answer took far longer than is usual.
-func (t *times) slow(took time.Duration) bool {
+// slow reports whether an answer took far longer than is usual, or, of a full service, as
+// much of its aim that those that wait here before could not reach theirs. A daemon that
+// asks seldom knows little of what is usual.
+func (t *times) slow(took, aim time.Duration, full bool) bool {
+	if full && aim > 0 && took >= aim/slowAimPart {
+		return true
+	}
 	return t.calm.count >= timesKept/2 && took >= slowBy*t.calm.quantile(usuallyPart)
 }
 
-// note takes an answer into account. It reports whether the service is slow, and by which
+// note takes an answer into account, that was slow or not. It reports whether the service is slow, and by which
 // time: as fast as half of the last answers.
-func (t *times) note(now time.Time, took time.Duration, full bool) (lately time.Duration, slow bool) {
-	slow = t.slow(took)
+func (t *times) note(now time.Time, took time.Duration, slow, full bool) (lately time.Duration, isSlow bool) {
 	t.samples.note(took)
 	if !full || t.samples.count%usualFollows == 0 {
 		t.calm.note(took)
