--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -81,7 +81,7 @@
 }
 
 func (s Snapshot) late(waiting Waiting, after time.Duration) bool {
-	return after+s.Need > waiting.AimLeft
+	return after+s.Usual > waiting.AimLeft
 }
 
 // pick returns which request goes next. One at least is not done.
