--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -59,8 +59,9 @@
 
 // Reasons of refusals.
 const (
-	// NoTime: it can't be answered in its time, by its place in the queue.
-	NoTime Reason = "can't be served in time"
+	// NoTime: by its place in the queue it can't be answered in its time, or would wait for longer
+	// than a part of its aim.
+	NoTime Reason = "no turn in time"
 	// TooMany: as many wait as this daemon lets wait for one service.
 	TooMany Reason = "too many wait"
 	// NoPlace: every replica that was asked declined it, in each of its turns.
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -49,7 +49,8 @@
 	Refused bool
 }
 
-// Plan orders those that wait: by rank; those first whose answer can still earn its full credit;
+// Plan refuses those that can't be answered in their time or whose patience ends before their
+// turn, and orders the others: by rank; those first whose answer can still earn its full credit;
 // then the tenant's that has had the least work; then the one whose caller leaves first.
 // Each start is reckoned as work of its tenant. Those refused have no place in the order.
 func Plan(s Snapshot) []Turn {
--- a/internal/admission/replay_test.go
+++ b/internal/admission/replay_test.go
@@ -35,8 +35,8 @@
 	refusals                    int
 	// worth counts 1 for an answer in aim, less for one that is late, or that came in aim
 	// only after a refusal, and less than nothing for a caller that is refused twice.
-	worth                          float64
-	heldRefused, mostHeld, anyTime time.Duration
+	worth                 float64
+	heldRefused, mostHeld time.Duration
 }
 
 func sum(counts []int) float64 {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -72,13 +72,13 @@
 // A caller that was refused as its service was full learns by what figures.
 func TestARefusalOfAFullServiceIsExplained(t *testing.T) {
 	is := is.New(t)
-	const logs = "time=2026-01-01T00:00:01.000Z level=info event=admission node=edge-1 request=r1 service=s tenant=a rank=0 outcome=refused reason=\"can't be served in time\" queue=5 rate=10 places=0.27 usual=0.02 need=0.1 waited=0 left=0.4 full_age=0.02 drain=0.5 come_back=0.13\n" +
-		"time=2026-01-01T00:00:01.001Z level=info event=request node=edge-1 request=r1 tenant=a status=503 outcome=refused reason=\"admission: can't be served in time\"\n" +
+	const logs = "time=2026-01-01T00:00:01.000Z level=info event=admission node=edge-1 request=r1 service=s tenant=a rank=0 outcome=refused reason=\"no turn in time\" queue=5 rate=10 places=0.27 usual=0.02 need=0.1 waited=0 left=0.4 full_age=0.02 drain=0.5 come_back=0.13\n" +
+		"time=2026-01-01T00:00:01.001Z level=info event=request node=edge-1 request=r1 tenant=a status=503 outcome=refused reason=\"admission: no turn in time\"\n" +
 		"time=2026-01-01T00:00:01.002Z level=info event=admission node=edge-1 request=r2 service=s outcome=started reason=\n"
 	var told strings.Builder
 	is.NoErr(Explain(&told, "r1", strings.NewReader(logs)))
-	is.True(strings.Contains(told.String(), "r1: request on edge-1: refused, because: admission: can't be served in time"))
-	is.True(strings.Contains(told.String(), "r1: service s was full for edge-1: refused after 0 s of waiting, because: can't be served in time (5 others waited, 0.27 places were this daemon's part, the queue would have drained in 0.5 s, an answer needed 0.1 s of the 0.4 s left; last seen to be full 0.02 s before)"))
+	is.True(strings.Contains(told.String(), "r1: request on edge-1: refused, because: admission: no turn in time"))
+	is.True(strings.Contains(told.String(), "r1: service s was full for edge-1: refused after 0 s of waiting, because: no turn in time (5 others waited, 0.27 places were this daemon's part, the queue would have drained in 0.5 s, an answer needed 0.1 s of the 0.4 s left; last seen to be full 0.02 s before)"))
 	is.True(!strings.Contains(told.String(), "request=r2"))
 }
 
