--- /dev/null
+++ b/internal/admission/times.go
@@ -0,0 +1,96 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// timesKept is over how many answers the times of a service are taken: enough for the
+	// nineteenth of twenty, few enough that a slower replica shows within seconds.
+	timesKept = 32
+	// knownFrom is from how many answers on times are believed.
+	knownFrom = 4
+	// unknownTime is reckoned with before that: most plain requests take less.
+	unknownTime = 50 * time.Millisecond
+	// slowAnswers is how many answers in a row must be slow, within slowSpan, for a service to be
+	// taken to be full: with room, one of so many is as fast as most, however much
+	// requests differ.
+	slowAnswers = 4
+	slowSpan    = 2 * time.Second
+	// slowBy is by how much they take longer than usuallyPart of the answers do.
+	slowBy      = 2
+	usuallyPart = 0.75
+	// slowAimPart is the part of its aim, one in so many, from which on an answer of a full service
+	// is slow.
+	slowAimPart = 2
+	// usualFollows is how often, one answer in so many, what is usual follows while the service
+	// is taken to be full: one that has become slow for good is soon as usual.
+	usualFollows = 8
+)
+
+// samples are the times of the last answers.
+type samples struct {
+	kept  [timesKept]time.Duration
+	count int
+}
+
+func (s *samples) note(took time.Duration) {
+	s.kept[s.count%timesKept] = took
+	s.count++
+}
+
+// quantile returns the time within which a part of the answers came. One answer that took
+// for ever does not move it.
+func (s *samples) quantile(part float64) time.Duration {
+	if s.count < knownFrom {
+		return unknownTime
+	}
+	sorted := s.kept
+	known := sorted[:min(s.count, timesKept)]
+	slices.Sort(known)
+	return known[int(part*float64(len(known)-1))]
+}
+
+// times are those that the answers of a service took.
+type times struct {
+	samples
+	// calm are those while it was not taken to be full.
+	calm samples
+	// last are the slow answers in a row, of which no conclusion was drawn yet.
+	last []time.Duration
+	// since is when the first of them came.
+	since time.Time
+}
+
+// slow reports whether an answer took far longer than is usual, or, of a full service, as
+// much of its aim that those that wait here before could not reach theirs. A daemon that
+// asks seldom knows little of what is usual.
+func (t *times) slow(took, aim time.Duration, full bool) bool {
+	if full && aim > 0 && took >= aim/slowAimPart {
+		return true
+	}
+	return t.calm.count >= timesKept/2 && took >= slowBy*t.calm.quantile(usuallyPart)
+}
+
+// note takes an answer into account, that was slow or not. It reports whether the service is slow, and by which
+// time: as fast as half of the last answers.
+func (t *times) note(now time.Time, took time.Duration, slow, full bool) (lately time.Duration, isSlow bool) {
+	t.samples.note(took)
+	if !full || t.samples.count%usualFollows == 0 {
+		t.calm.note(took)
+	}
+	if !slow || now.Sub(t.since) > slowSpan {
+		t.last, t.since = t.last[:0], now
+	}
+	if slow {
+		t.last = append(t.last, took)
+	}
+	if len(t.last) < slowAnswers {
+		return 0, false
+	}
+	slices.Sort(t.last)
+	lately = t.last[len(t.last)/2]
+	t.last, t.since = t.last[:0], now
+	return lately, true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,7 +219,7 @@
 	node.handler = &ingress.Handler{
 		Names: drivers.Headers, Codec: drivers.Codec, Configuration: node.operator.Configuration, Forwarder: forwarder,
 		Runner: node.runner, Results: node.results, Observer: node.metrics, Logger: logger,
-		ConfigurationAge: node.configurationAge, Stop: node.shutdown, Holding: node.holding, Unread: node.settings.Timing.Unread.Std(),
+		ConfigurationAge: node.configurationAge, Stop: node.shutdown, Admission: newAdmission(node), Holding: node.holding, Unread: node.settings.Timing.Unread.Std(),
 		Keys: ingress.KeyPolicy{TrustKnown: node.settings.Timing.KeyBound.Std(), TrustUnknown: contact},
 	}
 	node.buildHandoff(forwarder)
@@ -288,6 +288,7 @@
 	node.quarantine.registerMetrics(node.metrics)
 	node.registerOccupancyMetrics()
 	node.registerConnectionMetrics(node.metrics)
+	registerAdmissionMetrics(node.metrics, node.handler.Admission)
 }
 
 // Start opens the listeners and runs the parts.
