--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -147,7 +147,7 @@
 func (g *gate) snapshot(now time.Time) Snapshot {
 	rate := g.pace.rate
 	s := Snapshot{
-		Waiting: make([]Waiting, len(g.waiting)), Rate: rate, LateRate: max(rate-g.demand.note(now, 0), rate/longestTurn),
+		Waiting: make([]Waiting, len(g.waiting)), Rate: rate, LateRate: max(rate-g.demand.note(now, 0), rate/oldestEvery),
 		First: g.pace.Next(now), Need: g.times.quantile(needPart), Usual: g.times.quantile(0.5), Served: make(map[string]time.Duration), Starts: g.starts,
 	}
 	for i, each := range g.waiting {
--- a/internal/admission/plan.go
+++ b/internal/admission/plan.go
@@ -4,12 +4,12 @@
 	"time"
 )
 
-// longestTurn is how often, one start in so many, the request goes first that has waited
+// oldestEvery is how often, one start in so many, the request goes first that has waited
 // longest. It is the bound on starvation: a request that keeps its time and has k requests
-// before it by arrival starts with one of the next longestTurn*(k+1) starts, whatever comes
-// meanwhile of higher ranks and other tenants. A thirtieth of the places is what this costs
-// the others.
-const longestTurn = 32
+// before it by arrival starts with one of the next oldestEvery*(k+1) starts, whatever comes
+// meanwhile of higher ranks and other tenants. It costs the others one in
+// thirty-two of the places.
+const oldestEvery = 32
 
 // Waiting is a request that waits.
 type Waiting struct {
@@ -63,7 +63,7 @@
 	starts := 0
 	for range s.Waiting {
 		after := s.First + inSeconds(float64(starts)/s.Rate)
-		longest := (s.Starts+starts)%longestTurn == longestTurn-1
+		longest := (s.Starts+starts)%oldestEvery == oldestEvery-1
 		index := s.pick(done, had, after, longest)
 		picked := s.Waiting[index]
 		done[index] = true
--- a/internal/admission/plan_test.go
+++ b/internal/admission/plan_test.go
@@ -81,7 +81,7 @@
 }
 
 // Whatever comes meanwhile, a request with k before it by arrival starts with one of the next
-// longestTurn*(k+1) starts.
+// oldestEvery*(k+1) starts.
 func TestNobodyStarves(t *testing.T) {
 	is := is.New(t)
 	const before = 3
@@ -90,7 +90,7 @@
 		s.Waiting = append(s.Waiting, Waiting{Held: far - time.Duration(i), Tenant: "flood", Rank: 9, Left: far, AimLeft: 0})
 	}
 	s.Served["flood"] = far
-	for ; s.Starts < longestTurn*(before+1); s.Starts++ {
+	for ; s.Starts < oldestEvery*(before+1); s.Starts++ {
 		for range 2 {
 			s.Waiting = append(s.Waiting, Waiting{Tenant: fmt.Sprint("new", s.Starts), Left: far, AimLeft: far, Patience: far})
 		}
--- a/internal/admission/times.go
+++ b/internal/admission/times.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// timesKept is over how many answers the times of a service are taken: enough for the
-	// nineteenth of twenty, few enough that a slower replica shows within seconds.
+	// timesKept is over how many answers the times of a service are taken: enough to
+	// tell needPart, few enough that a slower replica shows within seconds.
 	timesKept = 32
 	// knownFrom is from how many answers on times are believed.
 	knownFrom = 4
@@ -63,8 +63,8 @@
 	since time.Time
 }
 
-// slow reports whether an answer took far longer than is usual, or, of a full service, as
-// much of its aim that those that wait here before could not reach theirs. A daemon that
+// slow reports whether an answer took slowBy times as long as is usual or, of a full service, so
+// much of its aim that requests which wait here before could not reach theirs. A daemon that
 // asks seldom knows little of what is usual.
 func (t *times) slow(took, aim time.Duration, full bool) bool {
 	if full && aim > 0 && took >= aim/slowAimPart {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -168,8 +168,8 @@
 	return owner, known
 }
 
-// OwnersOf returns the members that have partitions of a topic, as of a moment ago. One that
-// has some is named as often.
+// OwnersOf returns the members that have partitions of a topic, as of a moment ago. A
+// member is listed once for each partition that it has.
 func (member *Member) OwnersOf(ctx context.Context, topic string) (owners []string) {
 	for partition, owner := range member.recentOwners(ctx) {
 		if partition.Topic == topic {
--- a/internal/handoff/decide.go
+++ b/internal/handoff/decide.go
@@ -69,7 +69,7 @@
 func weight(service, daemon string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(service)) // A hash takes all bytes.
-	_, _ = hash.Write([]byte{0})       // It parts the names.
+	_, _ = hash.Write([]byte{0})       // It separates the names.
 	_, _ = hash.Write([]byte(daemon))
 	mixed := hash.Sum64()
 	// FNV's last bytes hardly reach its upper bits: names that differ in a digit would rank alike.
--- a/internal/handoff/handoff.go
+++ b/internal/handoff/handoff.go
@@ -7,7 +7,7 @@
 //
 // Handed on are requests that may be repeated, with short bodies, under whose content no
 // replica has ended; one hop at most. Nothing rests on the peer: one that is silent, busy,
-// behind in its configuration or gone is gone round, and the request goes direct with what
+// behind in its configuration or gone is bypassed, and the request goes direct with what
 // is left of its time and its attempts.
 //
 // # Usage
--- a/internal/handoff/race.go
+++ b/internal/handoff/race.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"woodworks/internal/forward"
 )
@@ -65,7 +66,8 @@
 	var told Offers
 	err := run.h.options.Peers.Ask(bounded, run.peer, methodOffers, Inquiry{ID: run.id}, &told)
 	if err != nil {
-		return nil, false // the log line of the request's end says so
+		run.h.options.Logger.Info("peer not heard of the request", zap.String("request", run.call.RequestID), zap.String("peer", run.peer), zap.Error(err))
+		return nil, false
 	}
 	return told.Tried, true
 }
--- a/internal/ingress/rest.go
+++ b/internal/ingress/rest.go
@@ -9,8 +9,8 @@
 	"woodworks/internal/holding"
 )
 
-// chunkBytes is how much of an answer is read ahead at a time. One chunk is held whether
-// there is room or not, as a part of what a request costs.
+// chunkBytes is how much of an answer is read ahead at a time. The first chunk is held whether
+// there is room or not, and isn't counted.
 const chunkBytes = 32 << 10
 
 // mostChunks bounds what is read ahead of one answer, 16 MiB, also where the memory has no
--- a/internal/occupancy/tell.go
+++ b/internal/occupancy/tell.go
@@ -113,6 +113,7 @@
 	if err != nil {
 		// An answer may still be written to heard.
 		p.totals.Failed++
+		p.logger.Debug("report not told", zap.String("to", machine), zap.Error(err)) // up to 40 calls a second
 		return
 	}
 	to.owner = heard.Owner
--- a/internal/results/budget.go
+++ b/internal/results/budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"woodworks/internal/ledger"
@@ -94,6 +95,8 @@
 			return false
 		}
 		if _, err := partition.ReadPage(ctx); err != nil {
+			r.logger.Info("page not read, the holder is asked", zap.String("topic", partition.Name().Topic),
+				zap.Int("partition", partition.Name().Number), zap.Error(err))
 			return false
 		}
 		missing, _ = partition.Missing()
--- a/internal/runner/dispatch.go
+++ b/internal/runner/dispatch.go
@@ -136,11 +136,11 @@
 		Priority: priority, BatchSince: job.adoptedAt,
 		Model: job.submission.Model, MinVersion: job.submission.MinVersion,
 		Required: job.required[each.Group], Done: len(each.text), Remaining: job.lengths.Remaining(each.cost, len(each.text)),
-		GroupEngine: string(job.groups[each.Group]), // becomes an engine's id in nameGroupEngines
+		GroupEngine: string(job.groups[each.Group]), // the start that read the prompt; nameGroupEngines puts the engine's id
 		Waited:      now.Sub(job.adoptedAt),
 	}
 	if each.attempts == 0 || each.state == itemRunning {
-		// One that failed goes on at once.
+		// Without Most an item that failed is not held back.
 		described.Most = job.lengths.Most(each.cost, len(each.text))
 	}
 	if each.state == itemRunning {
--- a/internal/scheduling/length.go
+++ b/internal/scheduling/length.go
@@ -89,7 +89,7 @@
 // Most returns how many events come at most of a text, but for a few in a hundred of the
 // texts that got as far.
 func (l *Lengths) Most(hint int64, events int) float64 {
-	return l.quantile(hint, events, mostlyBelow)
+	return l.quantile(hint, events, mostExceeded)
 }
 
 // quantile returns how many more events a part of the texts get that got as far.
@@ -108,8 +108,8 @@
 }
 
 const (
-	// mostlyBelow is the part of the texts that get longer than is said of all.
-	mostlyBelow = 0.05
+	// mostExceeded is the part of the texts that outgrow what Most returns.
+	mostExceeded = 0.05
 	// leastAbove is the smallest part of longer texts that is told from none.
 	leastAbove = 1e-9
 	// outgrown is what is expected of a text far beyond any forecast, by its length.
--- a/internal/scheduling/move.go
+++ b/internal/scheduling/move.go
@@ -22,8 +22,8 @@
 	// overdue. There are some looks a second, so that a dark engine is left by all within
 	// the time in which one that changes its weights loses a few.
 	silentMoves = 2
-	// decisive is how long an item may take, by the time in which its step could end, and
-	// stay where it is: forecasts are off by that much, and a move costs a connection.
+	// decisive is the part of the time in which its step could end that an item may still
+	// take and stay where it is: forecasts are off by that much, and a move costs a connection.
 	decisive = 0.6
 )
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -37,10 +37,11 @@
 	inlineBodyBytes = 16 << 10
 	// defaultIdle is how long a connection may rest if the peer named no time.
 	defaultIdle = 20 * time.Second
-	// idleMargin is taken off the rest that a peer grants.
+	// idleMargin is taken off the rest that a peer grants, for requests that must not be
+	// repeated: a request on its way as the peer closes may have run or not.
 	idleMargin = 400 * time.Millisecond
-	// repeatableMarginPart is the part of it, one in so many, that is taken off for requests
-	// that may be repeated, and leastMargin the least: the way to another region and back.
+	// repeatableMarginPart is the part of the granted rest, one in so many, that is taken off for
+	// requests that may be repeated, and leastMargin the least: the way to another region and back.
 	repeatableMarginPart = 10
 	leastMargin          = 100 * time.Millisecond
 	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT option.
