The next owner of a batch knows which replicas its items have ended

Callers saw: an item that ends its replicas ended as many again at the batch's next owner, six in place of the four allowed.

Cause: ends reach other daemons by gossip and by the quarantine's partition. Neither is ordered with the records by which a batch changes its owner; with both away or late, the next owner starts the item as if it were harmless.

Change: before an item's next attempt its owner records the quarantine's entry of the content in the batch's partition; the next owner merges it before it starts the item. One more end at most is unknown if an owner dies between the end and the record. Earlier versions skip the record.

--- a/internal/batches/batch/batch.go
+++ b/internal/batches/batch/batch.go
@@ -130,6 +130,9 @@
 	Ended     bool
 	// Partials are the checkpointed beginnings of items without a result, by index of the item.
 	Partials map[int]Partial
+	// Suspected holds the quarantine's entries of the contents of items without a result, by index of
+	// the item.
+	Suspected map[int][]byte
 	// LivenessSignals counts the records that show that an owner is alive. It never decreases; an
 	// owner is suspected when it stays the same for too long.
 	LivenessSignals int64
--- a/internal/batches/batch/fold.go
+++ b/internal/batches/batch/fold.go
@@ -142,6 +142,8 @@
 		if rec.From == b.handedOffBy {
 			b.returnItems(rec.HandedOff)
 		}
+	case kindContentSuspected:
+		b.suspect(rec)
 	case kindEnded:
 		if b.BelongsTo(rec.Tenant) {
 			b.end()
@@ -179,6 +181,18 @@
 	b.HandedOffItems = left
 }
 
+// suspect stores the quarantine's entry of an unfinished item's content. Any daemon may report it: a
+// releasing owner does so for the items that it still finishes.
+func (b *Batch) suspect(rec record) {
+	if !b.isUnfinished(rec.Index) {
+		return
+	}
+	if b.Suspected == nil {
+		b.Suspected = map[int][]byte{}
+	}
+	b.Suspected[rec.Index] = rec.Part
+}
+
 // countLivenessSignal counts a heartbeat or a checkpoint of the owner. One that is appended after a
 // newer one is ignored, as its owner may have ended since. Records of earlier versions of this
 // program have no number and are always counted.
@@ -231,6 +245,7 @@
 	}
 	b.HasResult[result.Item] = true
 	delete(b.Partials, result.Item)
+	delete(b.Suspected, result.Item)
 	b.Results = append(b.Results, result)
 }
 
@@ -252,7 +267,7 @@
 		return
 	}
 	b.Ended = true
-	b.Partials = nil
+	b.Partials, b.Suspected = nil, nil
 	items := make([]Item, len(b.Items))
 	for i, item := range b.Items {
 		items[i] = Item{ID: item.ID, Group: item.Group}
--- a/internal/batches/batch/fold_test.go
+++ b/internal/batches/batch/fold_test.go
@@ -287,3 +287,43 @@
 	// Unnumbered records of earlier program versions are all counted.
 	is.Equal(livenessSignalsAfter(Heartbeat("x", "a", 0), Heartbeat("x", "a", 0)), int64(2))
 }
+
+// The next owner must find what is suspected of each item that it may start, and nothing of the
+// others.
+func TestSuspicionsOfUnfinishedItemsAreKept(t *testing.T) {
+	is := is.New(t)
+	state := NewStateAt(0)
+	submission := &Submission{ID: "b", Items: make([]Item, 3)}
+	for _, encoded := range [][]byte{
+		ContentSuspected("b", 0, []byte("before the batch")),
+		Accepted(submission, "a/1"),
+		ContentSuspected("b", 0, []byte("one end")),
+		ContentSuspected("b", 0, []byte("two ends")),
+		ContentSuspected("b", 1, []byte("one end")),
+		ContentSuspected("b", 3, []byte("no such item")),
+		Released("b", "a/1", []int{0}),
+		ContentSuspected("b", 0, []byte("three ends")), // by the owner that released the batch
+		TakenOver("b", "", "c/1"),
+		ResultsAdded("b", []Result{{Item: 1, Outcome: Done}}),
+		ContentSuspected("b", 1, []byte("late")),
+	} {
+		is.NoErr(state.Apply(encoded))
+	}
+	b, _ := state.Get("b")
+	is.Equal(b.Suspected, map[int][]byte{0: []byte("three ends")})
+	is.NoErr(state.Apply(Ended("b", "")))
+	is.Equal(len(b.Suspected), 0)
+}
+
+// Daemons of an earlier version must skip the records that they do not know.
+func TestRecordsOfUnknownKindsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	state := NewStateAt(0)
+	is.NoErr(state.Apply(Accepted(&Submission{ID: "b", Items: make([]Item, 1)}, "a/1")))
+	before, _ := state.Get("b")
+	kept := *before
+	is.NoErr(state.Apply(encode(record{Kind: 1 << 20, BatchID: "b", Index: 0, Part: []byte("x")})))
+	after, _ := state.Get("b")
+	is.Equal(*after, kept)
+	is.Equal(state.NextOffset(), int64(2))
+}
--- a/internal/batches/batch/golden_test.go
+++ b/internal/batches/batch/golden_test.go
@@ -13,14 +13,15 @@
 	submission := golden.Filled[Submission]()
 	results, progress := golden.Filled[[]Result](), golden.Filled[[]Progress]()
 	records := map[string][]byte{
-		"accepted": Accepted(submission, "owner"),
-		"listed":   ResultsAdded("batch", *results),
-		"taken":    TakenOver("batch", "from", "owner"),
-		"released": Released("batch", "from", []int{1, 2}),
-		"returned": ItemsReturned("batch", "from", []int{1}),
-		"ended":    Ended("batch", "tenant"),
-		"beat":     Heartbeat("batch", "owner", 3),
-		"advanced": Checkpoint("batch", "owner", 4, *progress),
+		"accepted":  Accepted(submission, "owner"),
+		"listed":    ResultsAdded("batch", *results),
+		"taken":     TakenOver("batch", "from", "owner"),
+		"released":  Released("batch", "from", []int{1, 2}),
+		"returned":  ItemsReturned("batch", "from", []int{1}),
+		"ended":     Ended("batch", "tenant"),
+		"beat":      Heartbeat("batch", "owner", 3),
+		"suspected": ContentSuspected("batch", 2, []byte("entry")),
+		"advanced":  Checkpoint("batch", "owner", 4, *progress),
 	}
 	for name, encoded := range records {
 		golden.Text(t, name+".cbor", encoded)
--- a/internal/batches/batch/record.go
+++ b/internal/batches/batch/record.go
@@ -20,6 +20,7 @@
 	kindHeartbeat
 	kindCheckpoint
 	kindItemsReturned
+	kindContentSuspected
 )
 
 // record is one entry of a journal partition. Which fields are set depends on Kind.
@@ -38,7 +39,8 @@
 	HandedOff []int `cbor:"7,keyasint,omitempty"`
 	// Key, Index, Count and Part are those of a fragment of a record that exceeds the journal's
 	// limit. Key is random and new for each append, so that fragments of two appends are never
-	// joined.
+	// joined. In kindContentSuspected, Index is that of an item, and Part what the quarantine knows of
+	// the content of the item or of its reward call.
 	Key   string `cbor:"8,keyasint,omitempty"`
 	Index int    `cbor:"9,keyasint,omitempty"`
 	Count int    `cbor:"10,keyasint,omitempty"`
@@ -116,6 +118,13 @@
 	return encode(record{Kind: kindCheckpoint, BatchID: batchID, Owner: owner, Number: number, Progress: progress})
 }
 
+// ContentSuspected returns the encoded record of what the owner's quarantine knows of an item's
+// content, so that the next owner knows it before it starts the item. The entry is opaque here; it
+// replaces the item's earlier one.
+func ContentSuspected(batchID string, item int, entry []byte) []byte {
+	return encode(record{Kind: kindContentSuspected, BatchID: batchID, Index: item, Part: entry})
+}
+
 // Fragment splits a record longer than limit bytes into records of at most limit bytes, and returns
 // a shorter one unchanged. The fold joins the fragments into the original record, at the offset of
 // the first one. The key must be unique to this append.
--- a/internal/batches/runner/adopt.go
+++ b/internal/batches/runner/adopt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,14 +72,17 @@
 		return
 	}
 	var j *job
+	var suspected [][]byte
 	partition.ViewBatch(batchID, func(b *batch.Batch) {
 		if b.IsOpen() && b.Owner == r.self {
 			j = newJob(r, partition, b)
+			suspected = slices.Collect(maps.Values(b.Suspected))
 		}
 	})
 	if j == nil {
 		return
 	}
+	j.mergeSuspicions(suspected)
 	j.logOwned()
 	r.jobs[batchID] = j
 	r.work.Go(func() {
--- a/internal/batches/runner/attempt.go
+++ b/internal/batches/runner/attempt.go
@@ -13,6 +13,7 @@
 	"woodworks/internal/replicas/replica"
 	"woodworks/internal/requests/eventstream"
 	"woodworks/internal/requests/forward"
+	"woodworks/internal/requests/quarantine"
 )
 
 // attemptTimeout is the deadline given to a replica for one attempt at an item.
@@ -80,12 +81,20 @@
 	if err == nil {
 		j.score(it)
 	} else {
+		j.recordSuspicion(it, a.content())
 		a.handleFailure(err)
 		j.returnItems(j.r.ctx)
 	}
 	j.r.WakeDispatcher()
 }
 
+// content returns the content of the item's request.
+func (a *attempt) content() *quarantine.Content {
+	a.job.mu.Lock()
+	defer a.job.mu.Unlock()
+	return a.job.contentOf(a.item)
+}
+
 // follow reads the events of an open stream. It returns nil at the end of the text.
 func (a *attempt) follow(cancel context.CancelFunc, stream *forward.Stream) error {
 	defer stream.Close()
--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -127,12 +127,14 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	reason := "unknown"
+	var suspected [][]byte
 	j.partition.ViewBatch(j.submission.ID, func(b *batch.Batch) {
 		if reason = j.reasonToEnd(b); reason == "" {
 			j.markListed(b)
-			j.markReturned(b)
+			suspected = j.markReturned(b)
 		}
 	})
+	j.mergeSuspicions(suspected)
 	if reason == "" && j.release.begun && j.noneInProgress() {
 		reason = "released"
 	}
--- a/internal/batches/runner/release.go
+++ b/internal/batches/runner/release.go
@@ -63,18 +63,23 @@
 	j.logger.Info("items given back", zap.Ints("items", items), zap.Error(err))
 }
 
-// markReturned lets the job start the items that the releasing owner has returned. The mutex is
-// held.
-func (j *job) markReturned(b *batch.Batch) {
+// markReturned lets the job start the items that the releasing owner has returned, and returns what
+// that owner's quarantine recorded of their contents. The mutex is held; it must be held until the
+// result has been merged.
+func (j *job) markReturned(b *batch.Batch) (suspected [][]byte) {
 	if j.release.begun {
-		return
+		return nil
 	}
 	for i, it := range j.items {
 		if it.handedOff && !b.HandedOffItems[i] {
 			it.handedOff, it.notBefore = false, time.Time{}
+			if entry := b.Suspected[i]; entry != nil {
+				suspected = append(suspected, entry)
+			}
 			j.r.WakeDispatcher()
 		}
 	}
+	return suspected
 }
 
 // releaseUnstarted releases a batch that this daemon came to own while it was stopping and
--- a/internal/batches/runner/reward.go
+++ b/internal/batches/runner/reward.go
@@ -125,8 +125,10 @@
 	}
 	ctx, cancel := context.WithTimeout(j.ctx, timeout)
 	defer cancel()
-	answer, err := j.r.forwarder.Do(ctx, j.newRewardCall(it, rt))
+	call := j.newRewardCall(it, rt)
+	answer, err := j.r.forwarder.Do(ctx, call)
 	if err != nil {
+		j.recordSuspicion(it, call.Content())
 		j.logger.Info("reward call failed", zap.String("item", it.ID), zap.String("reward", it.Reward.ID),
 			zap.Error(err))
 		return "", false, nil
--- /dev/null
+++ b/internal/batches/runner/suspicion.go
@@ -0,0 +1,42 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodworks/internal/batches/batch"
+	"woodworks/internal/requests/quarantine"
+)
+
+// suspicionTimeout bounds the record of a suspicion. The item waits for it, so that at most one end
+// of a replica is unknown to the next owner; if the journal does not answer, the item goes on.
+const suspicionTimeout = time.Second
+
+// recordSuspicion records in the batch's partition what the quarantine knows of a content of the item,
+// its request or its reward call, after a failed attempt. Gossip and the quarantine's own partition are not ordered with the records
+// by which the batch changes its owner, who would start the item without knowing which replicas it
+// has ended. It does nothing while no replica has ended under the content.
+func (j *job) recordSuspicion(it *item, content *quarantine.Content) {
+	entry, err := j.r.forwarder.Quarantine.EncodedEntry(content)
+	if err == nil && entry == nil {
+		return
+	}
+	if err == nil {
+		ctx, cancel := context.WithTimeout(j.ctx, suspicionTimeout)
+		defer cancel()
+		err = j.r.appendWithRetry(ctx, j.partition, batch.ContentSuspected(j.submission.ID, it.index, entry))
+	}
+	j.logger.Info("suspicion recorded", zap.String("item", it.ID), zap.String("content", content.Digest().Short()),
+		zap.Error(err))
+}
+
+// mergeSuspicions merges the entries that earlier owners recorded into this daemon's quarantine.
+func (j *job) mergeSuspicions(entries [][]byte) {
+	for _, entry := range entries {
+		if err := j.r.forwarder.Quarantine.MergeEncoded(entry, "batch "+j.submission.ID); err != nil {
+			j.logger.Warn("recorded suspicion not decoded", zap.Error(err))
+		}
+	}
+}
--- a/internal/journal/journaltest/journaltest.go
+++ b/internal/journal/journaltest/journaltest.go
@@ -30,6 +30,7 @@
 
 	mu         sync.Mutex
 	logs       map[journal.Partition]*log
+	refused    map[journal.Partition]bool
 	changed    chan struct{}
 	delayed    []journal.Append
 	generation int64
@@ -57,7 +58,7 @@
 // New returns an empty journal.
 func New() *Journal {
 	return &Journal{Limits: journal.Limits{Partitions: 2, RecordBytes: 1 << 16, AppendBytes: 1 << 20},
-		logs: map[journal.Partition]*log{}, changed: make(chan struct{}), members: map[string]time.Time{}}
+		logs: map[journal.Partition]*log{}, refused: map[journal.Partition]bool{}, changed: make(chan struct{}), members: map[string]time.Time{}}
 }
 
 // log returns the records of a partition, which is created if needed. The mutex must be held.
@@ -70,6 +71,13 @@
 	return l
 }
 
+// RefuseAppends makes all later appends to a partition fail with ErrNotDone.
+func (j *Journal) RefuseAppends(partition journal.Partition) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.refused[partition] = true
+}
+
 // Append implements journal.Journal.
 func (j *Journal) Append(ctx context.Context, request journal.Append) (journal.Appended, error) {
 	fault, err := j.injectFault(ctx, Append)
@@ -95,6 +103,9 @@
 func (j *Journal) applyAppend(request journal.Append) (journal.Appended, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.refused[request.Partition] {
+		return journal.Appended{}, errors.Wrap(journal.ErrNotDone, "refused")
+	}
 	target := j.log(request.Partition)
 	if request.ExpectedEnd != nil && *request.ExpectedEnd != target.end() {
 		return journal.Appended{}, errors.Wrap(journal.ErrPosition, "another end")
--- a/internal/requests/forward/call.go
+++ b/internal/requests/forward/call.go
@@ -40,7 +40,8 @@
 // clientLeft reports whether the client is known to have left.
 func (r *Request) clientLeft() bool { return r.ClientLeft != nil && r.ClientLeft() }
 
-func (r *Request) content() *quarantine.Content {
+// Content returns what identifies the request for the quarantine.
+func (r *Request) Content() *quarantine.Content {
 	return &quarantine.Content{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
 }
 
@@ -92,7 +93,7 @@
 		c.OnRun = func(time.Time) {}
 	}
 	if c.content == nil {
-		c.content = c.Request.content()
+		c.content = c.Request.Content()
 	}
 }
 
--- a/internal/requests/forward/stream.go
+++ b/internal/requests/forward/stream.go
@@ -95,7 +95,7 @@
 	if req.Deadline > 0 {
 		header[http.CanonicalHeaderKey(names.DeadlineMs)] = []string{strconv.FormatInt(req.Deadline.Milliseconds(), 10)}
 	}
-	content := req.content()
+	content := req.Content()
 	release, refused := f.admitContent(req.RequestID, content, rep)
 	if refused != nil {
 		return nil, refused
--- a/internal/requests/quarantine/quarantine.go
+++ b/internal/requests/quarantine/quarantine.go
@@ -47,6 +47,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"woodworks/internal/daemon/bootclock"
@@ -140,6 +142,29 @@
 	return changed
 }
 
+// EncodedEntry returns the encoded entry of a content, or nil if no replica has ended under it.
+func (t *Table) EncodedEntry(content *Content) ([]byte, error) {
+	if t.NoneSuspected() {
+		return nil, nil
+	}
+	entries := t.entriesOf([]Digest{content.Digest()})
+	if len(entries) == 0 || len(entries[0].Ended) == 0 {
+		return nil, nil
+	}
+	return cbor.Marshal(entries[0])
+}
+
+// MergeEncoded merges an entry that EncodedEntry returned at another daemon. from names its source
+// in the log.
+func (t *Table) MergeEncoded(encoded []byte, from string) error {
+	var entry Entry
+	if err := cbor.Unmarshal(encoded, &entry); err != nil {
+		return errors.Wrap(err, "quarantine: decode entry")
+	}
+	t.Merge([]Entry{entry}, from)
+	return nil
+}
+
 // entriesOf returns copies of the current entries of the contents. Contents without an entry are
 // omitted.
 func (t *Table) entriesOf(digests []Digest) []Entry {
