A read that was given up as lost is repeated for its question

Cause: LostCallDetector gives a read up as soon as later calls are answered (0.15 to 0.6 s), counting on its repetition. Partition.CatchUp did not repeat it, so the question was refused with up to a second of its time left.

Evidence: TestAQueryOutlivesALostRead, where one read gets no answer and all other calls do, was refused before and is answered now.

Change: the detector returns ErrGivenUp for such a read, and the ledger reads the page again within the first read's timeout. Timed out and refused reads end as before.

--- a/internal/batches/ledger/read.go
+++ b/internal/batches/ledger/read.go
@@ -72,7 +72,7 @@
 // readToEnd reads until the fold has reached the end of the partition as reported by the first read.
 func (p *Partition) readToEnd() error {
 	for target := unknownEnd; ; {
-		end, err := p.readOnce(p.ledger.ctx, 0)
+		end, err := p.readPage(p.ledger.ctx)
 		if err != nil {
 			return err
 		}
@@ -92,6 +92,19 @@
 	return p.state.NextOffset()
 }
 
+// readPage reads a page without waiting for new records. A read that was given up as lost is repeated
+// within readTimeout. The result is that of readOnce.
+func (p *Partition) readPage(ctx context.Context) (end int64, err error) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	for {
+		end, err = p.readOnce(bounded, 0)
+		if !errors.Is(err, journal.ErrGivenUp) || bounded.Err() != nil {
+			return end, err
+		}
+	}
+}
+
 // readOnce reads a page from nextOffset and applies its records, including those received before the
 // read failed. At the end of the partition it waits for new records, for at most the duration wait. It
 // returns the end of the partition as reported by the journal, or unknownEnd.
@@ -129,7 +142,7 @@
 // ReadPage reads the next page of the partition without waiting for new records. The error wraps
 // ErrNotCaughtUp.
 func (p *Partition) ReadPage(ctx context.Context) error {
-	if _, err := p.readOnce(ctx, 0); err != nil {
+	if _, err := p.readPage(ctx); err != nil {
 		return errors.Wrap(ErrNotCaughtUp, err.Error())
 	}
 	return nil
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -32,6 +32,9 @@
 	ErrNotDone = errors.New("journal: not done")
 	// ErrUnknown means that no usable answer arrived, so that the outcome is unknown.
 	ErrUnknown = errors.New("journal: outcome unknown")
+	// ErrGivenUp means that LostCallDetector gave a read up because later calls were answered, so
+	// that another read may be answered at once. It wraps ErrUnknown.
+	ErrGivenUp = errors.WithMessage(ErrUnknown, "journal: given up as lost")
 	// ErrPosition means that the partition does not end at Append.ExpectedEnd; the append had no
 	// effect.
 	ErrPosition = errors.New("journal: the partition ends elsewhere")
--- a/internal/journal/revive.go
+++ b/internal/journal/revive.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"woodworks/internal/daemon/logging"
@@ -35,7 +36,8 @@
 // Timeouts must be long enough for a slow journal, so that waiting for the timeout of a lost
 // call wastes time once the journal answers again. The detector therefore cancels a pending call
 // when a call that started later has been answered, and the pending call has been overdue for
-// much longer than the answered call took. The cancelled call returns ErrUnknown. A call is
+// much longer than the answered call took. The cancelled call returns ErrUnknown, a read ErrGivenUp. A
+// call is
 // overdue from its start on, a long poll from the end of its wait on. Which answers count
 // depends on the partition and the kind of the call; see overdueLimit.
 //
@@ -76,6 +78,8 @@
 	// wait.
 	wait   time.Duration
 	cancel context.CancelFunc
+	// givenUp is guarded by the detector's mutex.
+	givenUp bool
 }
 
 // DetectLostCalls returns a Journal that makes its calls on log and gives up those that are
@@ -125,6 +129,7 @@
 	givenUp := 0
 	for older := range d.pending {
 		if d.isLost(older, call, now) {
+			older.givenUp = true
 			older.cancel()
 			delete(d.pending, older)
 			givenUp++
@@ -140,6 +145,16 @@
 		zap.String("topic", call.partition.Topic), zap.Int("partition", call.partition.Number), zap.Duration("took", took))
 }
 
+// readError returns the error of a read: ErrGivenUp if the detector gave the read up.
+func (d *LostCallDetector) readError(call *pendingCall, err error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if call.givenUp && errors.Is(err, ErrUnknown) {
+		return ErrGivenUp
+	}
+	return err
+}
+
 // overdueLimit returns how long the call older may be overdue, given that the call answered has
 // been answered. It returns false if that answer says nothing about older. The mutex must be
 // held.
@@ -180,7 +195,8 @@
 	}
 	bounded, call := d.begin(ctx, pending)
 	defer func() { d.end(call, err) }()
-	return d.Journal.Read(bounded, request)
+	read, err = d.Journal.Read(bounded, request)
+	return read, d.readError(call, err)
 }
 
 // Newest implements Journal.
