--- a/internal/journal/relay/ask.go
+++ b/internal/journal/relay/ask.go
@@ -39,7 +39,8 @@
 
 // Ask calls a method that the named daemon has registered and waits for the answer until the
 // context ends. A peer that cannot be reached or does not answer is suspended: further calls to
-// it fail with ErrNotReached at once until the suspension ends.
+// it fail with ErrNotReached at once until the suspension ends. A peer that has only lost its path to
+// the journal is still asked.
 //
 // The error wraps ErrNotReached, ErrNoAnswer or ErrRefused. After an error the caller must not
 // read answer, because a late answer may still be written to it.
@@ -47,5 +48,5 @@
 	if j.peers.getAvailable(machine) == nil {
 		return errors.Wrapf(ErrNotReached, "%q is not known, or did not answer a moment ago", machine)
 	}
-	return j.peers.ask(ctx, machine, method, args, answer)
+	return j.peers.ask(ctx, machine, method, args, answer, reasonNoAnswer)
 }
--- a/internal/journal/relay/peer.go
+++ b/internal/journal/relay/peer.go
@@ -31,8 +31,9 @@
 	client *peerClient
 	// closed is set when this daemon stops: no connection is opened from then on.
 	closed bool
-	// suspendedUntil is the time until which the peer is not called.
-	suspendedUntil time.Time
+	// suspendedUntil is the time until which the peer is not called, noRelayUntil the time until
+	// which it is not asked to make calls to the journal.
+	suspendedUntil, noRelayUntil time.Time
 }
 
 // peerClient is a connection to a peer. It must be ended by closing conn, never by Client.Close:
@@ -50,11 +51,25 @@
 	return now.Before(p.suspendedUntil)
 }
 
-// suspend makes callers avoid the peer until the given time.
-func (p *peer) suspend(until time.Time) {
+// mayRelay reports whether the peer may be asked to make calls to the journal at the time now.
+func (p *peer) mayRelay(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.suspendedUntil = until
+	return !now.Before(p.suspendedUntil) && !now.Before(p.noRelayUntil)
+}
+
+// suspend makes callers avoid the peer until the given time, or only for calls to the journal. A
+// suspension never shortens one that ends later.
+func (p *peer) suspend(until time.Time, relayOnly bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	end := &p.suspendedUntil
+	if relayOnly {
+		end = &p.noRelayUntil
+	}
+	if until.After(*end) {
+		*end = until
+	}
 }
 
 // ask calls a method of the peer and waits for the answer until the context ends. If the error
--- a/internal/journal/relay/peers.go
+++ b/internal/journal/relay/peers.go
@@ -27,12 +27,28 @@
 	// maxPeersTried is the maximum number of peers asked to make one call.
 	maxPeersTried = 3
 	// unreachableRetryDelay, noAnswerRetryDelay and pathLostRetryDelay are how long a peer is
-	// suspended that could not be reached, did not answer, or has lost its own path.
+	// suspended that could not be reached, did not answer, or has lost its own path; in the last case
+	// only calls to the journal avoid it.
 	unreachableRetryDelay = 3 * time.Second
 	noAnswerRetryDelay    = time.Second
 	pathLostRetryDelay    = 500 * time.Millisecond
 )
 
+// suspendReason says why a peer is suspended. Its values are logged.
+type suspendReason string
+
+const (
+	reasonNotReached suspendReason = "not reached"
+	reasonNoAnswer   suspendReason = "no answer"
+	// reasonRelayNoAnswer: the peer did not answer a call to the journal, which may be the journal's
+	// fault.
+	reasonRelayNoAnswer suspendReason = "no answer from the journal"
+	reasonPathLost      suspendReason = "has lost the journal as well"
+)
+
+// isRelayOnly reports whether the peer may still be asked what needs no journal.
+func (r suspendReason) isRelayOnly() bool { return r == reasonPathLost || r == reasonRelayNoAnswer }
+
 // errNoPeer means that no peer has made the call.
 var errNoPeer = errors.New("relay: no peer reaches the journal")
 
@@ -101,11 +117,11 @@
 	return slices.Sorted(maps.Keys(p.byName))
 }
 
-// hasAvailable reports whether there is a peer that may be called now.
+// hasAvailable reports whether there is a peer that may be asked to call the journal now.
 func (p *peers) hasAvailable() bool { return len(p.candidates(time.Now())) > 0 }
 
-// candidates returns the names of at most maxPeersTried peers that are not suspended, in the
-// order in which to ask them: the preferred peer, those of this daemon's zone, the others. The
+// candidates returns the names of at most maxPeersTried peers that may be asked to call the journal,
+// in the order in which to ask them: the preferred peer, those of this daemon's zone, the others. The
 // order within a zone is random. It returns none after close.
 func (p *peers) candidates(now time.Time) []string {
 	p.mu.Lock()
@@ -116,7 +132,7 @@
 	var names []string
 	rank := map[string]float64{}
 	for name, other := range p.byName {
-		if other.isSuspended(now) {
+		if !other.mayRelay(now) {
 			continue
 		}
 		names = append(names, name)
@@ -149,9 +165,10 @@
 }
 
 // ask calls a method of a known peer and waits for the answer until the context ends. A peer that
-// cannot be reached or does not answer is suspended, unless the caller cancelled the call. The
+// cannot be reached, or does not answer, is suspended; in the latter case for the given reason. It is
+// not suspended if the caller cancelled the call, or had no time left while the peer was dialled. The
 // error wraps ErrNotReached, ErrNoAnswer or ErrRefused.
-func (p *peers) ask(ctx context.Context, name, method string, args, answer any) error {
+func (p *peers) ask(ctx context.Context, name, method string, args, answer any, noAnswer suspendReason) error {
 	err := p.get(name).ask(ctx, p.dial, method, args, answer)
 	var refused rpc.ServerError
 	switch {
@@ -163,10 +180,12 @@
 		// The caller cancelled the call, which does not mean that the peer failed.
 		return errors.Wrap(ErrNoAnswer, ctx.Err().Error())
 	case errors.Is(err, ErrNotReached):
-		p.suspend(name, unreachableRetryDelay, "not reached", err)
+		if ctx.Err() == nil {
+			p.suspend(name, unreachableRetryDelay, reasonNotReached, err)
+		}
 		return err
 	default:
-		p.suspend(name, noAnswerRetryDelay, "no answer", err)
+		p.suspend(name, noAnswerRetryDelay, noAnswer, err)
 		return errors.Wrap(ErrNoAnswer, err.Error())
 	}
 }
@@ -188,7 +207,7 @@
 	for _, name := range p.candidates(time.Now()) {
 		var encoded Message
 		var answer reply
-		err := p.ask(bounded, name, methodName, msg, &encoded)
+		err := p.ask(bounded, name, methodName, msg, &encoded, reasonRelayNoAnswer)
 		if errors.Is(err, ErrNotReached) {
 			continue
 		}
@@ -199,7 +218,7 @@
 			return reply{}, errors.Wrap(journal.ErrUnknown, err.Error())
 		}
 		if answer.Outcome == outcomePathLost {
-			p.suspend(name, pathLostRetryDelay, "has lost the journal as well", nil)
+			p.suspend(name, pathLostRetryDelay, reasonPathLost, nil)
 			continue
 		}
 		p.mu.Lock()
@@ -210,19 +229,20 @@
 	return reply{}, errors.Wrap(errNoPeer, "none left to ask")
 }
 
-// suspend makes callers avoid a peer for the given time and logs the reason.
-func (p *peers) suspend(name string, duration time.Duration, reason string, cause error) {
+// suspend makes callers avoid a peer for the given time and logs the reason, which decides whether
+// only calls to the journal avoid it.
+func (p *peers) suspend(name string, duration time.Duration, reason suspendReason, cause error) {
 	other := p.get(name)
 	if other == nil {
 		return
 	}
-	other.suspend(time.Now().Add(duration))
+	other.suspend(time.Now().Add(duration), reason.isRelayOnly())
 	p.mu.Lock()
 	if p.preferred == name {
 		p.preferred = ""
 	}
 	p.mu.Unlock()
-	p.suspensions.Note(logging.Occurrence{Key: reason, Subject: name, Took: duration},
+	p.suspensions.Note(logging.Occurrence{Key: string(reason), Subject: name, Took: duration},
 		zap.String("peer", name), zap.Duration("rest", duration), zap.Error(cause))
 }
 
--- a/internal/journal/revive.go
+++ b/internal/journal/revive.go
@@ -36,10 +36,9 @@
 // Timeouts must be long enough for a slow journal, so that waiting for the timeout of a lost
 // call wastes time once the journal answers again. The detector therefore cancels a pending call
 // when a call that started later has been answered, and the pending call has been overdue for
-// much longer than the answered call took. The cancelled call returns ErrUnknown, a read ErrGivenUp. A
-// call is
-// overdue from its start on, a long poll from the end of its wait on. Which answers count
-// depends on the partition and the kind of the call; see overdueLimit.
+// much longer than the answered call took. The cancelled call returns ErrUnknown, a read
+// ErrGivenUp. A call is overdue from its start on, a long poll from the end of its wait on. Which
+// answers count depends on the partition and the kind of the call; see overdueLimit.
 //
 // A call that is given up by mistake does no harm: its outcome is unknown, as after a timeout,
 // and the caller handles it in the same way.
