A dial to one peer delays no call to another

Callers saw: after the loss of a zone, calls through peers and to watchers took up to 0.25 s longer for each dead peer that was being dialled.

Cause: peer.connect held the peer's mutex during the dial; the lookups of all peers need it, one of them under the mutex of the whole list.

All functions that hold a mutex to their end were searched for calls that wait; there is no other.

--- a/internal/journal/relay/peer.go
+++ b/internal/journal/relay/peer.go
@@ -18,6 +18,9 @@
 	unackedTimeout = 600 * time.Millisecond
 )
 
+// errPeerClosed is the error of a call after this daemon has begun to stop.
+var errPeerClosed = errors.New("relay: the daemon ends")
+
 // dialFunc opens a connection to the relay at an address.
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
 
@@ -27,8 +30,11 @@
 	Address string `cbor:"1,keyasint"`
 	Zone    string `cbor:"2,keyasint"`
 
+	// mu is never held while a connection is dialled: lookups of all peers need it.
 	mu     sync.Mutex
 	client *peerClient
+	// dialling is the dial in progress, or nil.
+	dialling *dialAttempt
 	// closed is set when this daemon stops: no connection is opened from then on.
 	closed bool
 	// suspendedUntil is the time until which the peer is not called, noRelayUntil the time until
@@ -36,6 +42,16 @@
 	suspendedUntil, noRelayUntil time.Time
 }
 
+// dialAttempt is a dial that its callers share. client and err are set before done is closed;
+// waiters, the number of callers that wait, is guarded by the peer's mutex.
+type dialAttempt struct {
+	cancel  context.CancelFunc
+	done    chan struct{}
+	client  *peerClient
+	err     error
+	waiters int
+}
+
 // peerClient is a connection to a peer. It must be ended by closing conn, never by Client.Close:
 // after Close, net/rpc may end calls in progress with ErrShutdown, which in this package means
 // that a call was not sent.
@@ -108,23 +124,75 @@
 	return call.Error
 }
 
-// connect returns the open connection to the peer, or dials a new one. It fails once the peer is
-// closed.
+// connect returns the open connection to the peer, or dials a new one. Concurrent callers share one
+// dial, which ends early if none of them waits any more. connect fails once the peer is closed.
 func (p *peer) connect(ctx context.Context, dial dialFunc) (*peerClient, error) {
+	client, attempt, err := p.joinDial(ctx, dial)
+	if client != nil || err != nil {
+		return client, err
+	}
+	select {
+	case <-attempt.done:
+		return attempt.client, attempt.err
+	case <-ctx.Done():
+		p.leaveDial(attempt)
+		return nil, ctx.Err()
+	}
+}
+
+// joinDial returns the open connection, or the dial in progress, which it starts if there is none.
+func (p *peer) joinDial(ctx context.Context, dial dialFunc) (*peerClient, *dialAttempt, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return nil, nil, errPeerClosed
+	case p.client != nil:
+		return p.client, nil, nil
+	case p.dialling == nil:
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
+		p.dialling = &dialAttempt{done: make(chan struct{}), cancel: cancel}
+		go p.dial(bounded, dial, p.dialling)
+	}
+	p.dialling.waiters++
+	return nil, p.dialling, nil
+}
+
+// leaveDial records that a caller does not wait for a dial any more. The last one ends it.
+func (p *peer) leaveDial(attempt *dialAttempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		return nil, errors.New("relay: the daemon ends")
+	attempt.waiters--
+	if attempt.waiters > 0 {
+		return
 	}
-	if p.client != nil {
-		return p.client, nil
+	attempt.cancel()
+	if p.dialling == attempt {
+		p.dialling = nil // a later caller does not share its failure
 	}
+}
+
+// dial opens a connection and ends the attempt.
+func (p *peer) dial(ctx context.Context, dial dialFunc, attempt *dialAttempt) {
+	defer attempt.cancel()
 	conn, err := dial(ctx, p.Address)
-	if err != nil {
-		return nil, err
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(attempt.done)
+	if p.dialling == attempt {
+		p.dialling = nil
+	}
+	switch {
+	case err != nil:
+		attempt.err = err
+	case p.closed, p.client != nil:
+		// This daemon stops, or a later attempt was faster after this one was left.
+		attempt.err = errPeerClosed
+		_ = conn.Close() // Nothing was sent on it.
+	default:
+		attempt.client = &peerClient{Client: rpc.NewClient(conn), conn: conn}
+		p.client = attempt.client
 	}
-	p.client = &peerClient{Client: rpc.NewClient(conn), conn: conn}
-	return p.client, nil
 }
 
 // discard closes a broken connection. If the peer has a newer connection, that one stays in use:
