--- a/internal/journal/relay/golden_test.go
+++ b/internal/journal/relay/golden_test.go
@@ -12,6 +12,8 @@
 func TestMessagesKeepTheirForm(t *testing.T) {
 	golden.Service(t, serviceName, &Service{})
 	golden.Gob[Message](t, "message")
+	golden.Text(t, "introduce.txt", fmt.Sprintln(introduceMethod))
+	golden.Gob[Introduction](t, "introduction")
 	golden.CBOR[operation](t, "operation")
 	golden.CBOR[reply](t, "reply")
 	golden.CBOR[peer](t, "peer")
--- a/internal/journal/relay/peers.go
+++ b/internal/journal/relay/peers.go
@@ -52,7 +52,8 @@
 // errNoPeer means that no peer has made the call.
 var errNoPeer = errors.New("relay: no peer reaches the journal")
 
-// peers holds the other daemons, as they announced themselves in PeersPartition. It implements
+// peers holds the other daemons, as they announced themselves in PeersPartition or, without the
+// journal, introduced themselves. It implements
 // journal.KeyedHandler and is safe for concurrent use.
 type peers struct {
 	options Options
@@ -97,11 +98,19 @@
 		p.logger.Warn("failed to decode peer entry", zap.String("peer", record.Key), zap.Error(err))
 		return
 	}
+	p.add(record.Key, other)
+}
+
+// add adds a peer, or replaces it if its address has changed, and reports whether it did.
+func (p *peers) add(name string, other *peer) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if before := p.byName[record.Key]; before == nil || before.Address != other.Address {
-		p.byName[record.Key] = other
+	before := p.byName[name]
+	if p.closed || name == p.options.Name || before != nil && before.Address == other.Address {
+		return false
 	}
+	p.byName[name] = other
+	return true
 }
 
 func (p *peers) count() int {
--- a/internal/journal/relay/relay.go
+++ b/internal/journal/relay/relay.go
@@ -14,7 +14,8 @@
 // The package contains the state of the own path (path.go), the connections to other daemons
 // (peer.go, peers.go) and the service that answers them (service.go). Daemons communicate over these
 // connections only. Besides calls to the journal, they carry the calls that the packages results,
-// occupancy and quarantine register. The list of daemons is kept in the journal.
+// occupancy and quarantine register. The list of daemons is kept in the journal;
+// while a daemon has lost its path, it also introduces itself to its neighbours (introduce.go).
 //
 // # Usage
 //
@@ -86,6 +87,7 @@
 func (j *Journal) Run(ctx context.Context) {
 	go j.announce(ctx)
 	go j.probe(ctx)
+	go j.introduce(ctx)
 	periodic.Every(ctx, lossCheckInterval, func(context.Context) {
 		if lost, reason := j.path.detectLoss(time.Now()); lost {
 			j.logger.Warn("own path to the journal lost", zap.String("reason", reason),
--- a/internal/journal/relay/service.go
+++ b/internal/journal/relay/service.go
@@ -50,6 +50,9 @@
 			return nil, err
 		}
 	}
+	if err := server.RegisterName(introducerName, &Introducer{peers: j.peers}); err != nil {
+		return nil, err
+	}
 	return server, server.RegisterName(serviceName, &Service{ctx: ctx, relay: j})
 }
 
--- a/internal/requests/quarantine/gossip_test.go
+++ b/internal/requests/quarantine/gossip_test.go
@@ -315,3 +315,25 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a daemon that becomes known after an end and is never told of it, while the store
+// is away.
+func TestANewNeighbourIsToldWhatIsSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx)
+		f.log.SetFault(func(journaltest.Call) journaltest.Fault { return journaltest.Refuse })
+		first := f.start("a", true)
+		synctest.Wait()
+		suspected := &Content{Method: "POST", Target: "/x", Body: []byte("ends its replica")}
+		for i := range minEndsToRefuse {
+			first.table.ReplicaEnded(suspected, fmt.Sprintf("r%d@1", i), "s")
+		}
+		time.Sleep(time.Second)
+		second := f.start("b", true)
+		time.Sleep(maxPropagation)
+		is.Equal(second.table.Suspicion(suspected), Quarantined)
+	})
+}
--- a/internal/requests/quarantine/quarantine.go
+++ b/internal/requests/quarantine/quarantine.go
@@ -165,6 +165,19 @@
 	return nil
 }
 
+// suspectedEver returns the contents that are suspected or refused, or were and are cleared.
+func (t *Table) suspectedEver() []Digest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var digests []Digest
+	for digest, s := range t.entries {
+		if len(s.Ended) > 0 || s.Epoch > 0 {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
+
 // entriesOf returns copies of the current entries of the contents. Contents without an entry are
 // omitted.
 func (t *Table) entriesOf(digests []Digest) []Entry {
--- a/internal/requests/quarantine/spread.go
+++ b/internal/requests/quarantine/spread.go
@@ -30,6 +30,9 @@
 	// giveUpTimeout is for how long calls to an unresponsive neighbour are repeated. A neighbour
 	// that is away for longer reads the entries from the journal.
 	giveUpTimeout = time.Minute
+	// newNeighbourInterval is the time between two checks for neighbours that have not been told
+	// yet: a neighbour may become known only after the last change.
+	newNeighbourInterval = time.Second
 	// maxEntriesPerCall bounds the entries of one call, each of at most 3 KiB.
 	maxEntriesPerCall = 128
 )
@@ -71,6 +74,8 @@
 	table      *Table
 	neighbours Neighbours
 	logger     *zap.Logger
+	// told holds the neighbours of the last round. Only the goroutine of Run uses it.
+	told map[string]bool
 
 	mu sync.Mutex
 	// pending maps each neighbour to the contents to send to it. It has a key for a neighbour
@@ -83,20 +88,41 @@
 	return &Gossiper{table: table, neighbours: neighbours, logger: logger, pending: map[string]map[Digest]bool{}}
 }
 
-// Run sends changes of the table to the neighbours until the context ends.
+// Run sends changes of the table to the neighbours, and the whole table to new ones, until the
+// context ends.
 func (s *Gossiper) Run(ctx context.Context) {
+	newNeighbours := time.NewTicker(newNeighbourInterval)
+	defer newNeighbours.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-newNeighbours.C:
 		case <-s.table.wake:
+			periodic.Pause(ctx, gatherDelay)
 		}
-		periodic.Pause(ctx, gatherDelay)
-		changed := s.table.takeChanged()
-		for _, machine := range s.neighbours.Neighbours() {
+		s.tellNeighbours(ctx)
+	}
+}
+
+// tellNeighbours sends the queued changes to the neighbours, and all that was ever suspected to
+// those that were no neighbours at the last call.
+func (s *Gossiper) tellNeighbours(ctx context.Context) {
+	changed, all := s.table.takeChanged(), s.table.suspectedEver()
+	if len(changed)+len(all) == 0 {
+		s.told = nil
+		return
+	}
+	told := map[string]bool{}
+	for _, machine := range s.neighbours.Neighbours() {
+		told[machine] = true
+		if s.told[machine] {
 			s.enqueue(ctx, machine, changed)
+		} else {
+			s.enqueue(ctx, machine, all)
 		}
 	}
+	s.told = told
 }
 
 // enqueue adds contents to those pending for a neighbour, and starts a goroutine with
