--- a/internal/requests/quarantine/quarantine.go
+++ b/internal/requests/quarantine/quarantine.go
@@ -165,13 +165,13 @@
 	return nil
 }
 
-// suspectedEver returns the contents that are suspected or refused, or were and are cleared.
-func (t *Table) suspectedEver() []Digest {
+// suspected returns the contents that are suspected or refused.
+func (t *Table) suspected() []Digest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var digests []Digest
 	for digest, s := range t.entries {
-		if len(s.Ended) > 0 || s.Epoch > 0 {
+		if len(s.Ended) > 0 {
 			digests = append(digests, digest)
 		}
 	}
--- a/internal/requests/quarantine/spread.go
+++ b/internal/requests/quarantine/spread.go
@@ -74,7 +74,8 @@
 	table      *Table
 	neighbours Neighbours
 	logger     *zap.Logger
-	// told holds the neighbours of the last round. Only the goroutine of Run uses it.
+	// told holds the neighbours of the last round, nil before the first. Only the goroutine of Run
+	// uses it.
 	told map[string]bool
 
 	mu sync.Mutex
@@ -88,8 +89,8 @@
 	return &Gossiper{table: table, neighbours: neighbours, logger: logger, pending: map[string]map[Digest]bool{}}
 }
 
-// Run sends changes of the table to the neighbours, and the whole table to new ones, until the
-// context ends.
+// Run sends changes of the table to the neighbours, and all suspected contents to new ones, until
+// the context ends.
 func (s *Gossiper) Run(ctx context.Context) {
 	newNeighbours := time.NewTicker(newNeighbourInterval)
 	defer newNeighbours.Stop()
@@ -105,21 +106,18 @@
 	}
 }
 
-// tellNeighbours sends the queued changes to the neighbours, and all that was ever suspected to
-// those that were no neighbours at the last call.
+// tellNeighbours sends the queued changes to the neighbours, and all suspected contents to those
+// that have become neighbours since the last call. At the first call there are none: who was
+// known before any change is told of each.
 func (s *Gossiper) tellNeighbours(ctx context.Context) {
-	changed, all := s.table.takeChanged(), s.table.suspectedEver()
-	if len(changed)+len(all) == 0 {
-		s.told = nil
-		return
-	}
-	told := map[string]bool{}
-	for _, machine := range s.neighbours.Neighbours() {
+	changed, neighbours := s.table.takeChanged(), s.neighbours.Neighbours()
+	told := make(map[string]bool, len(neighbours))
+	for _, machine := range neighbours {
 		told[machine] = true
-		if s.told[machine] {
+		if s.told == nil || s.told[machine] {
 			s.enqueue(ctx, machine, changed)
 		} else {
-			s.enqueue(ctx, machine, all)
+			s.enqueue(ctx, machine, s.table.suspected())
 		}
 	}
 	s.told = told
