An accepting daemon takes back a batch that it reads alone

Callers saw: a batch whose chosen owner had ended waited for the partition's watcher, seconds later.

Cause: standBy awaits the owner in the fold that foldOf gives, which may begin at the batch, and then looked for silence in the fold of the whole partition, which lacks the batch.

Change: stillSilent looks in the fold that was just read. All other users of foldOf stay with one fold.

--- a/internal/batches/runner/standby.go
+++ b/internal/batches/runner/standby.go
@@ -37,7 +37,7 @@
 			zap.String("owner", owner), zap.Error(err))
 		return
 	}
-	if r.stillSilent(expected) {
+	if stillSilent(partition, expected) {
 		r.replaceOwner(r.ctx, expected, "no first heartbeat")
 	}
 }
--- a/internal/batches/runner/standby_test.go
+++ b/internal/batches/runner/standby_test.go
@@ -100,3 +100,23 @@
 		is.Equal(ownerInJournal(ctx, t, log, "x"), "b/1")
 	})
 }
+
+// An accepting daemon that reads its batch alone must not take it over from an owner whose heartbeat
+// it has not read yet.
+func TestStandByThatReadsAloneKeepsOwnerWithHeartbeat(t *testing.T) {
+	withJournal(t, func(ctx context.Context, t *testing.T, is *is.I, log *journaltest.Journal) {
+		watcher := ledger.New(ctx, log, zap.NewNop())
+		defer watcher.PartitionOf("x").Follow()()
+		appendOtherBatches(ctx, t, log, watcher.PartitionOf("x").Name(), 64<<10)
+		accepter := newAccepter(ctx, log, "a/1")
+		accepter.locator = ledgerLocator{watcher}
+		is.NoErr(accepter.Accept(ctx, &oneItem))
+		refuse(log, journaltest.Read) // the heartbeat is not read before the wait is over
+		time.Sleep(minStandByDelay / 2)
+		is.NoErr(watcher.PartitionOf("x").Append(ctx, batch.Heartbeat("x", "a/1", 1)))
+		time.Sleep(minStandByDelay/2 - time.Millisecond)
+		log.SetFault(nil)
+		time.Sleep(10 * minStandByDelay)
+		is.Equal(ownerInJournal(ctx, t, log, "x"), "a/1")
+	})
+}
--- a/internal/batches/runner/takeover.go
+++ b/internal/batches/runner/takeover.go
@@ -101,7 +101,7 @@
 		}
 	}
 	for _, suspect := range suspects {
-		if read := reads[suspect.partition]; read != nil && r.stillSilent(suspect) {
+		if read := reads[suspect.partition]; read != nil && stillSilent(r.ledger.Partition(suspect.partition), suspect) {
 			suspect.confirmStart = read.began
 			confirmed = append(confirmed, suspect)
 		}
@@ -109,10 +109,10 @@
 	return confirmed
 }
 
-// stillSilent reports whether the partition's fold shows no change of the suspect's batch or owner
-// since the observation.
-func (r *Runner) stillSilent(suspect observation) (still bool) {
-	partition := r.ledger.Partition(suspect.partition)
+// stillSilent reports whether a fold shows no change of the suspect's batch or owner since the
+// observation. It must be the fold that was just read to its end; one that lacks the batch shows no
+// silence.
+func stillSilent(partition *ledger.Partition, suspect observation) (still bool) {
 	partition.ViewBatch(suspect.batch, func(b *batch.Batch) { still = suspect.unchanged(b) })
 	return still
 }
