A hand-over without a free connection is no failure of the replica

Callers saw: batches kept off a sound replica for 0.2 to 3 s.

Cause: handOverFault did not tell upstream.ErrPoolExhausted, which says that this daemon has no free connection, from a failure of the replica.

The other callers of RequestFailed already tell the two apart.

--- a/internal/batches/runner/handover_test.go
+++ b/internal/batches/runner/handover_test.go
@@ -14,6 +14,7 @@
 	"woodworks/internal/replicas/replica"
 	"woodworks/internal/requests/eventstream"
 	"woodworks/internal/requests/route"
+	"woodworks/internal/requests/upstream"
 )
 
 // newMovingJob returns a job whose item is being handed over from replica "from" to "to".
@@ -128,3 +129,15 @@
 	is.True(pinned(true))
 	is.True(!pinned(false))
 }
+
+// A hand-over that finds no free connection must make batches avoid the replica for retryDelay only:
+// the replica was not asked.
+func TestHandOverWithoutAConnectionAvoidsTheReplicaBriefly(t *testing.T) {
+	is := is.New(t)
+	j, it := newMovingJob(t)
+	before := time.Now()
+	handOverAttempt(j, it).abandon(nil, errors.Wrap(upstream.ErrPoolExhausted, "test"))
+	rep, _ := j.r.table.Get("to")
+	is.True(rep.AvoidUntil.After(before))
+	is.True(!rep.AvoidUntil.After(time.Now().Add(retryDelay)))
+}
--- a/internal/batches/runner/retry.go
+++ b/internal/batches/runner/retry.go
@@ -94,6 +94,8 @@
 		return noFault
 	case errors.Is(cause, forward.ErrDeclined):
 		return faultDeclined
+	case errors.Is(cause, upstream.ErrPoolExhausted):
+		return faultFull
 	default:
 		return faultFailed
 	}
