--- a/internal/batches/results/here.go
+++ b/internal/batches/results/here.go
@@ -71,17 +71,26 @@
 	return itemsOf(partition, query), nil
 }
 
-// beginningFromFold answers with the offset of a batch from this daemon's fold. It reads the
-// journal up to now if the fold does not hold the batch.
+// beginningFromFold answers with the offset of a batch from this daemon's fold. If the fold does not
+// hold the batch, it reads the journal up to now, and answers as soon as the fold holds it: the read
+// of a follower may bring the batch first.
 func (r *Reader) beginningFromFold(ctx context.Context, query BeginningQuery) (Beginning, error) {
 	partition := r.ledger.PartitionOf(query.BatchID)
-	if beginning := beginningOf(partition, query.BatchID); beginning.Found {
+	beginning := beginningOf(partition, query.BatchID)
+	if beginning.Found {
 		return beginning, nil
 	}
-	if err := catchUp(ctx, partition); err != nil {
-		return Beginning{}, err
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	read := async(func() (any, error) { return nil, catchUp(ctx, partition) })
+	found := partition.Await(read.done, func() bool {
+		beginning = beginningOf(partition, query.BatchID)
+		return beginning.Found
+	})
+	if found {
+		return beginning, nil
 	}
-	return beginningOf(partition, query.BatchID), nil
+	return beginningOf(partition, query.BatchID), read.err
 }
 
 // catchUpAndCheckCoverage reads the journal up to now. If it returns nil, anything of the batch
--- a/internal/batches/results/results.go
+++ b/internal/batches/results/results.go
@@ -193,7 +193,7 @@
 	if r.peers == nil {
 		return 0, errors.Wrap(ErrNotCaughtUp, "there is nobody to ask")
 	}
-	watcher, ok := r.watchers.WatcherOf(ctx, partition.Name())
+	watcher, ok := r.awaitWatcher(ctx, partition.Name())
 	if !ok || watcher == r.self {
 		return 0, errors.Wrap(ErrNotCaughtUp, "nobody else watches the partition")
 	}
--- a/internal/batches/runner/adopt.go
+++ b/internal/batches/runner/adopt.go
@@ -30,10 +30,8 @@
 	}
 	defer r.work.Done()
 	defer r.releaseUnstarted(whole, batchID)
-	partition := r.foldOf(r.ctx, batchID)
-	defer partition.Follow()()
 	for r.ctx.Err() == nil {
-		if err := partition.CatchUp(r.ctx); err == nil {
+		if partition, err := r.readBatch(r.ctx, batchID); err == nil {
 			r.adopt(partition, batchID)
 			return
 		}
@@ -54,8 +52,8 @@
 	if err := whole.Append(ctx, batch.TakenOver(batchID, from, r.self)); err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
-	partition := r.foldOf(ctx, batchID)
-	if err := partition.CatchUp(ctx); err != nil {
+	partition, err := r.readBatch(ctx, batchID)
+	if err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
 	r.adopt(partition, batchID)
--- a/internal/batches/runner/standby.go
+++ b/internal/batches/runner/standby.go
@@ -17,10 +17,13 @@
 		return
 	}
 	defer r.work.Done()
-	partition := r.foldOf(r.ctx, batchID)
+	began, delay := time.Now(), standByDelay(accepting)
+	partition := r.foldOf(r.ctx, batchID, delay)
 	defer partition.Follow()()
-	expected := observation{partition: partition.Name(), batch: batchID, owner: owner, unchangedSince: time.Now()}
-	waiting, cancel := context.WithTimeout(r.ctx, standByDelay(accepting))
+	expected := observation{partition: partition.Name(), batch: batchID, owner: owner, unchangedSince: began}
+	// The owner locates its batch as well before it begins.
+	locating := min(time.Since(began), locateTimeout)
+	waiting, cancel := context.WithDeadline(r.ctx, began.Add(locating+delay))
 	defer cancel()
 	started := partition.Await(waiting.Done(), func() (changed bool) {
 		partition.ViewBatch(batchID, func(b *batch.Batch) { changed = !expected.unchanged(b) })
