--- a/internal/batches/occupancy/occupancy.go
+++ b/internal/batches/occupancy/occupancy.go
@@ -33,7 +33,7 @@
 )
 
 const (
-	// eventTimeUnit is the unit of event times on the wire.
+	// eventTimeUnit is the unit of event times on the wire: a hundredth of a usual one or less.
 	eventTimeUnit = 100 * time.Microsecond
 	// ageUnit is the unit of ages on the wire.
 	ageUnit = time.Millisecond
@@ -42,7 +42,8 @@
 )
 
 // Key is a hash that identifies one incarnation of a replica, or a service, and keeps messages
-// short. On a collision the requests of both replicas count at each of them.
+// short. On a collision the requests of both replicas count at each of them. The probability that
+// any two of 10,000 replicas collide is about one in a hundred.
 type Key uint32
 
 // KeyOf returns the key of the incarnation of replica id that started at born. A zero born means
--- a/internal/batches/occupancy/table.go
+++ b/internal/batches/occupancy/table.go
@@ -16,8 +16,8 @@
 	// one may be lost or late. It also bounds how long an item waits for slots that a vanished
 	// owner no longer uses.
 	reportTTL = 1200 * time.Millisecond
-	// eventTimeMaxAge is the age at which a reported event time expires. An engine's speed
-	// rarely changes.
+	// eventTimeMaxAge is the age at which a reported event time expires. An engine's speed is
+	// that of its machine and changes only with faults; the first output there shows the new one.
 	eventTimeMaxAge = 30 * time.Second
 	// daemonTTL is how long a daemon without reports is kept, so that late reports of it are
 	// recognised as old.
--- a/internal/requests/quarantine/forget.go
+++ b/internal/requests/quarantine/forget.go
@@ -18,7 +18,8 @@
 	// clearedTTL is how long a cleared entry is kept, so that delayed messages about its
 	// earlier epoch are ignored.
 	clearedTTL = 10 * time.Minute
-	// maxEntries bounds the entries of a table, each of at most 3 KiB with its label.
+	// maxEntries bounds the entries of a table, each of at most 3 KiB with its label. If all are
+	// refused, at least 12,000 replicas have ended within suspicionTTL.
 	maxEntries = 4096
 )
 
--- a/internal/requests/upstream/limit.go
+++ b/internal/requests/upstream/limit.go
@@ -18,7 +18,7 @@
 const reserveDivisor = 10
 
 // ConnectionShare returns how many connections a daemon may have to one peer if all daemons
-// share the peer's limit evenly. The share is at least 1; a result of 0 means no limit, as a
+// share the peer's limit evenly. The share is at least 1, so that no daemon is shut out; a result of 0 means no limit, as a
 // limit of 0 does. With mayBorrow the daemon may also use connections that other daemons leave
 // unused: the share is then at least slots, the number of requests that the peer runs at once,
 // but not more than limit.
