A suspicion is recorded once per end, not at each retry

The record of what the quarantine knows of an item's content was appended after each failed attempt, also while the item was only refused or declined: up to ten records of 3 KB a second for one item. It is now appended only if the entry differs from the one recorded last; entries are encoded deterministically for that.

--- a/internal/batches/ledger/read.go
+++ b/internal/batches/ledger/read.go
@@ -15,8 +15,8 @@
 	// readTimeout bounds a read, in addition to the time that it waits for records.
 	readTimeout = questiontime.ReadTimeout
 	// defaultPageBytes is the limit for the records returned by one read, unless minPageRecords
-	// requires more. Each page is applied at once, so a failed read repeats no more than this. A link of 60 Mbit/s
-	// takes 35 ms for it.
+	// requires more. Each page is applied at once, so a failed read repeats no more than this.
+	// A link of 60 Mbit/s takes 35 ms for it.
 	defaultPageBytes = 256 << 10
 	// minPageRecords is the number of records of maximum size that must fit in a page.
 	minPageRecords = 2
--- a/internal/batches/occupancy/publish.go
+++ b/internal/batches/occupancy/publish.go
@@ -18,8 +18,9 @@
 	// that a report does not expire if one repetition is lost.
 	repeatInterval = reportTTL / 3
 	// maxBytesPerSecond limits the traffic that a daemon sends, and thus its calls to about 40
-	// per second. It is two thirds of the 18 KB per second that a daemon may use for control. With more than about 40 owners some reports expire before they are repeated,
-	// and an owner sees only a part of the others' requests.
+	// per second. It is two thirds of the 18 KB per second that a daemon may use for control.
+	// With more than about 40 owners some reports expire before they are repeated, and an owner
+	// sees only a part of the others' requests.
 	maxBytesPerSecond = 12000
 	// callOverheadBytes is the size of a call without the report: net/rpc headers and four TCP
 	// segments.
--- a/internal/batches/runner/item.go
+++ b/internal/batches/runner/item.go
@@ -30,6 +30,9 @@
 	header http.Header
 	// content identifies the request for the quarantine. It is nil until contentOf is first called.
 	content *quarantine.Content
+	// recordedSuspicion is the quarantine's entry that this owner recorded last in the batch's
+	// partition, or nil.
+	recordedSuspicion []byte
 	// expectedTokens is the expected length of the answer in tokens.
 	expectedTokens int64
 
--- a/internal/batches/runner/suspicion.go
+++ b/internal/batches/runner/suspicion.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -15,12 +16,13 @@
 const suspicionTimeout = time.Second
 
 // recordSuspicion records in the batch's partition what the quarantine knows of a content of the item,
-// its request or its reward call, after a failed attempt. Gossip and the quarantine's own partition are not ordered with the records
-// by which the batch changes its owner, who would start the item without knowing which replicas it
-// has ended. It does nothing while no replica has ended under the content.
+// its request or its reward call, after a failed attempt. Gossip and the quarantine's own partition
+// are not ordered with the records by which the batch changes its owner, who would start the item
+// without knowing which replicas it has ended. It does nothing while no replica has ended under the
+// content, or none since the last record.
 func (j *job) recordSuspicion(it *item, content *quarantine.Content) {
 	entry, err := j.r.forwarder.Quarantine.EncodedEntry(content)
-	if err == nil && entry == nil {
+	if err == nil && (entry == nil || bytes.Equal(entry, j.lastSuspicion(it))) {
 		return
 	}
 	if err == nil {
@@ -28,10 +30,22 @@
 		defer cancel()
 		err = j.r.appendWithRetry(ctx, j.partition, batch.ContentSuspected(j.submission.ID, it.index, entry))
 	}
+	if err == nil {
+		j.mu.Lock()
+		it.recordedSuspicion = entry
+		j.mu.Unlock()
+	}
 	j.logger.Info("suspicion recorded", zap.String("item", it.ID), zap.String("content", content.Digest().Short()),
 		zap.Error(err))
 }
 
+// lastSuspicion returns the entry that was last recorded for the item, nil if there is none.
+func (j *job) lastSuspicion(it *item) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return it.recordedSuspicion
+}
+
 // mergeSuspicions merges the entries that earlier owners recorded into this daemon's quarantine.
 func (j *job) mergeSuspicions(entries [][]byte) {
 	for _, entry := range entries {
--- a/internal/requests/quarantine/quarantine.go
+++ b/internal/requests/quarantine/quarantine.go
@@ -142,7 +142,17 @@
 	return changed
 }
 
-// EncodedEntry returns the encoded entry of a content, or nil if no replica has ended under it.
+// deterministic encodes equal entries to equal bytes, whatever the order of their maps.
+var deterministic = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
+}()
+
+// EncodedEntry returns the encoded entry of a content, or nil if no replica has ended under it. Equal
+// entries have equal encodings.
 func (t *Table) EncodedEntry(content *Content) ([]byte, error) {
 	if t.NoneSuspected() {
 		return nil, nil
@@ -151,7 +161,7 @@
 	if len(entries) == 0 || len(entries[0].Ended) == 0 {
 		return nil, nil
 	}
-	return cbor.Marshal(entries[0])
+	return deterministic.Marshal(entries[0])
 }
 
 // MergeEncoded merges an entry that EncodedEntry returned at another daemon. from names its source
