Batches of one partition share the read of the whole partition

Since the search for a batch's offset goes on beside it, the whole partition is read page by page, so that the read can end. Each batch read for itself: eight batches adopted together, with no answer to the search, read the 4 MB of their partition eight times over, in all more than 8 MB. They now share one read, which ends when nobody waits for it.

--- a/internal/batches/runner/fold.go
+++ b/internal/batches/runner/fold.go
@@ -73,7 +73,7 @@
 	var read chan error // nil until the read of the whole partition begins
 	readWhole := func() {
 		read = make(chan error, 1)
-		go func() { read <- readPages(ctx, whole) }()
+		go func() { read <- r.wholeReads.read(ctx, whole) }()
 	}
 	for {
 		select {
@@ -96,18 +96,6 @@
 	}
 }
 
-// readPages reads a partition page by page up to its end. Unlike a CatchUp, it ends with ctx.
-func readPages(ctx context.Context, partition *ledger.Partition) error {
-	for {
-		if err := partition.ReadPage(ctx); err != nil {
-			return err
-		}
-		if missing, known := partition.MissingBytes(); known && missing == 0 {
-			return nil
-		}
-	}
-}
-
 func (r *Runner) logWholeRead(batchID string, whole *ledger.Partition, reason error) {
 	r.logger.Info("partition read from its beginning", zap.String("batch", batchID), zap.Inline(whole), zap.Error(reason))
 }
--- a/internal/batches/runner/runner.go
+++ b/internal/batches/runner/runner.go
@@ -99,6 +99,7 @@
 	history           *history
 	firstEventLatency scheduling.FirstEventLatency
 	confirmations     confirmations
+	wholeReads        wholeReads
 	// lastMoveRound is the time of the last pass in which items could be moved. Only the dispatcher
 	// uses it.
 	lastMoveRound time.Time
