--- a/internal/journal/relay/relay.go
+++ b/internal/journal/relay/relay.go
@@ -68,7 +68,8 @@
 	RelayedCalls, FailedRelayedCalls atomic.Uint64
 	// RefusedRelays counts the calls of peers that were refused because of maxBulkRelays.
 	RefusedRelays atomic.Uint64
-	refusals      *logging.Episodes
+	// refusals logs those refusals as summaries.
+	refusals *logging.Episodes
 	// bulkRelays is a semaphore with maxBulkRelays slots.
 	bulkRelays chan struct{}
 	// receivers holds the receivers whose methods peers may call besides those of the journal, by
