--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,8 @@
 
 // scenarios are the scenarios by name. Each returns what broke the rule, "" if nothing did.
 var scenarios = map[string]func(*world) (string, error){
-	"declined-once-more": declinedOnceMore,
+	"ended-before-accepted": endedBeforeAccepted,
+	"declined-once-more":    declinedOnceMore,
 }
 
 func main() {
