--- a/review/standin/ended.go
+++ b/review/standin/ended.go
@@ -21,7 +21,9 @@
 	lateBy       = 5500 * time.Millisecond
 	// trainerWait is how long the trainer waits for the answer to one try.
 	trainerWait = 2 * time.Second
-	watchedTime = 24 * time.Second
+	// trainerDeadline is the route's DeadlineMs: the trainer ends its batch then.
+	trainerDeadline = 4100 * time.Millisecond
+	watchedTime     = 24 * time.Second
 )
 
 // lossyStore loses the answers to the writes that name one batch.
@@ -99,7 +101,7 @@
 		Version: 1, Limits: platformtest.DefaultLimits,
 		Routes: []platformtest.Route{{
 			Name: "rollout", Host: host, PathPrefix: "/rollout/", Kind: "rollout", TimeoutMs: 10000, TargetLatencyMs: 400,
-			Priority: 1, Service: "engine", MaxAttempts: 3, DeadlineMs: 7500, MaxQueueS: 60,
+			Priority: 1, Service: "engine", MaxAttempts: 3, DeadlineMs: int(trainerDeadline.Milliseconds()), MaxQueueS: 60,
 		}},
 		Services: []platformtest.Service{{
 			Name: "engine", MaxConns: 150, Engine: &platformtest.Engine{Slots: slots, Models: []platformtest.Model{{Name: model}}},
@@ -133,8 +135,8 @@
 	return string(encoded)
 }
 
-// endedBeforeAccepted: a trainer's submission has no certain outcome, at two daemons, so it ends
-// the batch, which is acknowledged. Then the store does the writes whose answers were lost.
+// endedBeforeAccepted: a trainer's submission has no certain outcome, at two daemons. At its deadline
+// it ends the batch, which is acknowledged. Then the store does the writes whose answers were lost.
 func endedBeforeAccepted(w *world) (string, error) {
 	lossy := &lossyStore{w: w, next: w.store}
 	w.front = lossy
@@ -162,7 +164,7 @@
 	if w.trouble {
 		lossy.lose(victim)
 	}
-	accepted := false
+	accepted, sent := false, time.Now()
 	for try := range 2 {
 		a := w.call(w.daemons[try], http.MethodPost, "/rollout/"+victim, victim, body, trainerWait)
 		w.note("trainer: try %d to submit batch %s at %s: %d %s", try+1, victim, w.daemons[try].name, a.status, strings.TrimSpace(a.body))
@@ -174,9 +176,7 @@
 	if w.trouble && accepted {
 		return "", fmt.Errorf("the submission was accepted, though answers to it were lost")
 	}
-	if !w.trouble {
-		time.Sleep(2*trainerWait - 500*time.Millisecond)
-	}
+	time.Sleep(time.Until(sent.Add(trainerDeadline)))
 	var ended time.Time
 	for try := 0; try < 3 && ended.IsZero(); try++ {
 		a := w.call(w.daemons[2], http.MethodDelete, "/lots/"+victim, "", "", 5*time.Second)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var scenarios = map[string]func(*world) (string, error){
 	"ended-before-accepted": endedBeforeAccepted,
 	"declined-once-more":    declinedOnceMore,
+	"failures-forgotten":    failuresForgotten,
 }
 
 func main() {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -71,10 +71,10 @@
 
 func (w *world) close() {
 	for _, d := range w.daemons {
+		d.mu.Lock()
 		_ = d.cmd.Process.Kill()
-	}
-	for _, d := range w.daemons {
-		_ = d.cmd.Wait()
+		_ = d.cmd.Wait() // may have been waited for already
+		d.mu.Unlock()
 	}
 	if w.listener != nil {
 		_ = w.listener.Close()
@@ -97,10 +97,14 @@
 	return nil
 }
 
-// daemon is one woodworks process.
+// daemon is one woodworks process, on an IP address of its own.
 type daemon struct {
-	name, public, health string
-	cmd                  *exec.Cmd
+	name, ip, public, health, file string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// disturbed is when the process was last started or told to stop.
+	disturbed time.Time
 }
 
 // settings follows deploy/settings.yaml.
@@ -132,10 +136,10 @@
   drain_bound: 2000ms
 `
 
-// freeAddresses returns loopback addresses on which nobody listens.
-func freeAddresses(n int) (addresses []string, err error) {
+// freeAddresses returns addresses of a loopback IP on which nobody listens.
+func freeAddresses(ip string, n int) (addresses []string, err error) {
 	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", ip+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -147,31 +151,23 @@
 
 // startDaemons starts n daemons and waits until all are ready.
 func (w *world) startDaemons(n int) error {
-	addresses, err := freeAddresses(4 * n)
-	if err != nil {
-		return err
-	}
 	for i := range n {
-		a := addresses[4*i:]
-		d := &daemon{name: fmt.Sprintf("edge-z-%d", i+1), public: a[0], health: a[1]}
-		text := fmt.Sprintf(settings, d.name, a[0], a[1], a[2], a[3], w.listener.Addr(),
-			w.store.Log.Partitions, w.store.Log.RecordBytes, w.store.Log.AppendBytes)
-		file := filepath.Join(w.folder, d.name+".yaml")
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			return err
-		}
-		log, err := os.Create(filepath.Join(w.folder, d.name+".log"))
+		d := &daemon{name: fmt.Sprintf("edge-z-%d", i+1), ip: fmt.Sprintf("127.0.0.%d", 21+i)}
+		a, err := freeAddresses(d.ip, 4)
 		if err != nil {
 			return err
 		}
-		d.cmd = exec.Command(w.program, "serve", "-c", file)
-		d.cmd.Stdout, d.cmd.Stderr = log, log
-		d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := d.cmd.Start(); err != nil {
+		d.public, d.health = a[0], a[1]
+		text := fmt.Sprintf(settings, d.name, a[0], a[1], a[2], a[3], w.listener.Addr(),
+			w.store.Log.Partitions, w.store.Log.RecordBytes, w.store.Log.AppendBytes)
+		d.file = filepath.Join(w.folder, d.name+".yaml")
+		if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 			return err
 		}
-		_ = log.Close()
 		w.daemons = append(w.daemons, d)
+		if err := w.startDaemon(d); err != nil {
+			return err
+		}
 	}
 	for _, d := range w.daemons {
 		if err := awaitReady(d); err != nil {
@@ -182,6 +178,51 @@
 	return nil
 }
 
+// startDaemon starts a process of a daemon, whose output goes to the end of its log.
+func (w *world) startDaemon(d *daemon) error {
+	log, err := os.OpenFile(filepath.Join(w.folder, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(w.program, "serve", "-c", d.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	d.cmd, d.disturbed = cmd, time.Now()
+	return nil
+}
+
+// restart stops a daemon as the platform does, with SIGTERM, and SIGKILL after the grace, and starts
+// it again.
+func (w *world) restart(d *daemon) {
+	d.mu.Lock()
+	cmd := d.cmd
+	d.disturbed = time.Now()
+	d.mu.Unlock()
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	kill := time.AfterFunc(stopGrace, func() { _ = cmd.Process.Kill() })
+	_ = cmd.Wait()
+	kill.Stop()
+	w.note("%s ended", d.name)
+	time.Sleep(300 * time.Millisecond)
+	if err := w.startDaemon(d); err != nil {
+		w.note("%s did not start: %v", d.name, err)
+	}
+}
+
+// inTouch reports whether a daemon's process was neither started nor told to stop within the contact
+// bound before a time.
+func (d *daemon) inTouch(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return at.Sub(d.disturbed) > contactBound
+}
+
 func awaitReady(d *daemon) error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		for _, path := range []string{"/ready", "/readyz"} {
