--- a/review/standin/plain.go
+++ b/review/standin/plain.go
@@ -146,7 +146,7 @@
 	garbledShare  = 0.03
 	garbleFor     = 5 * time.Second
 	garblePause   = 2 * time.Second
-	garbleTimes   = 5
+	garbleTimes   = 8
 )
 
 // declinedOnceMore: replicas that are full decline requests that must not run twice, and send a few
