--- a/internal/journal/relay/relay_test.go
+++ b/internal/journal/relay/relay_test.go
@@ -57,7 +57,10 @@
 	if err := f.applyFault(ctx); err != nil {
 		return journal.Appended{}, err
 	}
-	if periodic.Pause(ctx, time.Duration(f.appendDelay.Load())); ctx.Err() != nil {
+	if delay := time.Duration(f.appendDelay.Load()); delay > 0 {
+		periodic.Pause(ctx, delay)
+	}
+	if ctx.Err() != nil {
 		return journal.Appended{}, errors.Wrap(journal.ErrUnknown, ctx.Err().Error())
 	}
 	appended, err := f.Journal.Append(ctx, request)
