batch: an end that comes before its acceptance ends the batch

Cause: the fold ignored the records of a batch that it did not know, the end included, and the late acceptance created the batch as open. The case's record shows the order: end at 6.2 s, late writes from 7.6 s on.

The partition's watcher appends the end once more, for daemons of an earlier version and for readers whose early records were trimmed. No record and no call between daemons changes.

--- a/internal/batches/batch/batch.go
+++ b/internal/batches/batch/batch.go
@@ -128,6 +128,11 @@
 	// HasResult reports, by index of the item, whether Results includes the item.
 	HasResult []bool
 	Ended     bool
+	// EndedEarly reports that an end of the batch precedes its acceptance. None of its items may be
+	// started. A reader that lacks the early end, as an earlier version of this program or one whose
+	// records were trimmed, holds the batch to be open until a daemon appends the end once more;
+	// until then results are added for every reader alike.
+	EndedEarly bool
 	// Partials are the checkpointed beginnings of items without a result, by index of the item.
 	Partials map[int]Partial
 	// Suspected holds the quarantine's entries of the contents of items without a result, by index of
@@ -144,8 +149,11 @@
 // submitted without a tenant is open to every tenant.
 func (b *Batch) BelongsTo(tenant string) bool { return b.Tenant == "" || b.Tenant == tenant }
 
+// HasEnded reports whether the batch has ended, also if its end precedes its acceptance.
+func (b *Batch) HasEnded() bool { return b.Ended || b.EndedEarly }
+
 // IsOpen reports whether the batch has not ended and an item has no result yet.
-func (b *Batch) IsOpen() bool { return !b.Ended && len(b.Results) < len(b.HasResult) }
+func (b *Batch) IsOpen() bool { return !b.HasEnded() && len(b.Results) < len(b.HasResult) }
 
 // ItemCount returns the number of items, also after the end of the batch.
 func (b *Batch) ItemCount() int { return len(b.HasResult) }
--- a/internal/batches/results/fold.go
+++ b/internal/batches/results/fold.go
@@ -46,7 +46,7 @@
 // another tenant is not found.
 func itemBody(partition *ledger.Partition, query ItemQuery) (body Body) {
 	partition.ViewBatch(query.BatchID, func(b *batch.Batch) {
-		if !b.BelongsTo(query.Tenant) || b.Ended {
+		if !b.BelongsTo(query.Tenant) || b.HasEnded() {
 			return
 		}
 		for _, item := range b.Items {
@@ -63,10 +63,10 @@
 // query.maxBytes but at least one. It stops at a place that the batch does not have.
 func itemsOf(partition *ledger.Partition, query ItemsQuery) (items Items) {
 	items.Found = partition.ViewBatch(query.BatchID, func(b *batch.Batch) {
-		items.Ended = b.Ended
+		items.Ended = b.HasEnded()
 		size := 0
 		for _, place := range query.Places {
-			if b.Ended || place < 0 || place >= len(b.Items) {
+			if b.HasEnded() || place < 0 || place >= len(b.Items) {
 				return
 			}
 			size += len(b.Items[place].Body)
--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -151,7 +151,7 @@
 // held.
 func (j *job) reasonToEnd(b *batch.Batch) string {
 	switch {
-	case b.Ended:
+	case b.HasEnded():
 		return "ended"
 	case !b.IsOpen():
 		return "all listed"
--- a/internal/batches/runner/runner.go
+++ b/internal/batches/runner/runner.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// Accept records a batch and chooses its owner. A batch that exists already is not changed. If
-// Accept returns nil, the batch exists; if the error is ErrNotDone, this call did not create it; if
+// Accept records a batch and chooses its owner. A batch that exists already is not changed, and one
+// that its caller has ended already is not run. If Accept returns nil, the batch exists; if the error is ErrNotDone, this call did not create it; if
 // it is ErrUnknown, the batch may exist.
 func (r *Runner) Accept(ctx context.Context, submission *batch.Submission) error {
 	if r.stopping.Load() {
@@ -162,6 +162,9 @@
 	if err := r.appendWithRetry(ctx, partition, batch.Accepted(submission, owner)); err != nil {
 		return err
 	}
+	if hasEnded(partition, submission.ID) {
+		return nil
+	}
 	if owner != r.self {
 		go r.assigner.Assign(r.ctx, submission, owner)
 		go r.standBy(submission.ID, owner, time.Since(began))
@@ -210,8 +213,14 @@
 	return true
 }
 
+// hasEnded reports whether a fold knows that a batch has ended.
+func hasEnded(partition *ledger.Partition, batchID string) (ended bool) {
+	partition.ViewBatch(batchID, func(b *batch.Batch) { ended = b.HasEnded() })
+	return ended
+}
+
 // End ends a batch: after it returns nil, no further items are started. An unknown batch is ended
-// too, since its acceptance may still be on its way. A batch of another tenant is not changed, and
+// too, since its acceptance may still be on its way; the fold then keeps the end. A batch of another tenant is not changed, and
 // the caller can't tell it from an unknown one.
 func (r *Runner) End(ctx context.Context, batchID, tenant string) error {
 	return r.appendWithRetry(ctx, r.ledger.PartitionOf(batchID), batch.Ended(batchID, tenant))
--- a/internal/batches/runner/watcher.go
+++ b/internal/batches/runner/watcher.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"woodworks/internal/batches/batch"
+	"woodworks/internal/batches/ledger"
 	"woodworks/internal/daemon/periodic"
 	"woodworks/internal/journal"
 )
@@ -48,6 +49,9 @@
 type watchedPartition struct {
 	unfollow func()
 	owners   map[string]observation
+	// endRepeatedAt is when the end of a batch that ended early was last appended once more, by
+	// batch id.
+	endRepeatedAt map[string]time.Time
 	// reassignedAt is when the partition was first seen assigned to another member, or zero while
 	// it is assigned to this daemon.
 	reassignedAt time.Time
@@ -88,7 +92,7 @@
 		case p == nil && !stable:
 		case p == nil:
 			unfollow := w.runner.ledger.Partition(name).Follow()
-			w.watched[name] = &watchedPartition{unfollow: unfollow, owners: map[string]observation{}}
+			w.watched[name] = &watchedPartition{unfollow: unfollow, owners: map[string]observation{}, endRepeatedAt: map[string]time.Time{}}
 		default:
 			p.reassignedAt = time.Time{}
 		}
@@ -124,10 +128,14 @@
 	}
 	var suspects []observation
 	var own []string
+	endedEarly := map[string]string{} // tenants, by batch id
 	partition.View(func(state *batch.State) {
 		state.ForEach(func(b *batch.Batch) {
 			if !b.IsOpen() {
 				delete(p.owners, b.ID)
+				if b.EndedEarly && !b.Ended {
+					endedEarly[b.ID] = b.Tenant
+				}
 				return
 			}
 			o := p.observe(name, b, now)
@@ -142,9 +150,37 @@
 	for _, batchID := range own {
 		w.runner.adopt(partition, batchID)
 	}
+	w.repeatEnds(partition, p, endedEarly, now)
 	return suspects
 }
 
+// repeatEnds appends once more the ends of batches that ended before their acceptance, so that
+// readers that lack the early end have it too: those whose fold begins at the acceptance because
+// the records before it were trimmed, and earlier versions of this program. endedEarly holds the
+// tenants of the batches, by batch id.
+func (w *Watcher) repeatEnds(partition *ledger.Partition, p *watchedPartition, endedEarly map[string]string, now time.Time) {
+	for batchID := range p.endRepeatedAt {
+		if _, ok := endedEarly[batchID]; !ok {
+			delete(p.endRepeatedAt, batchID)
+		}
+	}
+	for batchID, tenant := range endedEarly {
+		if last, ok := p.endRepeatedAt[batchID]; ok && now.Sub(last) <= SubmitTimeout {
+			continue
+		}
+		p.endRepeatedAt[batchID] = now
+		go w.runner.repeatEnd(partition, batchID, tenant)
+	}
+}
+
+// repeatEnd appends the end of a batch once more. If it fails, the watcher calls it again.
+func (r *Runner) repeatEnd(partition *ledger.Partition, batchID, tenant string) {
+	ctx, cancel := context.WithTimeout(r.ctx, SubmitTimeout)
+	defer cancel()
+	err := r.appendWithRetry(ctx, partition, batch.Ended(batchID, tenant))
+	r.logger.Info("batch ended before its acceptance", zap.String("batch", batchID), zap.Inline(partition), zap.Error(err))
+}
+
 // observe returns the last observation of the owner of an open batch, updated from the fold.
 func (p *watchedPartition) observe(name journal.Partition, b *batch.Batch, now time.Time) observation {
 	before, ok := p.owners[b.ID]
