upstream: a copy of an answer is not the answer to the next send

Cause: answers are told apart by the client's id, and a request that is declined and admitted again, an item, a reward call or a stream that resumes is sent under the same id, perhaps on the same connection. A late copy of the first answer then counts as the answer to the second send. Reports and orders have no id at all and shared these connections.

An answer without an id counts only on a connection that nothing else has used, which is then closed. Reports share connections with reports only, and each order has its own.

TestAbandonedRequestIsNotSent, TestARequestWaitsForAConnectionAtTheLimit and TestConcurrentRequestsStayWithinTheLimit sent one id again and again, the last two to a peer that returns no id, and counted on the reuse that this rules out. Their requests now have ids of their own and the peer returns them; the checks are the same.

--- a/internal/api/standalone/engines.go
+++ b/internal/api/standalone/engines.go
@@ -52,8 +52,12 @@
 	if body != nil {
 		header.Set("Content-Type", "application/json")
 	}
+	sharing := upstream.Unshared
+	if method == http.MethodGet {
+		sharing = upstream.SharedByReads
+	}
 	answer, err := e.pool.Exchange(ctx, target.Address,
-		&upstream.Request{Method: method, Target: path, Host: target.Address.String(), Header: header, Body: body})
+		&upstream.Request{Method: method, Target: path, Host: target.Address.String(), Header: header, Body: body, Sharing: sharing})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/daemon/node/connections.go
+++ b/internal/daemon/node/connections.go
@@ -28,7 +28,7 @@
 
 // registerConnectionMetrics registers the metrics of connections to replicas.
 func (n *Node) registerConnectionMetrics() {
-	metrics.Counter(n.metrics, "replica_connections_total", "Connections made to replicas.", n.pool.Dials.Load)
+	metrics.Counter(n.metrics, "replica_connections_total", "Connections made to replicas.", n.pool.Connections)
 	metrics.Counter(n.metrics, "replica_connections_lacking_total",
 		"Requests that found as many connections to a replica in use as this daemon may have, and none free in time.",
 		n.pool.Exhausted.Load)
--- a/internal/requests/upstream/abandoned_test.go
+++ b/internal/requests/upstream/abandoned_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -30,11 +31,11 @@
 	pool := newTestPool()
 	abandoned := newRequest("abandoned")
 	abandoned.Abandoned = func() bool { return true }
-	for range 2 { // on a new connection, then on an idle one
+	for i := range 2 { // on a new connection, then on an idle one
 		_, err := pool.Exchange(context.Background(), address, abandoned)
 		is.True(errors.Is(err, ErrNotSent))
 		is.True(abandoned.SentAt.IsZero())
-		_, err = exchangeBody(pool, address, "next")
+		_, err = exchangeBody(pool, address, fmt.Sprint("next", i))
 		is.NoErr(err)
 	}
 	is.Equal(requests.Load(), int64(2))
--- a/internal/requests/upstream/connection.go
+++ b/internal/requests/upstream/connection.go
@@ -32,6 +32,8 @@
 	address netip.AddrPort
 	raw     net.Conn
 	reader  *bufio.Reader
+	// carried holds the ids of the requests that were sent on the connection.
+	carried carriedIDs
 	// reusableUntil is the time until which any request may reuse the connection. A Repeatable
 	// request may do so until repeatableUntil, which is never earlier.
 	reusableUntil, repeatableUntil time.Time
@@ -41,9 +43,11 @@
 	bodyWritten chan struct{}
 	// writeErr is set if the request's body could not be written whole.
 	writeErr atomic.Bool
-	// tainted means that an answer to an earlier request was received: answers may be out of
-	// step with requests, so the connection is not reused.
+	// tainted means that an answer to an earlier request, or one without an id, was received:
+	// answers may be out of step with requests, so the connection is not reused.
 	tainted bool
+	// unshared means that the connection carries one request only.
+	unshared bool
 }
 
 func newConnection(p *Pool, address netip.AddrPort, raw net.Conn) *connection {
@@ -104,6 +108,8 @@
 	if !long {
 		text = append(text, req.Body...)
 	}
+	c.carried.add(idHash(req))
+	c.unshared = req.Sharing == Unshared
 	req.SentAt = c.pool.now()
 	written, err := c.raw.Write(text)
 	switch {
@@ -147,21 +153,57 @@
 			}
 			continue
 		}
-		echoed := response.Header.Get(req.EchoHeader)
-		if req.EchoHeader == "" || echoed == "" || echoed == req.EchoValue {
+		switch c.ownerOf(response, req) {
+		case ownerRequest:
 			return response, nil
+		case ownerUnknown:
+			return nil, ErrForeignAnswer
 		}
 		foreign++
 		c.tainted = true
-		if foreign > maxForeignAnswers {
+		if foreign > maxForeignAnswers || !c.skipBody(response) {
 			return nil, ErrForeignAnswer
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-			return nil, ErrForeignAnswer
+	}
+}
+
+// owner says to which request an answer belongs.
+type owner int
+
+const (
+	ownerRequest owner = iota
+	ownerEarlier
+	ownerUnknown
+)
+
+// ownerOf returns to which request an answer belongs. An answer without an id belongs to req only if
+// no other request has used the connection.
+func (c *connection) ownerOf(response *http.Response, req *Request) owner {
+	if req.EchoHeader == "" {
+		return ownerRequest
+	}
+	switch response.Header.Get(req.EchoHeader) {
+	case req.EchoValue:
+		return ownerRequest
+	case "":
+		first := c.carried.count == 1 && !c.tainted
+		c.tainted = true
+		if first {
+			return ownerRequest
 		}
+		return ownerUnknown
+	default:
+		return ownerEarlier
 	}
 }
 
+// skipBody reads the body of an answer to an earlier request, and reports whether another answer may
+// follow.
+func (c *connection) skipBody(response *http.Response) bool {
+	_, err := io.Copy(io.Discard, response.Body)
+	return err == nil && !response.Close
+}
+
 func appendHead(buf []byte, req *Request) []byte {
 	buf = append(buf, req.Method...)
 	buf = append(buf, ' ')
@@ -250,5 +292,5 @@
 			return false
 		}
 	}
-	return !a.failed && !a.response.Close && !conn.tainted && !conn.writeErr.Load() && conn.reader.Buffered() == 0
+	return !a.failed && !a.response.Close && !conn.tainted && !conn.unshared && !conn.writeErr.Load() && conn.reader.Buffered() == 0
 }
--- a/internal/requests/upstream/limit.go
+++ b/internal/requests/upstream/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,22 +34,18 @@
 	return share
 }
 
-// tryAcquire returns an idle connection, which may have expired, or, at the limit, a channel
-// that is closed when a connection may have become available. If both results are nil, the
-// caller must dial a new connection, which tryAcquire has already counted as open.
+// tryAcquire returns an idle connection, which may have expired or have carried the request's id, or,
+// at the limit, a channel that is closed when a connection may have become available. If both results
+// are nil, the caller must dial a new connection, which tryAcquire has already counted as open.
 func (p *Pool) tryAcquire(address netip.AddrPort, req *Request) (conn *connection, freed <-chan struct{}) {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	full := req.MaxOpen > 0 && p.open[address] >= req.MaxOpen
-	if idle := p.idle[address]; len(idle) > 0 {
-		last := idle[len(idle)-1]
-		// A connection that only repeatable requests may use stays idle for them, unless the
-		// limit is reached.
-		if full || last.usable(now, req.Repeatable) || !last.usable(now, true) {
-			p.idle[address] = idle[:len(idle)-1]
-			return last, nil
-		}
+	if i, ok := choose(p.idle[address], req, now, full); ok {
+		conn = p.idle[address][i]
+		p.idle[address] = slices.Delete(p.idle[address], i, i+1)
+		return conn, nil
 	}
 	if !full {
 		p.open[address]++
@@ -60,6 +57,27 @@
 	return nil, p.freed[address]
 }
 
+// choose returns the index of the idle connection for a request: the last one that has not carried
+// the request's id. If there is none, it returns ok only at the limit, for a connection to be closed.
+func choose(idle []*connection, req *Request, now time.Time, full bool) (index int, ok bool) {
+	if len(idle) == 0 || req.Sharing == Unshared {
+		return 0, false
+	}
+	id := idHash(req)
+	for i, conn := range slices.Backward(idle) {
+		if conn.carried.has(id) {
+			continue
+		}
+		// A connection that only repeatable requests may use stays idle for them, unless the
+		// limit is reached.
+		if full || conn.usable(now, req.Repeatable) || !conn.usable(now, true) {
+			return i, true
+		}
+		return 0, false
+	}
+	return len(idle) - 1, full
+}
+
 // acquire returns a usable idle connection or dials a new one. If req.MaxOpen connections are
 // open and none is idle, it waits until req.ConnectionDeadline for a connection to become
 // available, and then returns ErrPoolExhausted.
@@ -69,7 +87,7 @@
 	for {
 		conn, freed := p.tryAcquire(address, req)
 		switch {
-		case conn != nil && conn.usable(p.now(), req.Repeatable) && conn.isClean():
+		case conn != nil && conn.usable(p.now(), req.Repeatable) && !conn.carried.has(idHash(req)) && conn.isClean():
 			return conn, nil
 		case conn != nil:
 			conn.close()
--- a/internal/requests/upstream/limit_test.go
+++ b/internal/requests/upstream/limit_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,15 +45,18 @@
 			}
 			_, _ = io.Copy(io.Discard, req.Body) // the body is short
 			<-signal
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+req.Header.Get("X-Id")+"\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok")
 		}
 	})
 }
 
-// exchangeWithLimit sends a request that, at the limit, waits up to the given time for a
-// connection.
+// limitedRequests numbers the requests of exchangeWithLimit.
+var limitedRequests atomic.Int64
+
+// exchangeWithLimit sends a request, with an id of its own, that waits up to the given time for a
+// connection at the limit.
 func exchangeWithLimit(t *testing.T, p *Pool, address netip.AddrPort, maxOpen int, wait time.Duration) error {
-	req := newRequest("r")
+	req := newRequest(fmt.Sprint("r", limitedRequests.Add(1)))
 	req.MaxOpen, req.ConnectionDeadline = maxOpen, time.Now().Add(wait)
 	answer, err := p.Exchange(t.Context(), address, req)
 	if err != nil {
--- a/internal/requests/upstream/upstream.go
+++ b/internal/requests/upstream/upstream.go
@@ -70,9 +70,13 @@
 	Header http.Header
 	Body   []byte
 	// EchoHeader, if not "", names the header in which the peer returns the request's EchoValue.
-	// An answer that has this header with another value belongs to another request; an answer
-	// without the header is accepted.
+	// An answer that has this header with another value belongs to another request. Two requests
+	// with the same value never use the same connection, as a late copy of the answer to the first
+	// one would be taken for the answer to the second. An answer without the header is accepted
+	// only on a new connection, which is then not reused.
 	EchoHeader, EchoValue string
+	// Sharing says which other requests may use the same connection.
+	Sharing Sharing
 	// Repeatable allows the use of an idle connection that the peer may be about to close.
 	Repeatable bool
 	// MaxOpen is the most connections that may be open to the peer, or 0 for no limit.
@@ -89,6 +93,21 @@
 	SentAt time.Time
 }
 
+// Sharing says which requests may use a connection one after the other. A faulty peer may send an
+// answer again, late, where the answer to the next request on the connection is due.
+type Sharing int
+
+const (
+	// SharedByID is for requests whose answers are told apart by their EchoHeader, and for peers
+	// that are trusted to answer each request once.
+	SharedByID Sharing = iota
+	// SharedByReads is for requests without an id that only read the peer's state. They share
+	// connections with each other only: what they may receive is an earlier state.
+	SharedByReads
+	// Unshared is for other requests without an id. Each uses a connection of its own.
+	Unshared
+)
+
 // Options configures the connections of a pool.
 type Options struct {
 	// LocalAddress is the source IP address with any port, or "" for the system's choice.
@@ -115,6 +134,9 @@
 	// closed when a connection to the peer becomes idle or is closed.
 	freed map[netip.AddrPort]chan struct{}
 
+	// reads holds the connections of requests that are SharedByReads. It is nil in that pool itself.
+	reads *Pool
+
 	// Dials counts the connections made, and Exhausted the requests that failed with
 	// ErrPoolExhausted.
 	Dials, Exhausted atomic.Uint64
@@ -141,11 +163,21 @@
 
 // NewPool returns an empty pool.
 func NewPool(options Options) *Pool {
-	return &Pool{dialer: NewDialer(options), now: bootclock.Now, idle: map[netip.AddrPort][]*connection{}, open: map[netip.AddrPort]int{},
+	p := newPool(NewDialer(options))
+	p.reads = newPool(p.dialer)
+	return p
+}
+
+func newPool(dialer *net.Dialer) *Pool {
+	return &Pool{dialer: dialer, now: bootclock.Now, idle: map[netip.AddrPort][]*connection{}, open: map[netip.AddrPort]int{},
 		freed: map[netip.AddrPort]chan struct{}{}}
 }
 
-// OpenConnections returns the number of connections to a peer, including those being dialled.
+// Connections returns the number of connections that were made to all peers so far.
+func (p *Pool) Connections() uint64 { return p.Dials.Load() + p.reads.Dials.Load() }
+
+// OpenConnections returns the number of connections to a peer, including those being dialled, but
+// not those of requests that are SharedByReads.
 func (p *Pool) OpenConnections(address netip.AddrPort) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,6 +201,9 @@
 
 // CloseExpired closes the idle connections that no request may reuse any more.
 func (p *Pool) CloseExpired() {
+	if p.reads != nil {
+		p.reads.CloseExpired()
+	}
 	now := p.now()
 	var expired []*connection
 	p.mu.Lock()
@@ -195,6 +230,9 @@
 // CloseIdle closes the idle connections to a peer. It is called when the peer's process is known
 // to have ended. Exchanges in progress continue.
 func (p *Pool) CloseIdle(address netip.AddrPort) {
+	if p.reads != nil {
+		p.reads.CloseIdle(address)
+	}
 	p.mu.Lock()
 	idle := p.idle[address]
 	delete(p.idle, address)
@@ -214,6 +252,9 @@
 		// ctx closes it.
 		return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
 	}
+	if req.Sharing == SharedByReads {
+		p = p.reads
+	}
 	conn, err := p.acquire(ctx, address, req)
 	if errors.Is(err, ErrPoolExhausted) {
 		return nil, err
