upstream: bound what is read of a replica that sends bytes without end

Callers waited for a replica whose head had no end until their deadline, and the daemon kept all of it in memory: http.ReadResponse bounds neither a line nor a head, answers to earlier requests were skipped whatever their length, and an event of many lines had no bound.

Heads, skipped answers, bodies of refusals, events, texts of items, reports and answers of the store now have bounds, in bytes and where something waits in time. What is not an answer is told apart from a connection that broke (ErrMalformed), so that the replica is avoided but its later end is not held against the content.

What was a malformed event of over 4 MiB is now one of over 2 MiB.

--- a/internal/api/standalone/engines.go
+++ b/internal/api/standalone/engines.go
@@ -13,6 +13,9 @@
 	"woodworks/internal/requests/upstream"
 )
 
+// maxEngineAnswerBytes bounds what is read of an engine's answer.
+const maxEngineAnswerBytes = 1 << 20
+
 // engines speaks the product's engine protocol over the pool's connections.
 type engines struct{ pool *upstream.Pool }
 
@@ -62,6 +65,6 @@
 		return 0, nil, err
 	}
 	defer answer.Close()
-	content, err := io.ReadAll(answer)
+	content, err := io.ReadAll(io.LimitReader(answer, maxEngineAnswerBytes))
 	return answer.Status, content, err
 }
--- a/internal/batches/runner/attempt.go
+++ b/internal/batches/runner/attempt.go
@@ -155,8 +155,7 @@
 	}
 	e := receivedEvent{event: event, version: version, singleVersion: a.route.SingleVersion}
 	if a.item.buffering {
-		a.item.buffered = append(a.item.buffered, e)
-		return nil
+		return a.item.buffer(e)
 	}
 	return a.item.appendEvent(e, a.job.submission.MinVersion)
 }
--- a/internal/batches/runner/item.go
+++ b/internal/batches/runner/item.go
@@ -63,6 +63,8 @@
 	// text after lastEvent. Meanwhile the events of the current attempt are kept in buffered.
 	buffering bool
 	buffered  []receivedEvent
+	// bufferedBytes is the length of the buffered events as received.
+	bufferedBytes int
 
 	timing timing
 }
--- a/internal/batches/runner/reward.go
+++ b/internal/batches/runner/reward.go
@@ -134,6 +134,12 @@
 		return "", false, nil
 	}
 	defer answer.Close()
+	if answer.Remainder != nil {
+		// A score counts only with its whole answer, and none is that long.
+		j.logger.Info("reward call failed", zap.String("item", it.ID), zap.String("reward", it.Reward.ID),
+			zap.Int("status", answer.Status), zap.String("reason", "answer too long"))
+		return "", false, nil
+	}
 	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
 		return answer.Header.Get(j.r.forwarder.Names.Signature), true, nil
 	}
--- a/internal/batches/runner/text.go
+++ b/internal/batches/runner/text.go
@@ -10,12 +10,21 @@
 	"woodworks/internal/requests/eventstream"
 )
 
+// maxTextBytes bounds the text of an item, so that a replica that sends events without end can't
+// exhaust the memory. A text is listed whole, and a page of results is about 1 MB.
+const maxTextBytes = 4 << 20
+
+// errTextTooLong says that a replica sent more than the text of an item can be.
+var errTextTooLong = errors.New("runner: text too long")
+
 // text is the part of an item's text that this owner has.
 type text struct {
 	// events is the data of the events so far; lastEvent is the id of the last one.
 	events    [][]byte
 	lastEvent int64
 	hasEvent  bool
+	// bytes is the length of all events.
+	bytes int
 	// versions are the versions of the weights that generated the events.
 	versions []int64
 	// checkpointed is the number of events that are in the journal.
@@ -31,8 +40,8 @@
 }
 
 // append adds an event. It returns an error if the event's id does not follow the last one or its
-// version is older than minVersion. If the version of a single-version text changes, append clears
-// the text, which then starts over, and returns an error.
+// version is older than minVersion. If the version of a single-version text changes or the text
+// becomes too long, append clears the text, which then starts over, and returns an error.
 func (t *text) append(e receivedEvent, minVersion int64) error {
 	event, version := e.event, e.version
 	if !event.HasID || (t.hasEvent && event.ID != t.lastEvent+1) {
@@ -45,6 +54,11 @@
 		*t = text{} // the text starts over
 		return errors.New("version changed within a single-version text")
 	}
+	if t.bytes+len(event.Data) > maxTextBytes {
+		*t = text{}
+		return errTextTooLong
+	}
+	t.bytes += len(event.Data)
 	t.events = append(t.events, event.Data)
 	t.lastEvent, t.hasEvent = event.ID, true
 	if version > 0 && !slices.Contains(t.versions, version) {
@@ -60,6 +74,9 @@
 	}
 	t.events = slices.Clone(partial.Events)
 	t.checkpointed = len(partial.Events)
+	for _, event := range partial.Events {
+		t.bytes += len(event)
+	}
 	t.lastEvent, t.hasEvent = partial.LastEvent, true
 	t.versions = slices.Clone(partial.Versions)
 }
@@ -88,4 +105,13 @@
 	return nil
 }
 
-func (it *item) stopBuffering() { it.buffering, it.buffered = false, nil }
+// buffer keeps an event for flushBuffered.
+func (it *item) buffer(e receivedEvent) error {
+	if it.bufferedBytes += len(e.event.Raw); it.bufferedBytes > maxTextBytes {
+		return errTextTooLong
+	}
+	it.buffered = append(it.buffered, e)
+	return nil
+}
+
+func (it *item) stopBuffering() { it.buffering, it.buffered, it.bufferedBytes = false, nil, 0 }
--- a/internal/journal/logservice/client.go
+++ b/internal/journal/logservice/client.go
@@ -19,6 +19,8 @@
 	// data may stay unacknowledged by the peer.
 	connectTimeout = time.Second
 	unackedTimeout = 1500 * time.Millisecond
+	// maxAnswerBytes bounds what is read of an answer. A longer one does not decode then.
+	maxAnswerBytes = 64 << 20
 )
 
 // Client is a client of the log service that implements journal.Journal. It is safe for
@@ -58,7 +60,7 @@
 		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
 	}
 	defer resp.Close()
-	content, err := io.ReadAll(resp)
+	content, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
 	if err != nil {
 		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
 	}
--- a/internal/requests/eventstream/eventstream.go
+++ b/internal/requests/eventstream/eventstream.go
@@ -26,9 +26,13 @@
 	ErrMalformed = errors.New("event stream: malformed event")
 )
 
-// maxEventBytes bounds the size of an event. It is checked only for lines longer than the read
-// buffer.
-const maxEventBytes = 4 << 20
+const (
+	// maxEventBytes bounds the size of an event, including lines that are ignored. An event holds a
+	// few tokens.
+	maxEventBytes = 2 << 20
+	// maxErrorBytes bounds the text of a malformed line in an error.
+	maxErrorBytes = 200
+)
 
 // Event is one complete event.
 type Event struct {
@@ -64,8 +68,9 @@
 	var event Event
 	dataSeen := false
 	for {
-		line, err := r.readLine(maxEventBytes - len(event.Raw))
-		if err == io.EOF && len(line) == 0 && len(event.Raw) == 0 {
+		begin := len(event.Raw)
+		err := r.readLine(&event)
+		if err == io.EOF && len(event.Raw) == 0 {
 			return Event{}, io.EOF
 		}
 		if err == io.EOF {
@@ -74,8 +79,7 @@
 		if err != nil {
 			return Event{}, err
 		}
-		event.Raw = append(event.Raw, line...)
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(event.Raw[begin:], "\r\n")
 		if len(text) == 0 {
 			if !dataSeen && !event.HasID {
 				event = Event{}
@@ -89,23 +93,19 @@
 	}
 }
 
-// readLine returns the next line including its end, valid until the next read. It returns
-// ErrMalformed if a line longer than the buffer exceeds maxBytes. At io.EOF it also returns the
-// bytes of an unterminated line.
-func (r *Reader) readLine(maxBytes int) ([]byte, error) {
-	line, err := r.source.ReadSlice('\n')
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return line, err
-	}
-	long := bytes.Clone(line)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > maxBytes {
-			return nil, ErrMalformed
+// readLine appends the next line including its end to event.Raw. It returns ErrMalformed if the
+// event then exceeds maxEventBytes. At io.EOF it also appends the bytes of an unterminated line.
+func (r *Reader) readLine(event *Event) error {
+	for {
+		part, err := r.source.ReadSlice('\n')
+		if len(event.Raw)+len(part) > maxEventBytes {
+			return errors.Wrap(ErrMalformed, "too long")
+		}
+		event.Raw = append(event.Raw, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
 		}
-		line, err = r.source.ReadSlice('\n')
-		long = append(long, line...)
 	}
-	return long, err
 }
 
 // parseField adds one line to the event and sets dataSeen if it is a data field. Unknown fields
@@ -125,7 +125,7 @@
 		event.Version, err = strconv.ParseInt(strings.TrimSpace(version), 10, 64)
 	}
 	if err != nil {
-		return errors.Wrap(ErrMalformed, line)
+		return errors.Wrap(ErrMalformed, line[:min(len(line), maxErrorBytes)])
 	}
 	return nil
 }
--- a/internal/requests/eventstream/eventstream_test.go
+++ b/internal/requests/eventstream/eventstream_test.go
@@ -103,3 +103,39 @@
 		})
 	}
 }
+
+// endlessReader repeats a text without end, and counts what was read.
+type endlessReader struct {
+	text string
+	read int
+}
+
+// Read implements io.Reader.
+func (r *endlessReader) Read(buf []byte) (int, error) {
+	for i := range buf {
+		buf[i] = r.text[(r.read+i)%len(r.text)]
+	}
+	r.read += len(buf)
+	return len(buf), nil
+}
+
+// Guards against an event without end, of one line or of many, that is kept in memory.
+func TestAnEventWithoutEndIsMalformed(t *testing.T) {
+	for name, text := range map[string]string{"line": "x", "data lines": "data: x\n", "comments": ":\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			source := &endlessReader{text: text}
+			_, err := readAll(source)
+			is.True(errors.Is(err, ErrMalformed))
+			is.True(source.read <= maxEventBytes+8<<10)
+		})
+	}
+}
+
+// An error must not carry a malformed line of any length into the logs.
+func TestErrorsOfMalformedLinesAreShort(t *testing.T) {
+	is := is.New(t)
+	_, err := readAll(strings.NewReader("id: " + strings.Repeat("x", 1<<20) + "\n\n"))
+	is.True(errors.Is(err, ErrMalformed))
+	is.True(len(err.Error()) < 2*maxErrorBytes)
+}
--- a/internal/requests/forward/attempt.go
+++ b/internal/requests/forward/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -144,10 +143,7 @@
 		return nil, sentAt, !errors.Is(err, upstream.ErrNotSent), err
 	}
 	if f.wasNotRun(response) {
-		// A read error can be ignored here: Close then closes the connection instead of pooling
-		// it.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes))
-		response.Close()
+		response.Discard()
 		return nil, sentAt, false, errors.Wrapf(errPlainDeclined, "status %d", response.Status)
 	}
 	if response.Header.Get(f.Names.Signature) == "" {
--- a/internal/requests/forward/failed.go
+++ b/internal/requests/forward/failed.go
@@ -58,15 +58,18 @@
 }
 
 // recordReplicaEnd reports to the quarantine that a replica ended, or may have ended, while it
-// ran a content. The end of a draining replica is planned, so it is not reported.
+// ran a content. The end of a draining replica is planned, so it is not reported. Bytes that are not
+// an answer are no sign of an end: this daemon closed the connection.
 func (f *Forwarder) recordReplicaEnd(failed failedAttempt, liveness upstream.Liveness) {
 	rep := failed.chosen
 	if current, listed := f.Table.Get(rep.ID); listed && current.Draining && current.Incarnation() == rep.Incarnation() {
 		return
 	}
-	if liveness == upstream.Gone {
+	switch {
+	case liveness == upstream.Gone:
 		f.Quarantine.ReplicaEnded(failed.content, string(rep.Incarnation()), rep.Service)
-	} else {
+	case errors.Is(failed.err, upstream.ErrMalformed):
+	default:
 		f.Quarantine.ConnectionBroken(failed.content, string(rep.Incarnation()), rep.Service)
 	}
 }
--- a/internal/requests/forward/stream.go
+++ b/internal/requests/forward/stream.go
@@ -132,8 +132,7 @@
 		onEnd(nil)
 	}
 	if answer != nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes)) // The body of a failure is not passed on.
-		answer.Close()
+		answer.Discard() // the body of a failure is not passed on
 	}
 }
 
--- a/internal/requests/upstream/connection.go
+++ b/internal/requests/upstream/connection.go
@@ -20,8 +20,17 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// maxForeignAnswers is how many answers to earlier requests readHead skips at most.
+	// maxHeadBytes bounds what readHead reads for one answer, without the bodies that it skips.
+	maxHeadBytes = 64 << 10
+	// maxForeignAnswers is how many answers to earlier requests readHead skips at most, and
+	// maxForeignBytes bounds each of their bodies.
 	maxForeignAnswers = 2
+	maxForeignBytes   = 1 << 20
+	// maxDiscardBytes and maxDiscardTime bound what Answer.Discard reads to keep a connection.
+	maxDiscardBytes = 64 << 10
+	maxDiscardTime  = 20 * time.Millisecond
+	// maxErrorBytes bounds the text of an error about bytes that a peer has chosen.
+	maxErrorBytes = 200
 	// maxInformational is how many 1xx answers readHead skips at most.
 	maxInformational = 4
 )
@@ -31,6 +40,8 @@
 	pool    *Pool
 	address netip.AddrPort
 	raw     net.Conn
+	// limited is what reader reads from.
+	limited *limitedReader
 	reader  *bufio.Reader
 	// carried holds the ids of the requests that were sent on the connection.
 	carried carriedIDs
@@ -51,7 +62,8 @@
 }
 
 func newConnection(p *Pool, address netip.AddrPort, raw net.Conn) *connection {
-	return &connection{pool: p, address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limited := &limitedReader{source: raw}
+	return &connection{pool: p, address: address, raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
 }
 
 func (c *connection) close() {
@@ -142,14 +154,16 @@
 	sent := &http.Request{Method: req.Method}
 	informational := 0
 	for foreign := 0; ; {
+		c.limited.left = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, sent)
+		c.limited.left = unlimited
 		if err != nil {
-			return nil, errors.Wrap(ErrNoAnswer, err.Error())
+			return nil, c.noAnswer(err)
 		}
 		if response.StatusCode < http.StatusOK {
 			informational++
 			if informational > maxInformational || response.StatusCode == http.StatusSwitchingProtocols {
-				return nil, errors.Wrap(ErrNoAnswer, "unexpected status "+strconv.Itoa(response.StatusCode))
+				return nil, errors.Wrap(ErrMalformed, "unexpected status "+strconv.Itoa(response.StatusCode))
 			}
 			continue
 		}
@@ -200,8 +214,20 @@
 // skipBody reads the body of an answer to an earlier request, and reports whether another answer may
 // follow.
 func (c *connection) skipBody(response *http.Response) bool {
-	_, err := io.Copy(io.Discard, response.Body)
-	return err == nil && !response.Close
+	body := io.LimitReader(response.Body, maxForeignBytes+1)
+	skipped, err := io.Copy(io.Discard, body)
+	return err == nil && skipped <= maxForeignBytes && !response.Close
+}
+
+// noAnswer returns the error for a failed read of an answer: ErrMalformed if the connection itself
+// did not fail.
+func (c *connection) noAnswer(err error) error {
+	text := err.Error()
+	text = text[:min(len(text), maxErrorBytes)]
+	if c.limited.err == nil {
+		return errors.Wrap(ErrMalformed, text)
+	}
+	return errors.Wrap(ErrNoAnswer, text)
 }
 
 func appendHead(buf []byte, req *Request) []byte {
@@ -252,7 +278,7 @@
 		}
 	case err != nil:
 		a.failed = true
-		err = errors.Wrap(ErrNoAnswer, err.Error())
+		err = a.conn.noAnswer(err)
 	}
 	return count, err
 }
@@ -260,6 +286,16 @@
 // Length returns the length of the body in bytes, or -1 if the peer has not announced it.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
+// Discard reads the rest of a short body, so that Close keeps the connection, and closes the answer.
+// If the body does not end soon, the connection is closed instead.
+func (a *Answer) Discard() {
+	timer := time.AfterFunc(maxDiscardTime, a.Abort)
+	defer timer.Stop()
+	// Close finds out whether the body has ended.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDiscardBytes))
+	a.Close()
+}
+
 // Abort closes the connection of the exchange, so that a concurrent Read fails. Abort may be
 // called at any time, from any goroutine. Close must still be called.
 func (a *Answer) Abort() { a.conn.close() }
--- a/internal/requests/upstream/upstream.go
+++ b/internal/requests/upstream/upstream.go
@@ -41,6 +41,9 @@
 	ErrNoAnswer = errors.New("upstream: no answer")
 	// ErrForeignAnswer means that only answers to other requests were received.
 	ErrForeignAnswer = errors.New("upstream: answer to another request")
+	// ErrMalformed means that what was received is not an answer, or that its head is too long.
+	// It wraps ErrNoAnswer. Unlike other such errors it does not mean that the connection broke.
+	ErrMalformed = errors.WithMessage(ErrNoAnswer, "upstream: malformed answer")
 )
 
 const (
