quarantine: an item under which replicas ended is run again

Callers saw an item that was never placed again after several replicas had ended under it by coincidence, although all was calm and replicas had room (reported from a similar system; it can happen here).

The next owner inherits the ends and is not the keeper.

A content now says whether it was handed in for later. Items and their reward calls are not refused: they run in isolation 3 s after the third end and 8 s after each further one. Requests of callers with the same content stay refused, and the keeper's own run stays theirs. Entries and records are unchanged.

Tests fail before: platform TestAnItemUnderWhichReplicasEndedIsDone (item and reward call) and TestAnItemUnderWhichReplicasEndedIsDoneAfterATakeover, "never: batch unlucky is whole" after 30 s. They pass now, as do the tests in which an item ends its replicas each time, unchanged (one run each).

--- a/internal/batches/runner/attempt.go
+++ b/internal/batches/runner/attempt.go
@@ -211,6 +211,7 @@
 			Header:    header,
 			Body:      it.Body,
 			Caller:    j.submission.Tenant,
+			Owed:      true,
 		},
 		LastEventID:    it.lastEvent,
 		HasLastEventID: it.hasEvent,
--- a/internal/batches/runner/reward.go
+++ b/internal/batches/runner/reward.go
@@ -162,6 +162,7 @@
 			Host:      it.Reward.Host,
 			Header:    http.Header{http.CanonicalHeaderKey(j.r.forwarder.Names.RequestID): {it.Reward.ID}},
 			Body:      it.Reward.Body,
+			Owed:      true,
 		},
 		Services:    rt.ServiceOrder(it.Reward.ID),
 		Repeatable:  true,
--- a/internal/batches/runner/snapshot.go
+++ b/internal/batches/runner/snapshot.go
@@ -83,8 +83,8 @@
 		waiting := it.state == itemWaiting && !now.Before(it.notBefore)
 		running := it.state == itemRunning
 		if !waiting && !running || waiting && j.blocked(it) {
-			// A quarantined item waits until it expires or its batch ends: only answers of replicas
-			// count as failures of an item.
+			// An item under which replicas have ended waits for its next isolated run: only answers
+			// of replicas count as failures of an item.
 			continue
 		}
 		service := serviceOf(rt, it)
@@ -151,6 +151,7 @@
 			Host:   j.submission.Host,
 			Target: it.Path,
 			Body:   it.Body,
+			Owed:   true,
 		}
 	}
 	return it.content
--- a/internal/requests/forward/call.go
+++ b/internal/requests/forward/call.go
@@ -32,6 +32,8 @@
 	Body      []byte
 	// Caller is the name of the tenant that sent the request, or "" if there are no tenants.
 	Caller string
+	// Owed says that the request was handed in to run later, see quarantine.Content.
+	Owed bool
 	// ClientLeft reports whether the client is known to have left, possibly before the call's
 	// context ends. It is called before each attempt. Nil means that there is no client.
 	ClientLeft func() bool
@@ -42,7 +44,7 @@
 
 // Content returns what identifies the request for the quarantine.
 func (r *Request) Content() *quarantine.Content {
-	return &quarantine.Content{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+	return &quarantine.Content{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body, Owed: r.Owed}
 }
 
 // Call is a request to a service, with the rules for further attempts.
--- a/internal/requests/quarantine/content.go
+++ b/internal/requests/quarantine/content.go
@@ -49,6 +49,10 @@
 	// Target is the path with the query.
 	Target string
 	Body   []byte
+	// Owed says that the request was handed in to run later. Such a request is never refused for good,
+	// however many replicas have ended under it: it runs in isolation, at growing intervals. Owed is
+	// not part of the digest.
+	Owed bool
 
 	once   sync.Once
 	digest Digest
--- a/internal/requests/quarantine/entry.go
+++ b/internal/requests/quarantine/entry.go
@@ -81,6 +81,8 @@
 	// isolatedRun is not nil while an isolated run of the content, started by this daemon, is in
 	// progress. The channel is closed when the run ends.
 	isolatedRun chan struct{}
+	// isolatedRunEndedAt is when the last isolated run here ended.
+	isolatedRunEndedAt time.Time
 	// journaled is the entry as stored in the journal, or nil if the journal has none. If
 	// journaled differs from Entry because of a change made by this daemon (changedHere), this
 	// daemon writes the entry as soon as it is due. After a change made by another daemon, this
--- a/internal/requests/quarantine/quarantine.go
+++ b/internal/requests/quarantine/quarantine.go
@@ -14,6 +14,9 @@
 //   - Three ends: it is refused. The daemon that saw the third end (the keeper) runs it once
 //     more after a delay, which clears contents that were suspected three times by coincidence.
 //
+// A request that was handed in to run later (Content.Owed) is not refused: from the third end on it
+// runs in isolation too, seconds after the last end.
+//
 // Any complete answer clears a content at once. Ends are counted per incarnation of a replica,
 // so the count does not depend on which daemons observe an end or how often they report it.
 // Throughout this package, replicas are identified by their incarnations.
--- a/internal/requests/quarantine/verdict.go
+++ b/internal/requests/quarantine/verdict.go
@@ -31,6 +31,11 @@
 	// retryDelay is how long after its last end a refused content may run once more at its
 	// keeper.
 	retryDelay = 15 * time.Second
+	// owedRetryDelay is how long after the end that would have it refused a content that is owed
+	// runs again, and maxOwedRetryDelay applies after further ends: a content that ends replicas
+	// after all ends one at a time, and one that was there by coincidence waits for seconds only.
+	owedRetryDelay    = 3 * time.Second
+	maxOwedRetryDelay = 8 * time.Second
 )
 
 // Suspicion is the degree to which a content is suspected of ending replicas.
@@ -68,7 +73,7 @@
 // recently ended under the content.
 type OtherReplica struct{}
 
-// Refused means that the content must not run now.
+// Refused means that the content must not run now. It is never Final for a content that is owed.
 type Refused struct {
 	// Ended is the number of ends counted for the content.
 	Ended int
@@ -106,7 +111,7 @@
 	}
 }
 
-// Blocked reports whether the content is refused at every replica now.
+// Blocked reports whether the content must not run at any replica now.
 func (t *Table) Blocked(content *Content) bool {
 	if t.NoneSuspected() {
 		return false
@@ -115,7 +120,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.entries[digest]
-	return s != nil && s.refused() && !t.mayRetry(s, t.now())
+	switch {
+	case s == nil || !s.refused():
+		return false
+	case content.Owed:
+		return s.owedRetryAfter(t.now()) > 0
+	default:
+		return !t.mayRetry(s, t.now())
+	}
 }
 
 // Decide returns whether the content may run now at replica, which is an incarnation. If the
@@ -139,7 +151,7 @@
 	if s.ends() < minEndsToIsolate {
 		return Allowed{}
 	}
-	if refused, ok := t.refusalFor(s, now, others); ok {
+	if refused, ok := t.refusalFor(s, content.Owed, now, others); ok {
 		s.turnedAway++
 		t.turnedAway.Add(1)
 		return refused
@@ -150,19 +162,22 @@
 	case t.isolatedRuns[replica] > 0, s.endedRecently(replica, now):
 		return OtherReplica{}
 	}
-	return t.startIsolated(s, replica)
+	return t.startIsolated(s, replica, content.Owed)
 }
 
 // refusalFor returns a refusal and true if the content must not run at any replica now,
 // otherwise false. t.mu must be held.
-func (t *Table) refusalFor(s *suspect, now time.Time, others func() []string) (Refused, bool) {
+func (t *Table) refusalFor(s *suspect, owed bool, now time.Time, others func() []string) (Refused, bool) {
 	since := now.Sub(s.lastEndAt)
 	refused := Refused{Ended: s.ends()}
+	final := s.refused() && !owed
 	switch {
-	case s.refused() && (s.Keeper != t.machine || s.Retried):
+	case final && (s.Keeper != t.machine || s.Retried):
 		refused.RetryAfter, refused.Final = refusal.Quarantined.RetryAfter, true
-	case s.refused() && since < retryDelay:
+	case final && since < retryDelay:
 		refused.RetryAfter = retryDelay - since
+	case s.refused() && owed && s.owedRetryAfter(now) > 0:
+		refused.RetryAfter = s.owedRetryAfter(now)
 	case s.isolatedRun == nil && since < recentEndMaxAge && !s.anyAvailable(others(), now):
 		refused.RetryAfter = min(refusal.IsolatedRunPending.RetryAfter, recentEndMaxAge-since)
 	default:
@@ -177,26 +192,40 @@
 	return s.Keeper == t.machine && !s.Retried && now.Sub(s.lastEndAt) >= retryDelay
 }
 
+// owedRetryAfter returns how long a refused content that is owed waits for its next run, 0 or less if
+// it may run. Once the entry is full, and further ends leave no trace in it, the delay counts from the
+// last isolated run here.
+func (s *suspect) owedRetryAfter(now time.Time) time.Duration {
+	delay, last := owedRetryDelay, s.lastEndAt
+	if s.ends() > minEndsToRefuse {
+		delay = maxOwedRetryDelay
+	}
+	if len(s.Ended) >= maxEndedReplicas && s.isolatedRunEndedAt.After(last) {
+		last = s.isolatedRunEndedAt
+	}
+	return last.Add(delay).Sub(now)
+}
+
 // anyAvailable reports whether at least one of the replicas has not recently ended under the
 // content.
 func (s *suspect) anyAvailable(replicas []string, now time.Time) bool {
 	return slices.ContainsFunc(replicas, func(id string) bool { return !s.endedRecently(id, now) })
 }
 
-// startIsolated starts an isolated run of the content. If the content is refused, the run is the
-// keeper's only retry, and the entry is marked as retried. t.mu must be held.
-func (t *Table) startIsolated(s *suspect, name string) Isolated {
+// startIsolated starts an isolated run of the content. If the content is refused and not owed, the run
+// is the keeper's only retry, and the entry is marked as retried. t.mu must be held.
+func (t *Table) startIsolated(s *suspect, name string, owed bool) Isolated {
 	done := make(chan struct{})
 	s.isolatedRun = done
 	t.isolatedRuns[name]++
-	if s.refused() {
+	if s.refused() && !owed {
 		t.update(s, func() { s.Retried, s.changedHere = true, true })
 		t.announce(s)
 	}
 	t.logger.Info("isolated run started", zap.String("content", s.Digest.Short()),
 		zap.String("replica", replica.Incarnation(name).ID()), zap.String("start", name),
 		zap.Strings("ended", s.replicas()), zap.Int("ends", s.ends()), zap.Bool("refused", s.refused()),
-		zap.Duration("since_end", t.now().Sub(s.lastEndAt)))
+		zap.Bool("owed", owed), zap.Duration("since_end", t.now().Sub(s.lastEndAt)))
 	var once sync.Once
 	return Isolated{End: func() { once.Do(func() { t.endIsolated(s, name, done) }) }}
 }
@@ -205,7 +234,7 @@
 func (t *Table) endIsolated(s *suspect, replica string, done chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s.isolatedRun = nil
+	s.isolatedRun, s.isolatedRunEndedAt = nil, t.now()
 	close(done)
 	t.isolatedRuns[replica]--
 	if t.isolatedRuns[replica] <= 0 {
