runner: failures of an item outlast its owner

Cause: the failures of items and of their reward calls were counted in the owner's memory only, so each owner began anew.

The owner now records the counts in the batch's partition before the item's next attempt, waiting 1 s at most, and the next owner goes on from them. Counts only rise.

--- a/internal/batches/batch/batch.go
+++ b/internal/batches/batch/batch.go
@@ -111,6 +111,9 @@
 	Versions  []int64
 }
 
+// Failures counts the answers of replicas that report a failure of an item, or of its reward call.
+type Failures struct{ Item, Reward int }
+
 // Batch is the state of one batch after the records applied so far. Readers must not change it.
 type Batch struct {
 	Submission
@@ -138,6 +141,8 @@
 	// Suspected holds the quarantine's entries of the contents of items without a result, by index of
 	// the item.
 	Suspected map[int][]byte
+	// Failures are those of items without a result, by index of the item.
+	Failures map[int]Failures
 	// LivenessSignals counts the records that show that an owner is alive. It never decreases; an
 	// owner is suspected when it stays the same for too long.
 	LivenessSignals int64
--- a/internal/batches/batch/fold.go
+++ b/internal/batches/batch/fold.go
@@ -209,6 +209,8 @@
 		}
 	case kindContentSuspected:
 		b.suspect(rec)
+	case kindItemFailed:
+		b.countFailures(rec)
 	case kindEnded:
 		if b.BelongsTo(rec.Tenant) {
 			b.end()
@@ -258,6 +260,18 @@
 	b.Suspected[rec.Index] = rec.Part
 }
 
+// countFailures raises the failures of an unfinished item. As with suspect, any daemon may report them.
+func (b *Batch) countFailures(rec record) {
+	if !b.isUnfinished(rec.Index) {
+		return
+	}
+	if b.Failures == nil {
+		b.Failures = map[int]Failures{}
+	}
+	before := b.Failures[rec.Index]
+	b.Failures[rec.Index] = Failures{Item: max(before.Item, int(rec.Number)), Reward: max(before.Reward, rec.Count)}
+}
+
 // countLivenessSignal counts a heartbeat or a checkpoint of the owner. One that is appended after a
 // newer one is ignored, as its owner may have ended since. Records of earlier versions of this
 // program have no number and are always counted.
@@ -311,6 +325,7 @@
 	b.HasResult[result.Item] = true
 	delete(b.Partials, result.Item)
 	delete(b.Suspected, result.Item)
+	delete(b.Failures, result.Item)
 	b.Results = append(b.Results, result)
 }
 
@@ -332,7 +347,7 @@
 		return
 	}
 	b.Ended = true
-	b.Partials, b.Suspected = nil, nil
+	b.Partials, b.Suspected, b.Failures = nil, nil, nil
 	items := make([]Item, len(b.Items))
 	for i, item := range b.Items {
 		items[i] = Item{ID: item.ID, Group: item.Group}
--- a/internal/batches/batch/fold_test.go
+++ b/internal/batches/batch/fold_test.go
@@ -327,3 +327,28 @@
 	is.Equal(*after, kept)
 	is.Equal(state.NextOffset(), int64(2))
 }
+
+// The next owner must find how often an unfinished item has failed, and a late record of an earlier
+// owner must not lower the count.
+func TestFailuresOfUnfinishedItemsAreKept(t *testing.T) {
+	is := is.New(t)
+	state := NewStateAt(0)
+	submission := &Submission{ID: "b", Items: make([]Item, 3)}
+	for _, encoded := range [][]byte{
+		ItemFailed("b", 0, Failures{Item: 9}), // before the batch
+		Accepted(submission, "a/1"),
+		ItemFailed("b", 0, Failures{Item: 1}),
+		ItemFailed("b", 0, Failures{Item: 2, Reward: 1}),
+		ItemFailed("b", 0, Failures{Item: 1}), // late
+		ItemFailed("b", 1, Failures{Item: 1}),
+		ItemFailed("b", 3, Failures{Item: 1}), // no such item
+		ResultsAdded("b", []Result{{Item: 1, Outcome: Done}}),
+		ItemFailed("b", 1, Failures{Item: 2}), // late
+	} {
+		is.NoErr(state.Apply(encoded))
+	}
+	b, _ := state.Get("b")
+	is.Equal(b.Failures, map[int]Failures{0: {Item: 2, Reward: 1}})
+	is.NoErr(state.Apply(Ended("b", "")))
+	is.Equal(len(b.Failures), 0)
+}
--- a/internal/batches/batch/record.go
+++ b/internal/batches/batch/record.go
@@ -21,6 +21,7 @@
 	kindCheckpoint
 	kindItemsReturned
 	kindContentSuspected
+	kindItemFailed
 )
 
 // record is one entry of a journal partition. Which fields are set depends on Kind.
@@ -40,7 +41,8 @@
 	// Key, Index, Count and Part are those of a fragment of a record that exceeds the journal's
 	// limit. Key is random and new for each append, so that fragments of two appends are never
 	// joined. In kindContentSuspected, Index is that of an item, and Part what the quarantine knows of
-	// the content of the item or of its reward call.
+	// the content of the item or of its reward call. In kindItemFailed, Index is that of an item, and
+	// Count how often its reward call has failed.
 	Key   string `cbor:"8,keyasint,omitempty"`
 	Index int    `cbor:"9,keyasint,omitempty"`
 	Count int    `cbor:"10,keyasint,omitempty"`
@@ -48,7 +50,8 @@
 	// Progress is set in kindCheckpoint.
 	Progress []Progress `cbor:"12,keyasint,omitempty"`
 	// Number increases with each heartbeat or checkpoint of one owner, starting at 1 or more. It is
-	// 0 in records of earlier versions of this program.
+	// 0 in records of earlier versions of this program. In kindItemFailed it is how often the item has
+	// failed.
 	Number int64 `cbor:"13,keyasint,omitempty"`
 	// Tenant is that of the caller that ends the batch.
 	Tenant string `cbor:"14,keyasint,omitempty"`
@@ -125,6 +128,12 @@
 	return encode(record{Kind: kindContentSuspected, BatchID: batchID, Index: item, Part: entry})
 }
 
+// ItemFailed returns the encoded record of how often replicas have reported a failure of an item and of
+// its reward call, so that the next owner goes on counting. It never lowers a count.
+func ItemFailed(batchID string, item int, failures Failures) []byte {
+	return encode(record{Kind: kindItemFailed, BatchID: batchID, Index: item, Number: int64(failures.Item), Count: failures.Reward})
+}
+
 // Fragment splits a record longer than limit bytes into records of at most limit bytes, and returns
 // a shorter one unchanged. The fold joins the fragments into the original record, at the offset of
 // the first one. The key must be unique to this append.
--- a/internal/batches/runner/attempt.go
+++ b/internal/batches/runner/attempt.go
@@ -175,11 +175,16 @@
 func (a *attempt) handleFailure(cause error) {
 	j, it := a.job, a.item
 	j.mu.Lock()
-	defer j.mu.Unlock()
-	next := decideRetry(cause, it.failures, a.route.MaxAttempts)
+	next := decideRetry(cause, it.failures.Item, a.route.MaxAttempts)
 	if next.countsAsFailure {
-		it.failures++
+		it.failures.Item++
+	}
+	j.mu.Unlock()
+	if next.countsAsFailure && next.deadReason == "" {
+		j.recordFailures(it)
 	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	j.r.recordFault(a.replica.Incarnation(), next.fault)
 	j.logger.Info("item attempt failed", zap.String("item", it.ID), zap.String("replica", a.replica.ID),
 		zap.Int("attempt", it.attempt), zap.Int64("events", it.lastEvent),
--- a/internal/batches/runner/item.go
+++ b/internal/batches/runner/item.go
@@ -23,7 +23,7 @@
 )
 
 // item is an item of a batch with its progress at this owner. The job's mutex guards its mutable
-// fields except rewardFailures, which only the item's reward call uses.
+// fields.
 type item struct {
 	batch.Item
 	index  int
@@ -48,10 +48,8 @@
 	// attempt is the number, from 1, of the current attempt. Events of attempts with another number
 	// are ignored.
 	attempt int
-	// failures counts the answers of replicas that report a failure of the item; rewardFailures
-	// counts those that report a failure of the item's reward call.
-	failures       int
-	rewardFailures int
+	// failures are those of this owner and, as far as they are recorded, of earlier ones.
+	failures batch.Failures
 	// lastReplica is the replica of the current or last attempt.
 	lastReplica string
 	startedAt   time.Time
--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -71,6 +71,7 @@
 			it.state = itemListed
 		}
 		it.resumeFrom(b.Partials[i])
+		it.failures = b.Failures[i]
 		it.timing.since = j.adoptedAt
 		if b.HandedOffItems[i] {
 			it.handedOff, it.notBefore = true, j.adoptedAt.Add(handOffTimeout)
--- a/internal/batches/runner/release.go
+++ b/internal/batches/runner/release.go
@@ -73,6 +73,7 @@
 	for i, it := range j.items {
 		if it.handedOff && !b.HandedOffItems[i] {
 			it.handedOff, it.notBefore = false, time.Time{}
+			it.failures = b.Failures[i]
 			if entry := b.Suspected[i]; entry != nil {
 				suspected = append(suspected, entry)
 			}
--- a/internal/batches/runner/reward.go
+++ b/internal/batches/runner/reward.go
@@ -144,14 +144,22 @@
 		return answer.Header.Get(j.r.forwarder.Names.Signature), true, nil
 	}
 	if answer.Status == http.StatusInternalServerError {
-		it.rewardFailures++
-		if exhausted(it.rewardFailures, rt.MaxAttempts) {
+		if exhausted(j.countRewardFailure(it), rt.MaxAttempts) {
 			return "", true, errRewardFailed
 		}
+		j.recordFailures(it)
 	}
 	return "", false, nil
 }
 
+// countRewardFailure counts a failure of an item's reward call and returns the number so far.
+func (j *job) countRewardFailure(it *item) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	it.failures.Reward++
+	return it.failures.Reward
+}
+
 // newRewardCall returns an item's reward call, for one attempt.
 func (j *job) newRewardCall(it *item, rt *route.Route) *forward.Call {
 	return &forward.Call{
--- a/internal/batches/runner/suspicion.go
+++ b/internal/batches/runner/suspicion.go
@@ -11,9 +11,10 @@
 	"woodworks/internal/requests/quarantine"
 )
 
-// suspicionTimeout bounds the record of a suspicion. The item waits for it, so that at most one end
-// of a replica is unknown to the next owner; if the journal does not answer, the item goes on.
-const suspicionTimeout = time.Second
+// itemRecordTimeout bounds the record of a suspicion or a failure. The item waits for it, so that at
+// most one end of a replica, or one failure, is unknown to the next owner; if the journal does not
+// answer, the item goes on.
+const itemRecordTimeout = time.Second
 
 // recordSuspicion records in the batch's partition what the quarantine knows of a content of the item,
 // its request or its reward call, after a failed attempt. Gossip and the quarantine's own partition
@@ -26,9 +27,7 @@
 		return
 	}
 	if err == nil {
-		ctx, cancel := context.WithTimeout(j.ctx, suspicionTimeout)
-		defer cancel()
-		err = j.r.appendWithRetry(ctx, j.partition, batch.ContentSuspected(j.submission.ID, it.index, entry))
+		err = j.appendItemRecord(batch.ContentSuspected(j.submission.ID, it.index, entry))
 	}
 	if err == nil {
 		j.mu.Lock()
@@ -54,3 +53,22 @@
 		}
 	}
 }
+
+// recordFailures records in the batch's partition how often the item and its reward call have failed.
+// Otherwise each owner would count anew, and an item that always fails would run MaxAttempts times at
+// each of them.
+func (j *job) recordFailures(it *item) {
+	j.mu.Lock()
+	failures := it.failures
+	j.mu.Unlock()
+	err := j.appendItemRecord(batch.ItemFailed(j.submission.ID, it.index, failures))
+	j.logger.Info("failures recorded", zap.String("item", it.ID), zap.Int("failures", failures.Item),
+		zap.Int("reward_failures", failures.Reward), zap.Error(err))
+}
+
+// appendItemRecord appends a record that the next attempt at an item waits for.
+func (j *job) appendItemRecord(record []byte) error {
+	ctx, cancel := context.WithTimeout(j.ctx, itemRecordTimeout)
+	defer cancel()
+	return j.r.appendWithRetry(ctx, j.partition, record)
+}
