--- a/internal/batches/runner/runner.go
+++ b/internal/batches/runner/runner.go
@@ -146,8 +146,8 @@
 }
 
 // Accept records a batch and chooses its owner. A batch that exists already is not changed, and one
-// that its caller has ended already is not run. If Accept returns nil, the batch exists; if the error is ErrNotDone, this call did not create it; if
-// it is ErrUnknown, the batch may exist.
+// that its caller has ended already is not run. If Accept returns nil, the batch exists; if the error
+// is ErrNotDone, this call did not create it; if it is ErrUnknown, the batch may exist.
 func (r *Runner) Accept(ctx context.Context, submission *batch.Submission) error {
 	if r.stopping.Load() {
 		return ErrStopping
@@ -163,6 +163,7 @@
 		return err
 	}
 	if hasEnded(partition, submission.ID) {
+		r.logger.Info("batch submitted after its end", zap.String("batch", submission.ID), zap.Inline(partition))
 		return nil
 	}
 	if owner != r.self {
@@ -220,8 +221,8 @@
 }
 
 // End ends a batch: after it returns nil, no further items are started. An unknown batch is ended
-// too, since its acceptance may still be on its way; the fold then keeps the end. A batch of another tenant is not changed, and
-// the caller can't tell it from an unknown one.
+// too, since its acceptance may still be on its way; the fold then keeps the end. A batch of another
+// tenant is not changed, and the caller can't tell it from an unknown one.
 func (r *Runner) End(ctx context.Context, batchID, tenant string) error {
 	return r.appendWithRetry(ctx, r.ledger.PartitionOf(batchID), batch.Ended(batchID, tenant))
 }
