upstream: a connection that Discard closes is not kept

Answer.Discard bounds the time of reading a body that is not needed by closing the connection. If the time was up while Close returned the connection to the pool, it was closed under the next request, which may then have run. Read in review, not seen. A connection whose timer has fired is now never returned.

--- a/internal/requests/upstream/connection.go
+++ b/internal/requests/upstream/connection.go
@@ -290,9 +290,12 @@
 // If the body does not end soon, the connection is closed instead.
 func (a *Answer) Discard() {
 	timer := time.AfterFunc(maxDiscardTime, a.Abort)
-	defer timer.Stop()
 	// Close finds out whether the body has ended.
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDiscardBytes))
+	if !timer.Stop() {
+		// Abort has closed the connection or is about to: it must not get another request.
+		a.failed = true
+	}
 	a.Close()
 }
 
--- a/internal/requests/upstream/endless_test.go
+++ b/internal/requests/upstream/endless_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// A connection whose discarded body ends just as its time is up must not be kept: it is being closed.
+func TestAConnectionThatDiscardClosesIsNotKept(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	go func() {
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+			_, _ = io.WriteString(far, "HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\nContent-Length: 2\r\n\r\n")
+			time.Sleep(maxDiscardTime)
+			_, _ = io.WriteString(far, "no")
+		}
+		_, _ = io.Copy(io.Discard, far) // until the connection is closed
+	}()
+	p := newTestPool()
+	conn := newConnection(p, peerAddress, near)
+	answer, err := conn.exchange(t.Context(), newRequest("a"))
+	is.NoErr(err)
+	answer.Discard()
+	_, err = near.Write([]byte("x"))
+	kept := p.IdleConnections(peerAddress) > 0
+	is.Equal(kept, !errors.Is(err, io.ErrClosedPipe))
+	_ = near.Close() // nothing uses it any more
+}
+
 // A short body that is discarded leaves the connection usable.
 func TestADiscardedAnswerKeepsItsConnection(t *testing.T) {
 	is := is.New(t)
