upstream: orders use the connections of reports

Orders now use the connections of reports, which no request of a client uses. A report always comes between two orders on a connection, so that a copy of the first order's answer does not meet the second; the drivers tell a report from the answer to an order by its body, and close a connection on which one came in place of the other.

--- a/internal/api/standalone/engines.go
+++ b/internal/api/standalone/engines.go
@@ -55,8 +55,9 @@
 	if body != nil {
 		header.Set("Content-Type", "application/json")
 	}
-	sharing := upstream.Unshared
-	if method == http.MethodGet {
+	reads := method == http.MethodGet
+	sharing := upstream.SharedAfterReads
+	if reads {
 		sharing = upstream.SharedByReads
 	}
 	answer, err := e.pool.Exchange(ctx, target.Address,
@@ -66,5 +67,16 @@
 	}
 	defer answer.Close()
 	content, err := io.ReadAll(io.LimitReader(answer, maxEngineAnswerBytes))
+	if err == nil && isEngineState(content) != reads {
+		answer.Abort() // It may be the answer to an earlier call, sent once more.
+		return 0, nil, errors.Errorf("unexpected answer with status %d", answer.Status)
+	}
 	return answer.Status, content, err
 }
+
+// isEngineState tells an engine's state from its answer to an order. Their requests have no ids and
+// use the same connections.
+func isEngineState(body []byte) bool {
+	var fields struct{ Busy, Orders json.RawMessage }
+	return json.Unmarshal(body, &fields) == nil && fields.Busy != nil && fields.Orders != nil
+}
--- a/internal/requests/upstream/connection.go
+++ b/internal/requests/upstream/connection.go
@@ -57,8 +57,8 @@
 	// tainted means that an answer to an earlier request, or one without an id, was received:
 	// answers may be out of step with requests, so the connection is not reused.
 	tainted bool
-	// unshared means that the connection carries one request only.
-	unshared bool
+	// afterChange means that the last request was SharedAfterReads.
+	afterChange bool
 }
 
 func newConnection(p *Pool, address netip.AddrPort, raw net.Conn) *connection {
@@ -81,6 +81,15 @@
 	return now.Before(c.reusableUntil)
 }
 
+// mayCarry reports whether a late copy of an answer on the connection would not be taken for the answer
+// to the request.
+func (c *connection) mayCarry(req *Request) bool {
+	if c.afterChange && req.Sharing == SharedAfterReads {
+		return false
+	}
+	return !c.carried.has(idHash(req))
+}
+
 // isClean reports whether an idle connection is open and has no unread bytes. Unread bytes would
 // be taken for the answer to the next request.
 func (c *connection) isClean() bool {
@@ -121,7 +130,7 @@
 		text = append(text, req.Body...)
 	}
 	c.carried.add(idHash(req))
-	c.unshared = req.Sharing == Unshared
+	c.afterChange = req.Sharing == SharedAfterReads
 	req.SentAt = c.pool.now()
 	written, err := c.raw.Write(text)
 	switch {
@@ -331,5 +340,5 @@
 			return false
 		}
 	}
-	return !a.failed && !a.response.Close && !conn.tainted && !conn.unshared && !conn.writeErr.Load() && conn.reader.Buffered() == 0
+	return !a.failed && !a.response.Close && !conn.tainted && !conn.writeErr.Load() && conn.reader.Buffered() == 0
 }
--- a/internal/requests/upstream/limit.go
+++ b/internal/requests/upstream/limit.go
@@ -57,15 +57,14 @@
 	return nil, p.freed[address]
 }
 
-// choose returns the index of the idle connection for a request: the last one that has not carried
-// the request's id. If there is none, it returns ok only at the limit, for a connection to be closed.
+// choose returns the index of the idle connection for a request: the last one that may carry it. If
+// there is none, it returns ok only at the limit, for a connection to be closed.
 func choose(idle []*connection, req *Request, now time.Time, full bool) (index int, ok bool) {
-	if len(idle) == 0 || req.Sharing == Unshared {
+	if len(idle) == 0 {
 		return 0, false
 	}
-	id := idHash(req)
 	for i, conn := range slices.Backward(idle) {
-		if conn.carried.has(id) {
+		if !conn.mayCarry(req) {
 			continue
 		}
 		// A connection that only repeatable requests may use stays idle for them, unless the
@@ -87,7 +86,7 @@
 	for {
 		conn, freed := p.tryAcquire(address, req)
 		switch {
-		case conn != nil && conn.usable(p.now(), req.Repeatable) && !conn.carried.has(idHash(req)) && conn.isClean():
+		case conn != nil && conn.usable(p.now(), req.Repeatable) && conn.mayCarry(req) && conn.isClean():
 			return conn, nil
 		case conn != nil:
 			conn.close()
--- a/internal/requests/upstream/upstream.go
+++ b/internal/requests/upstream/upstream.go
@@ -104,11 +104,14 @@
 	// SharedByID is for requests whose answers are told apart by their EchoHeader, and for peers
 	// that are trusted to answer each request once.
 	SharedByID Sharing = iota
-	// SharedByReads is for requests without an id that only read the peer's state. They share
-	// connections with each other only: what they may receive is an earlier state.
+	// SharedByReads is for requests without an id that only read the peer's state. What they may
+	// receive is an earlier state, or the answer to a change, which the caller tells apart; it then
+	// calls Answer.Abort.
 	SharedByReads
-	// Unshared is for other requests without an id. Each uses a connection of its own.
-	Unshared
+	// SharedAfterReads is for other requests without an id, which change the peer's state. They use
+	// the connections of reads, whose answers the caller tells apart, and never one directly after
+	// each other.
+	SharedAfterReads
 )
 
 // Options configures the connections of a pool.
@@ -137,7 +140,7 @@
 	// closed when a connection to the peer becomes idle or is closed.
 	freed map[netip.AddrPort]chan struct{}
 
-	// reads holds the connections of requests that are SharedByReads. It is nil in that pool itself.
+	// reads holds the connections of requests that are not SharedByID. It is nil in that pool itself.
 	reads *Pool
 
 	// Dials counts the connections made, and Exhausted the requests that failed with
@@ -179,8 +182,8 @@
 // Connections returns the number of connections that were made to all peers so far.
 func (p *Pool) Connections() uint64 { return p.Dials.Load() + p.reads.Dials.Load() }
 
-// OpenConnections returns the number of connections to a peer, including those being dialled, but
-// not those of requests that are SharedByReads.
+// OpenConnections returns the number of connections to a peer for requests that are SharedByID,
+// including those being dialled.
 func (p *Pool) OpenConnections(address netip.AddrPort) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -255,7 +258,7 @@
 		// ctx closes it.
 		return nil, errors.Wrap(ErrNotSent, ctx.Err().Error())
 	}
-	if req.Sharing == SharedByReads {
+	if req.Sharing != SharedByID {
 		p = p.reads
 	}
 	conn, err := p.acquire(ctx, address, req)
