--- a/internal/requests/quarantine/content.go
+++ b/internal/requests/quarantine/content.go
@@ -50,7 +50,7 @@
 	Target string
 	Body   []byte
 	// Owed says that the request was handed in to run later. Such a request is never refused for good,
-	// however many replicas have ended under it: it runs in isolation, at growing intervals. Owed is
+	// however many replicas have ended under it: it runs in isolation, seconds apart. Owed is
 	// not part of the digest.
 	Owed bool
 
--- a/internal/requests/quarantine/verdict.go
+++ b/internal/requests/quarantine/verdict.go
@@ -31,9 +31,9 @@
 	// retryDelay is how long after its last end a refused content may run once more at its
 	// keeper.
 	retryDelay = 15 * time.Second
-	// owedRetryDelay is how long after the end that would have it refused a content that is owed
-	// runs again, and maxOwedRetryDelay applies after further ends: a content that ends replicas
-	// after all ends one at a time, and one that was there by coincidence waits for seconds only.
+	// owedRetryDelay is how long an owed content waits for its next run after the end with which
+	// other contents are refused, and maxOwedRetryDelay after each further end. A content that does
+	// end replicas thereby ends one at a time; a harmless one waits for seconds only.
 	owedRetryDelay    = 3 * time.Second
 	maxOwedRetryDelay = 8 * time.Second
 )
--- a/internal/requests/upstream/carried.go
+++ b/internal/requests/upstream/carried.go
@@ -6,7 +6,7 @@
 )
 
 // maxCarriedIDs is how many ids a connection remembers. A copy of an answer arrives where one of the
-// next answers is due, so an id that many others have followed is told apart by their answers.
+// next answers is due, so by the time an id is forgotten, its copy would have been received.
 const maxCarriedIDs = 64
 
 // idSeed is the seed of the hashes of ids.
