runner, scheduling: log why an item waits, and what ended an attempt

The reasons are now told: delay after an attempt, left to the previous owner, quarantine, deferral, reserved room, no room, weights, avoided replicas, starts held back. An item that has been at no replica for 1, 2, 4, ... s has a line ("item waits"), and one when it starts ("item wait ended"). The end of a job whose batch is open names the items that ran ("item left running"), a hand-over that was declined is told ("item not moved"), and "batch job ended" counts what ran and waited.

No decision changes: Plan calls OnWait and is otherwise as before.

--- a/internal/batches/runner/dispatch.go
+++ b/internal/batches/runner/dispatch.go
@@ -74,6 +74,7 @@
 				routed.job.handOver(routed, v.replicas[decision.Engine], decision.Gain)
 			}
 		}
+		v.logWaits(now)
 	}
 	r.sharing.finishDispatch(views)
 }
@@ -86,6 +87,7 @@
 	if it.state != itemWaiting || j.release.begun || j.ctx.Err() != nil {
 		return
 	}
+	r.noteWaitEnd(j, it, rep.ID)
 	a := &attempt{routedItem: routed, replica: rep, number: it.beginAttempt(rep.ID, time.Now())}
 	it.state = itemRunning
 	it.timing.enter(phasePrompt, it.startedAt)
--- a/internal/batches/runner/handover.go
+++ b/internal/batches/runner/handover.go
@@ -88,5 +88,6 @@
 		// The request was cancelled with its batch, which is no fault of the replica.
 		return
 	}
+	a.job.logger.Info("item not moved", zap.String("item", a.item.ID), zap.String("to", a.replica.ID), zap.Error(err))
 	a.job.r.recordFault(a.replica.Incarnation(), handOverFault(err))
 }
--- a/internal/batches/runner/item.go
+++ b/internal/batches/runner/item.go
@@ -42,6 +42,8 @@
 	// handedOff says, at a new owner, that the item is left to the owner that released the batch.
 	// At the releasing owner it says that the Released record names the item.
 	handedOff bool
+	// wait is what is logged of the item's current wait.
+	wait waitLog
 
 	text
 
--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -127,9 +127,10 @@
 func (j *job) applyFold() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	reason := "unknown"
+	reason, owed := "unknown", true
 	var suspected [][]byte
 	j.partition.ViewBatch(j.submission.ID, func(b *batch.Batch) {
+		owed = b.IsOpen()
 		if reason = j.reasonToEnd(b); reason == "" {
 			j.markListed(b)
 			suspected = j.markReturned(b)
@@ -144,7 +145,12 @@
 	}
 	j.logTimeBreakdown(reason, time.Now())
 	j.publishItemTime()
-	j.logger.Info("batch job ended", zap.String("reason", reason), zap.Duration("after", time.Since(j.adoptedAt)))
+	running, waiting := j.count(itemRunning), j.count(itemWaiting)
+	j.logger.Info("batch job ended", zap.String("reason", reason), zap.Duration("after", time.Since(j.adoptedAt)),
+		zap.Int("running", running), zap.Int("waiting", waiting))
+	if owed {
+		j.logLeft(reason)
+	}
 	return true
 }
 
@@ -187,9 +193,14 @@
 func (j *job) waiting() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	return j.count(itemWaiting)
+}
+
+// count returns the number of items in a state. The mutex is held.
+func (j *job) count(state itemState) int {
 	count := 0
 	for _, it := range j.items {
-		if it.state == itemWaiting {
+		if it.state == state {
 			count++
 		}
 	}
--- a/internal/batches/runner/runner.go
+++ b/internal/batches/runner/runner.go
@@ -20,7 +20,7 @@
 //
 // Execution: dispatch.go and snapshot.go for all batches; attempt.go, handover.go, listing.go and
 // heartbeat.go for one item or batch; adopt.go, fold.go, standby.go and release.go for a batch that
-// changes its owner.
+// changes its owner; waiting.go logs why items wait.
 //
 // # Usage
 //
@@ -107,6 +107,8 @@
 	wake chan struct{}
 	// started counts the attempts sent to replicas.
 	started atomic.Uint64
+	// waitLines bounds the log lines about waiting items.
+	waitLines lineBudget
 	// work counts the work that Release waits for.
 	work sync.WaitGroup
 
--- a/internal/batches/runner/snapshot.go
+++ b/internal/batches/runner/snapshot.go
@@ -23,6 +23,8 @@
 	// routed and replicas are the objects described by Items and Engines, at the same indices.
 	routed   []routedItem
 	replicas []replica.Replica
+	// waits holds why items that have waited for firstWaitLine are not started, by index.
+	waits map[int]scheduling.WaitReason
 }
 
 // views returns a view of each service that has items to start or to move.
@@ -42,6 +44,7 @@
 			v.Engines = append(v.Engines, engine)
 		}
 		v.resolveGroupEngines()
+		v.OnWait = v.noteWait
 	}
 	return views
 }
@@ -80,13 +83,16 @@
 	}
 	priority := j.priority(rt)
 	for _, it := range j.items {
-		waiting := it.state == itemWaiting && !now.Before(it.notBefore)
 		running := it.state == itemRunning
-		if !waiting && !running || waiting && j.blocked(it) {
-			// An item under which replicas have ended waits for its next isolated run: only answers
-			// of replicas count as failures of an item.
+		if it.state != itemWaiting && !running {
 			continue
 		}
+		if !running {
+			if reason := j.reasonToWait(it, now); reason != "" {
+				j.r.noteWait(j, it, reason, now)
+				continue
+			}
+		}
 		service := serviceOf(rt, it)
 		v := views[service]
 		if v == nil {
@@ -123,6 +129,9 @@
 		// failed must not be deferred.
 		described.MaxRemainingEvents = lengths.MaxRemaining(it.expectedTokens, events)
 	}
+	if it.state == itemWaiting {
+		described.Waited = it.waited(now)
+	}
 	if it.state == itemRunning {
 		described.Engine, described.RunTime = it.lastReplica, now.Sub(it.startedAt)
 		// At an engine with another version, a single-version text would start over.
@@ -135,6 +144,22 @@
 // batch, so that the items of a few large batches are spread by the weights of a split route too.
 func serviceOf(rt *route.Route, it *item) string { return rt.ServiceOrder(it.ID)[0] }
 
+// reasonToWait returns why an item is not to be started now, or "". The mutex is held.
+func (j *job) reasonToWait(it *item, now time.Time) waitReason {
+	switch {
+	case now.Before(it.notBefore) && it.handedOff:
+		return waitHandedOff
+	case now.Before(it.notBefore):
+		return waitRetryDelay
+	case j.blocked(it):
+		// The item waits for its next isolated run: only answers of replicas count as failures of an
+		// item.
+		return waitQuarantine
+	default:
+		return ""
+	}
+}
+
 // blocked reports whether the quarantine forbids to run the item's content now. The mutex is held.
 func (j *job) blocked(it *item) bool {
 	table := j.r.forwarder.Quarantine
--- a/internal/batches/scheduling/planner.go
+++ b/internal/batches/scheduling/planner.go
@@ -29,6 +29,7 @@
 	tiers cache[class, engineTiers]
 	steps cache[stepKey, step]
 	pools cache[poolKey, pool]
+	waits cache[class, WaitReason]
 }
 
 // cache holds values by key. Consecutive items mostly share a key, so the last value is kept
--- a/internal/batches/scheduling/scheduling.go
+++ b/internal/batches/scheduling/scheduling.go
@@ -106,6 +106,8 @@
 	MaxRemainingEvents float64
 	// BatchAge is the time since BatchAdoptedAt.
 	BatchAge time.Duration
+	// Waited is how long the item has been at no engine, 0 while it runs.
+	Waited time.Duration
 	// Overdue is how long the first event of the item's current attempt is overdue, 0 if it is not
 	// overdue.
 	Overdue time.Duration
@@ -131,6 +133,8 @@
 	Items   []Item
 	// NoMoves disables moves in this round.
 	NoMoves bool
+	// OnWait, if not nil, is called with the index of each waiting item that is not started.
+	OnWait func(item int, reason WaitReason)
 }
 
 // Decision is a Start or a Move.
@@ -164,10 +168,12 @@
 	for _, i := range p.waitingItems() {
 		it := &p.Items[i]
 		if p.canDefer(it) {
+			p.noteWait(i, WaitDeferred)
 			continue
 		}
 		engine := p.selectEngine(it)
 		if engine < 0 {
+			p.noteWait(i, p.whyNoEngine(it))
 			continue
 		}
 		p.reserve(engine, it)
--- a/internal/daemon/explain/conclusion.go
+++ b/internal/daemon/explain/conclusion.go
@@ -18,7 +18,7 @@
 	for _, l := range ofRequest {
 		sentences = append(sentences, l.befell(id))
 	}
-	sentences = append(sentences, admissionOf(story, own, id))
+	sentences = append(sentences, waitOf(story, own), admissionOf(story, own, id))
 	sentences = append(sentences, windowOf(story, own, id)...)
 	sentences = append(sentences, orderOf(story, own, id))
 	sentences = slices.DeleteFunc(sentences, func(sentence string) bool { return sentence == "" })
@@ -50,6 +50,15 @@
 	return fmt.Sprintf("%s on %s: %s%s", l.event, l.node, l.get("outcome"), because(l))
 }
 
+// waitOf is the last wait of an item that is told, "" if none is.
+func waitOf(story []*line, own map[*line]bool) string {
+	l := lastOf(story, own, func(l *line) bool { return l.event == "item waits" || l.event == "item wait ended" })
+	if l == nil {
+		return ""
+	}
+	return fmt.Sprintf("waited on %s: %s s at no replica%s", l.node, l.get("waited"), because(l))
+}
+
 // because is the reason that a line gives, "" if it gives none.
 func because(l *line) string {
 	if reason := l.get("reason"); reason != "" {
--- a/internal/daemon/node/metrics.go
+++ b/internal/daemon/node/metrics.go
@@ -22,6 +22,8 @@
 		func() int { batches, _ := n.runner.Load(); return batches })
 	metrics.Gauge(n.metrics, "items_waiting", "Items that wait for a replica.",
 		func() int { _, waiting := n.runner.Load(); return waiting })
+	metrics.Gauge(n.metrics, "items_longest_wait_seconds", "Longest time that an item has waited for a replica by now.",
+		func() float64 { return n.runner.LongestWait().Seconds() })
 	metrics.Gauge(n.metrics, "lease_held", "1 while this daemon holds the lease for orders to engines.",
 		func() int { return boolGauge(n.lease.Held()) })
 	metrics.Counter(n.metrics, "items_started_total", "Attempts at items sent to replicas.", n.runner.ItemsStarted)
