--- a/cmd/woodworks-soak/main.go
+++ b/cmd/woodworks-soak/main.go
@@ -62,7 +62,7 @@
 	flaggy.Bool(&o.SafetyOnly, "", "safety-only", "do not fail for a rule that was not put to the test")
 	flaggy.String(&o.Schedule, "", "schedule", "mixed: all faults at random; "+
 		"planned: only planned stops and configurations; series: planned work of all kinds that overlaps; "+
-		"restart: starts of all daemons and questions for all that was read")
+		"bursts: engines that end in bursts, with a calm after each; restart: starts of all daemons and questions for all that was read")
 	flaggy.String(&o.Crashing, "", "crashing",
 		"on which way requests come that end their replicas: safe, once, stream, item or all; empty for none")
 	flaggy.Int(&o.Daemons, "", "daemons", "how many daemons run; 0 takes the default")
