scheduling: a suspect item goes to a replica where no other suspect runs

Cause: a refusal that holds for one replica ("another suspect runs at the replica") was known to the quarantine alone. It is no fault of the replica, so the plan chose that replica again, the best one by its figures, while others had room.

The quarantine decides as before, and bounds this wait too (HeldBack).

TestASuspectItemGoesWhereNoOtherSuspectRuns uses the new fields and does not build before.

--- a/internal/batches/runner/snapshot.go
+++ b/internal/batches/runner/snapshot.go
@@ -41,6 +41,7 @@
 		for _, rep := range v.replicas {
 			engine := r.sharing.withReports(engineOf(rep, now), rep, now)
 			engine.IdleConns = r.forwarder.Pool.IdleConnections(rep.Address)
+			engine.RunsIsolated = r.forwarder.Quarantine.RunsIsolated(string(rep.Incarnation()))
 			v.Engines = append(v.Engines, engine)
 		}
 		v.resolveGroupEngines()
@@ -131,6 +132,7 @@
 	}
 	if it.state == itemWaiting {
 		described.Waited = it.waited(now)
+		described.Isolated = j.needsIsolation(it)
 	}
 	if it.state == itemRunning {
 		described.Engine, described.RunTime = it.lastReplica, now.Sub(it.startedAt)
@@ -166,6 +168,13 @@
 	return !table.NoneSuspected() && table.Blocked(j.contentOf(it))
 }
 
+// needsIsolation reports whether the item must run at a replica without another isolated run. The mutex is
+// held.
+func (j *job) needsIsolation(it *item) bool {
+	table := j.r.forwarder.Quarantine
+	return !table.NoneSuspected() && table.NeedsIsolation(j.contentOf(it))
+}
+
 // contentOf returns the content by which the quarantine identifies the item's request. The mutex is
 // held.
 func (j *job) contentOf(it *item) *quarantine.Content {
--- a/internal/batches/runner/waiting.go
+++ b/internal/batches/runner/waiting.go
@@ -102,6 +102,9 @@
 
 // noteWait keeps why an item was not started. Plan calls it.
 func (v *view) noteWait(item int, reason scheduling.WaitReason) {
+	if reason == scheduling.WaitIsolated {
+		v.routed[item].noteHeldBack()
+	}
 	if v.Items[item].Waited < firstWaitLine {
 		return
 	}
@@ -111,6 +114,14 @@
 	v.waits[item] = reason
 }
 
+// noteHeldBack bounds the time for which the item waits for an isolated run.
+func (routed routedItem) noteHeldBack() {
+	routed.job.mu.Lock()
+	content := routed.job.contentOf(routed.item)
+	routed.job.mu.Unlock()
+	routed.job.r.forwarder.Quarantine.HeldBack(content)
+}
+
 // logWaits logs the waits of the items that were not started. Those that are waiting still, and for
 // which the plan had no reason, were held back.
 func (v *view) logWaits(now time.Time) {
--- a/internal/batches/scheduling/planner.go
+++ b/internal/batches/scheduling/planner.go
@@ -29,7 +29,7 @@
 	tiers cache[class, engineTiers]
 	steps cache[stepKey, step]
 	pools cache[poolKey, pool]
-	waits cache[class, WaitReason]
+	waits cache[waitKey, WaitReason]
 }
 
 // cache holds values by key. Consecutive items mostly share a key, so the last value is kept
@@ -65,6 +65,8 @@
 	// round has assigned. idleConns is the number of idle connections that this round has not
 	// used.
 	inFlight, idleConns int
+	// runsIsolated is set if the engine has an isolated run, or gets one in this round.
+	runsIsolated bool
 	// loadFactor is the fraction by which the requests at the engine lengthen the event time of
 	// one more request: the sum of loadFactorOf over these requests.
 	loadFactor float64
@@ -93,10 +95,11 @@
 		e := &snapshot.Engines[i]
 		inFlight := e.InFlight + e.OthersInFlight
 		p.engines[i] = engineState{
-			Engine:     e,
-			inFlight:   inFlight,
-			idleConns:  e.IdleConns,
-			loadFactor: float64(inFlight) * loadFactorOf(0),
+			Engine:       e,
+			inFlight:     inFlight,
+			idleConns:    e.IdleConns,
+			runsIsolated: e.RunsIsolated,
+			loadFactor:   float64(inFlight) * loadFactorOf(0),
 		}
 		p.byID[e.ID] = i
 	}
@@ -151,9 +154,14 @@
 	return !e.Avoided && !probed && e.inFlight < e.Capacity()
 }
 
+// hasRoomFor reports whether an engine may get one more request, which is an isolated run or not.
+func (e *engineState) hasRoomFor(isolated bool) bool {
+	return e.hasRoom() && !(isolated && e.runsIsolated)
+}
+
 // canRun reports whether an engine has room and recent enough weights for an item.
 func (p *planner) canRun(engine int, it *Item) bool {
-	return p.engines[engine].hasRoom() && p.engines[engine].HasWeightsFor(it)
+	return p.engines[engine].hasRoomFor(it.Isolated) && p.engines[engine].HasWeightsFor(it)
 }
 
 // reserve adds an item that was assigned to an engine to the engine's requests and load, and takes
@@ -161,6 +169,7 @@
 func (p *planner) reserve(engine int, it *Item) {
 	e := &p.engines[engine]
 	e.inFlight++
+	e.runsIsolated = e.runsIsolated || it.Isolated
 	e.idleConns = max(e.idleConns-1, 0)
 	e.loadFactor += loadFactorOf(it.TotalEvents())
 }
--- a/internal/batches/scheduling/pool.go
+++ b/internal/batches/scheduling/pool.go
@@ -2,30 +2,32 @@
 
 import "container/heap"
 
-// poolKey identifies the pool for the items of one class under one filter.
+// poolKey identifies the pool for the items of one class under one filter, isolated or not.
 type poolKey struct {
 	class
-	filter engineFilter
+	filter   engineFilter
+	isolated bool
 }
 
 // pool is a heap of the engines that match a filter for the items of one class, the best on
 // top. Scores become stale as room is taken; best updates those at the top, which suffices as
 // scores only increase.
 type pool struct {
-	planner *planner
-	filter  engineFilter
-	engines []int
-	scores  []float64
+	planner  *planner
+	filter   engineFilter
+	isolated bool
+	engines  []int
+	scores   []float64
 }
 
 // pool returns the pool for an item's class under a filter.
 func (p *planner) pool(it *Item, filter engineFilter) *pool {
-	key := poolKey{class: classOf(it), filter: filter}
+	key := poolKey{class: classOf(it), filter: filter, isolated: it.Isolated}
 	return p.pools.get(key, func() *pool { return p.newPool(it, filter) })
 }
 
 func (p *planner) newPool(it *Item, filter engineFilter) *pool {
-	pl := &pool{planner: p, filter: filter}
+	pl := &pool{planner: p, filter: filter, isolated: it.Isolated}
 	for i := range p.engines {
 		if p.matches(i, it, filter) {
 			pl.engines = append(pl.engines, i)
@@ -41,7 +43,7 @@
 func (pl *pool) best() int {
 	for len(pl.engines) > 0 {
 		engine := pl.engines[0]
-		if !pl.planner.engines[engine].hasRoom() {
+		if !pl.planner.engines[engine].hasRoomFor(pl.isolated) {
 			heap.Pop(pl)
 			continue
 		}
--- a/internal/batches/scheduling/scheduling.go
+++ b/internal/batches/scheduling/scheduling.go
@@ -56,6 +56,8 @@
 	IdleConns int
 	// Avoided is set for engines that recently failed or declined. They get no items.
 	Avoided bool
+	// RunsIsolated is set if the engine has an isolated run of an item. It gets no other one.
+	RunsIsolated bool
 	// Declining is set if the engine declined the last request. A declining engine gets at most
 	// one request per planning round, as a probe.
 	Declining bool
@@ -118,6 +120,8 @@
 	Engine string
 	// RunTime is how long the item has run at Engine.
 	RunTime time.Duration
+	// Isolated is set if the item must run at an engine without another isolated run.
+	Isolated bool
 	// Pinned is set if the item cannot be moved now.
 	Pinned bool
 }
--- a/internal/batches/scheduling/wait.go
+++ b/internal/batches/scheduling/wait.go
@@ -15,10 +15,18 @@
 	WaitWeights WaitReason = "no replica has recent enough weights"
 	// WaitAvoided: all engines with recent enough weights have failed or declined just now.
 	WaitAvoided WaitReason = "replicas have failed or declined"
+	// WaitIsolated: the engines that have room have an isolated run, and the item needs one too.
+	WaitIsolated WaitReason = "another suspect runs at each replica with room"
 	// WaitNoRoom: all engines that may run the item are full.
 	WaitNoRoom WaitReason = "no replica has room"
 )
 
+// waitKey identifies the items that wait for the same reason in a round.
+type waitKey struct {
+	class
+	isolated bool
+}
+
 // noteWait tells the snapshot's OnWait why an item is not started.
 func (p *planner) noteWait(item int, reason WaitReason) {
 	if p.OnWait != nil {
@@ -29,7 +37,7 @@
 // whyNoEngine returns why no engine could be selected for an item. It is found out once for the items of
 // a class, as room only shrinks within a round.
 func (p *planner) whyNoEngine(it *Item) WaitReason {
-	return *p.waits.get(classOf(it), func() *WaitReason {
+	return *p.waits.get(waitKey{classOf(it), it.Isolated}, func() *WaitReason {
 		reason := p.lackOfEngines(it)
 		return &reason
 	})
@@ -44,13 +52,15 @@
 			if reason == WaitNoEngine {
 				reason = WaitWeights
 			}
-		case e.hasRoom():
+		case e.hasRoomFor(it.Isolated):
 			return WaitReserved
+		case e.hasRoom():
+			reason = WaitIsolated
 		case e.Avoided:
-			if reason != WaitNoRoom {
+			if reason != WaitNoRoom && reason != WaitIsolated {
 				reason = WaitAvoided
 			}
-		default:
+		case reason != WaitIsolated:
 			reason = WaitNoRoom
 		}
 	}
--- a/internal/batches/scheduling/wait_test.go
+++ b/internal/batches/scheduling/wait_test.go
@@ -14,7 +14,7 @@
 	avoided := engineWithEventTime("avoided", loadSlow)
 	avoided.Avoided = true
 	old := engineWithEventTime("old", loadSlow)
-	old.Versions = map[string]int64{testModel: 1}
+	old.Versions = map[string]int64{testModel: 0}
 	for reason, engines := range map[WaitReason][]Engine{
 		WaitNoEngine: nil,
 		WaitWeights:  {old},
@@ -26,7 +26,7 @@
 			var reasons []WaitReason
 			decisions := Plan(Snapshot{
 				Zone: "z", Engines: engines,
-				Items:  []Item{{Model: testModel, MinVersion: 2, RemainingEvents: 10, Waited: time.Second}},
+				Items:  []Item{{Model: testModel, MinVersion: 1, RemainingEvents: 10, Waited: time.Second}},
 				OnWait: func(_ int, reason WaitReason) { reasons = append(reasons, reason) },
 			})
 			is.Equal(len(decisions), 0)
@@ -34,3 +34,21 @@
 		})
 	}
 }
+
+// Guards against a suspect item that goes back to the engine that turns it away, or waits, while another
+// engine has room.
+func TestASuspectItemGoesWhereNoOtherSuspectRuns(t *testing.T) {
+	is := is.New(t)
+	best, other := engineWithEventTime("best", loadFast), engineWithEventTime("other", loadSlow)
+	best.RunsIsolated = true
+	suspect := Item{Model: testModel, RemainingEvents: 10, Isolated: true}
+	var reasons []WaitReason
+	snapshot := Snapshot{
+		Zone: "z", Engines: []Engine{best, other}, Items: []Item{suspect, suspect},
+		OnWait: func(_ int, reason WaitReason) { reasons = append(reasons, reason) },
+	}
+	is.Equal(Plan(snapshot), []Decision{Start{Item: 0, Engine: 1}})
+	is.Equal(reasons, []WaitReason{WaitIsolated}) // one suspect an engine
+	snapshot.Items[1].Isolated = false
+	is.Equal(len(Plan(snapshot)), 2) // other items don't wait
+}
--- a/internal/requests/quarantine/verdict.go
+++ b/internal/requests/quarantine/verdict.go
@@ -142,6 +142,41 @@
 	}
 }
 
+// NeedsIsolation reports whether the content, which is owed, must run at a replica without another
+// isolated run.
+func (t *Table) NeedsIsolation(content *Content) bool {
+	if t.NoneSuspected() {
+		return false
+	}
+	digest := content.Digest()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.entries[digest]
+	return s != nil && s.ends() >= minEndsToIsolate && t.holdLeft(s, t.now()) > 0
+}
+
+// RunsIsolated reports whether this daemon has an isolated run in progress at a replica, which is an
+// incarnation.
+func (t *Table) RunsIsolated(replica string) bool {
+	if t.NoneSuspected() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isolatedRuns[replica] > 0
+}
+
+// HeldBack notes that an owed content was not sent to Decide, as no replica without an isolated run has
+// room.
+func (t *Table) HeldBack(content *Content) {
+	digest := content.Digest()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.entries[digest]; s != nil {
+		s.held(t.now())
+	}
+}
+
 // Decide returns whether the content may run now at replica, which is an incarnation. If the
 // result is Isolated, the run counts as started until its End is called. others returns the
 // incarnations of the other listed replicas of the service. Decide calls others only for
