runner: a replica that is gone is believed for 4 s at most

An item whose replica has gone without a sign is at no replica, while its owner believes that it runs. Usually it is moved once its first event is overdue; a text of one version that has begun, and an isolated run, can't be moved.

Now only attempts in a row that got no response count, and 4 s is the largest timeout of both kinds; a replica of slower events still gets twice its event time.

TestAReplicaThatIsGoneIsNotBelievedForLong; TestFirstEventTimeoutDoubles asked for 6 and 10 s, which contradict the users' rule of 5 s, and now asks for 4 s.

--- a/internal/batches/runner/attempt.go
+++ b/internal/batches/runner/attempt.go
@@ -41,8 +41,9 @@
 	a.job.mu.Lock()
 	a.item.cancel = cancel
 	req := a.job.streamRequest(a.item)
+	timeout := firstEventTimeoutOf(a.item.silentAttempts)
 	a.job.mu.Unlock()
-	stream, err := a.open(ctx, cancel, req, firstEventTimeoutOf(a.number))
+	stream, err := a.open(ctx, cancel, req, timeout)
 	if err == nil {
 		err = a.follow(cancel, stream)
 	}
@@ -54,11 +55,23 @@
 func (a *attempt) open(
 	ctx context.Context, cancel context.CancelFunc, req *forward.StreamRequest, timeout time.Duration,
 ) (*forward.Stream, error) {
-	watchdog := time.AfterFunc(timeout, cancel)
+	watchdog := time.AfterFunc(timeout, func() {
+		a.noteSilence()
+		cancel()
+	})
 	defer watchdog.Stop()
 	return a.job.r.forwarder.OpenStream(ctx, req, a.replica)
 }
 
+// noteSilence counts an attempt that got no response in time, if it is the current one.
+func (a *attempt) noteSilence() {
+	a.job.mu.Lock()
+	defer a.job.mu.Unlock()
+	if a.item.attempt == a.number {
+		a.item.silentAttempts++
+	}
+}
+
 // handleOutcome handles the end of an attempt; a nil err means that the text is complete. The item
 // is scored, tried again or given up. It does not change if the attempt is no longer the current
 // one, the item's result is in the ledger or the job has ended.
@@ -167,7 +180,7 @@
 	if a.item.attempt != a.number {
 		return
 	}
-	a.item.hasFirstEvent = true
+	a.item.hasFirstEvent, a.item.silentAttempts = true, 0
 	a.job.r.firstEventLatency.Observe(serviceOf(a.route, a.item), time.Since(a.item.startedAt))
 }
 
--- a/internal/batches/runner/item.go
+++ b/internal/batches/runner/item.go
@@ -50,6 +50,9 @@
 	// attempt is the number, from 1, of the current attempt. Events of attempts with another number
 	// are ignored.
 	attempt int
+	// silentAttempts is the number of the last attempts in a row that got no response in time. Refused and
+	// declined ones don't count.
+	silentAttempts int
 	// failures are those of this owner and, as far as they are recorded, of earlier ones.
 	failures batch.Failures
 	// lastReplica is the replica of the current or last attempt.
--- a/internal/batches/runner/retry.go
+++ b/internal/batches/runner/retry.go
@@ -17,14 +17,18 @@
 	// retryDelay is the delay before the next attempt at an item. It is also how long a replica is
 	// avoided if this daemon has no free connection to the replica.
 	retryDelay = 20 * time.Millisecond
-	// firstEventTimeout bounds the wait for a replica's first response at the first attempt. The
-	// timeout doubles with each attempt up to maxFirstEventTimeout.
+	// firstEventTimeout bounds the wait for a replica's first response. The timeout doubles with each
+	// attempt in a row that got none, up to maxFirstEventTimeout: the replica may be gone without a
+	// sign, and the item must be at another one before it misses its step.
 	firstEventTimeout    = scheduling.MaxFirstEventTimeout
-	maxFirstEventTimeout = 10 * time.Second
+	maxFirstEventTimeout = 4 * time.Second
 	// minEventTimeout is the minimum timeout for a further event; eventTimeoutFactor times the
-	// replica's median event time applies if that is longer.
+	// replica's median event time applies if that is longer, up to maxEventTimeout. slowEventFactor
+	// times the event time is always left, so that a replica of very slow events is not cut off.
 	minEventTimeout    = 1200 * time.Millisecond
 	eventTimeoutFactor = 4
+	maxEventTimeout    = 4 * time.Second
+	slowEventFactor    = 2
 )
 
 // fault says what a failed attempt shows about its replica.
@@ -108,13 +112,14 @@
 // maxQueue of 0 means no limit.
 func expired(age, maxQueue time.Duration) bool { return maxQueue > 0 && age >= maxQueue }
 
-// firstEventTimeoutOf returns the timeout for the replica's first response at an attempt, numbered
-// from 1.
-func firstEventTimeoutOf(attempt int) time.Duration {
-	return min(firstEventTimeout<<min(attempt-1, 3), maxFirstEventTimeout)
+// firstEventTimeoutOf returns the timeout for the replica's first response at an attempt that follows the
+// given number of attempts in a row without a response.
+func firstEventTimeoutOf(silentAttempts int) time.Duration {
+	return min(firstEventTimeout<<min(silentAttempts, 3), maxFirstEventTimeout)
 }
 
 // eventTimeoutOf returns the timeout for a further event of a replica with the given event time.
 func eventTimeoutOf(eventTime time.Duration) time.Duration {
-	return max(minEventTimeout, eventTimeoutFactor*eventTime)
+	timeout := max(minEventTimeout, eventTimeoutFactor*eventTime)
+	return min(timeout, max(maxEventTimeout, slowEventFactor*eventTime))
 }
--- a/internal/batches/runner/retry_test.go
+++ b/internal/batches/runner/retry_test.go
@@ -94,13 +94,29 @@
 		retryDecision{countsAsFailure: true, deadReason: "failed at every attempt"})
 }
 
-// The timeout for the first event doubles with each attempt, up to its maximum.
+// The timeout for the first event doubles with each silent attempt, up to its maximum.
 func TestFirstEventTimeoutDoubles(t *testing.T) {
 	is := is.New(t)
-	for attempt, timeout := range []time.Duration{
-		1500 * time.Millisecond, 3 * time.Second, 6 * time.Second, 10 * time.Second, 10 * time.Second,
+	for silent, timeout := range []time.Duration{
+		1500 * time.Millisecond, 3 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second,
 	} {
-		is.Equal(firstEventTimeoutOf(attempt+1), timeout)
+		is.Equal(firstEventTimeoutOf(silent), timeout)
+	}
+}
+
+// longestAtNoReplica is how long an item may be at no replica while nothing is wrong and replicas have
+// room.
+const longestAtNoReplica = 5 * time.Second
+
+// Guards against an item that is believed to run at a replica that is gone until its step's time is up.
+func TestAReplicaThatIsGoneIsNotBelievedForLong(t *testing.T) {
+	is := is.New(t)
+	for silent := range 10 {
+		is.True(firstEventTimeoutOf(silent)+retryDelay+wakeInterval < longestAtNoReplica)
+	}
+	for eventTime := time.Duration(0); eventTime <= 2*time.Second; eventTime += 10 * time.Millisecond {
+		is.True(eventTimeoutOf(eventTime)+retryDelay+wakeInterval < longestAtNoReplica)
+		is.True(eventTimeoutOf(eventTime) >= 2*eventTime)
 	}
 }
 
