scheduling: an item is kept from free engines for 2 s at most

The plan kept an item from fast engines with room for as long as items that need them might take all of it, without an end: items that run at slow engines count, and may never be moved. And each new owner of a batch deferred its items for up to 2 s anew, also those whose attempts had failed at the owner before.

An item that has waited for 2 s may go to any engine with room, and the items of a batch that had an owner before are not deferred.

--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -23,6 +23,8 @@
 	// or one that starts at the batch.
 	partition *ledger.Partition
 	adoptedAt time.Time
+	// takenOver says that the batch had another owner before.
+	takenOver bool
 	logger    *zap.Logger
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -61,6 +63,7 @@
 		submission: &submission,
 		partition:  partition,
 		adoptedAt:  time.Now(),
+		takenOver:  b.LivenessSignals > 0,
 		logger:     r.logger.With(zap.String("batch", b.ID)),
 		placement:  placement{groups: map[string]replica.Incarnation{}},
 		results:    resultQueue{wake: make(chan struct{}, 1)},
--- a/internal/batches/runner/snapshot.go
+++ b/internal/batches/runner/snapshot.go
@@ -116,11 +116,21 @@
 	return configuration.Tenants.ByName(j.submission.Tenant).EffectivePriority(rt.Priority)
 }
 
+// age returns how long ago the batch was adopted. The items of one that was taken over have been deferred by
+// an owner before.
+func (j *job) age(now time.Time) time.Duration {
+	age := now.Sub(j.adoptedAt)
+	if j.takenOver {
+		return max(age, scheduling.MaxDeferralAge)
+	}
+	return age
+}
+
 // describe returns an item in the form that the scheduler uses. The mutex is held.
 func (j *job) describe(it *item, rt *route.Route, priority int, now time.Time) scheduling.Item {
 	events, lengths := len(it.events), j.placement.lengths
 	described := scheduling.Item{
-		Priority: priority, BatchAdoptedAt: j.adoptedAt, BatchAge: now.Sub(j.adoptedAt),
+		Priority: priority, BatchAdoptedAt: j.adoptedAt, BatchAge: j.age(now),
 		Model: j.submission.Model, MinVersion: j.submission.MinVersion, Required: j.placement.required[it.Group],
 		Events: events, RemainingEvents: lengths.Remaining(it.expectedTokens, events),
 		GroupEngine: string(j.placement.groups[it.Group]), // resolveGroupEngines replaces the incarnation by the engine's id
--- a/internal/batches/scheduling/place.go
+++ b/internal/batches/scheduling/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Adjustments of an engine's score. The score is the expected event time of one more request at
@@ -22,6 +23,10 @@
 	overduePenalty = 1
 )
 
+// maxReservedWait is the wait from which an item is no longer kept from fast engines: the items that need
+// these may never come to them.
+const maxReservedWait = 2 * time.Second
+
 // engineFilter restricts the engines that an item may go to.
 type engineFilter int
 
@@ -74,14 +79,14 @@
 // selectEngine returns the index of the engine that should run an item, or -1 if the item has to
 // wait. An item that does not need a fast engine gets one only if no other engine has room. If the
 // items that need a fast engine would take all room of the fast engines, an item that does not
-// need one waits instead, provided that it may be deferred.
+// need one waits instead, provided that it may be deferred, and for maxReservedWait at most.
 func (p *planner) selectEngine(it *Item) int {
 	filter := p.filterFor(it)
 	engine := p.bestEngine(it, filter)
 	if engine >= 0 || filter == anyEngine {
 		return engine
 	}
-	if it.MaxRemainingEvents > 0 && p.tier(it).isReserved(p) {
+	if it.MaxRemainingEvents > 0 && it.Waited < maxReservedWait && p.tier(it).isReserved(p) {
 		return -1
 	}
 	return p.bestEngine(it, anyEngine)
--- a/internal/batches/scheduling/placement_test.go
+++ b/internal/batches/scheduling/placement_test.go
@@ -77,7 +77,7 @@
 	is := is.New(t)
 	snapshot := unevenStep(100, Item{Model: testModel, RemainingEvents: 140, MaxRemainingEvents: 140})
 	for i := range snapshot.Items {
-		snapshot.Items[i].BatchAge = maxDeferralAge
+		snapshot.Items[i].BatchAge = MaxDeferralAge
 	}
 	at := map[string]int{}
 	for _, decision := range Plan(snapshot) {
@@ -105,7 +105,7 @@
 	}
 	snapshot.Engines[0].InFlight--
 	for i := range snapshot.Items {
-		snapshot.Items[i].BatchAge = maxDeferralAge
+		snapshot.Items[i].BatchAge = MaxDeferralAge
 	}
 	snapshot.NoMoves = true
 	is.Equal(len(Plan(snapshot)), 0)
@@ -131,7 +131,7 @@
 }
 
 // Guards against short items that start earlier than their step requires, that ignore idle
-// connections, or that are deferred beyond maxDeferralAge.
+// connections, or that are deferred beyond MaxDeferralAge.
 func TestShortItemsAreDeferredWhileStepAllows(t *testing.T) {
 	is := is.New(t)
 	snapshot := unevenStep(40, Item{
@@ -153,7 +153,7 @@
 	is.True(started >= 17 && started <= 19)
 	is.True(connected >= 3)
 	for i := range snapshot.Items {
-		snapshot.Items[i].BatchAge = maxDeferralAge
+		snapshot.Items[i].BatchAge = MaxDeferralAge
 	}
 	is.Equal(len(Plan(snapshot)), 40)
 }
@@ -173,7 +173,7 @@
 		awaitsSlow := func(item *Item) bool { return planner.isShort(item) && planner.tier(item).fastDemand > 0 }
 		for i, started := range startedItems(snapshot) {
 			item := &snapshot.Items[i]
-			mayDefer := !item.Required && item.BatchAge < maxDeferralAge &&
+			mayDefer := !item.Required && item.BatchAge < MaxDeferralAge &&
 				item.MaxRemainingEvents < longestInStep(snapshot, item)
 			if started || item.Engine != "" || mayDefer || awaitsSlow(item) {
 				continue
--- a/internal/batches/scheduling/scheduling.go
+++ b/internal/batches/scheduling/scheduling.go
@@ -106,7 +106,7 @@
 	// MaxRemainingEvents is an upper estimate of the events still to come, which few items
 	// exceed; 0 if the item must not be deferred.
 	MaxRemainingEvents float64
-	// BatchAge is the time since BatchAdoptedAt.
+	// BatchAge is the time since BatchAdoptedAt, at least MaxDeferralAge if the batch had an owner before.
 	BatchAge time.Duration
 	// Waited is how long the item has been at no engine, 0 while it runs.
 	Waited time.Duration
--- a/internal/batches/scheduling/step.go
+++ b/internal/batches/scheduling/step.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// maxDeferralAge is the batch age from which items are no longer deferred. It bounds the
+	// MaxDeferralAge is the batch age from which items are no longer deferred. It bounds the
 	// delay caused by a wrong estimate of the step's end.
-	maxDeferralAge = 2 * time.Second
+	MaxDeferralAge = 2 * time.Second
 	// shortItemsFraction is the fraction of the time to a step's end in which the step's short
 	// items should finish. The rest is a margin for items that exceed their estimates.
 	shortItemsFraction = 0.5
@@ -78,12 +78,12 @@
 }
 
 // canDefer reports whether the start of an item may be deferred: its batch is younger than
-// maxDeferralAge, the item is short enough to finish in time after a later start
+// MaxDeferralAge, the item is short enough to finish in time after a later start
 // (latestStartFraction), and enough short items of its step are running to finish all short ones
 // well before the step's end. A deferred item later reuses the connection and the slot of a
 // finished one.
 func (p *planner) canDefer(it *Item) bool {
-	if it.BatchAge >= maxDeferralAge || !p.isShort(it) {
+	if it.BatchAge >= MaxDeferralAge || !p.isShort(it) {
 		return false
 	}
 	step := p.step(it)
--- a/internal/batches/scheduling/wait_test.go
+++ b/internal/batches/scheduling/wait_test.go
@@ -52,3 +52,24 @@
 	snapshot.Items[1].Isolated = false
 	is.Equal(len(Plan(snapshot)), 2) // other items don't wait
 }
+
+// Guards against items that are kept from the only engines with room for as long as others might need
+// these.
+func TestAnItemIsNotKeptFromFastEnginesForLong(t *testing.T) {
+	is := is.New(t)
+	snapshot := unevenStep(1, Item{
+		Model: testModel, RemainingEvents: 140, MaxRemainingEvents: 140, Engine: "slow0", RunTime: minRunTime / 2,
+	})
+	snapshot.Engines[0].InFlight = snapshot.Engines[0].Capacity() - 1
+	for i := range snapshot.Engines[1:] {
+		snapshot.Engines[i+1].InFlight = snapshot.Engines[i+1].Capacity()
+	}
+	waiting := &snapshot.Items[1]
+	waiting.BatchAge = MaxDeferralAge
+	var reasons []WaitReason
+	snapshot.OnWait = func(_ int, reason WaitReason) { reasons = append(reasons, reason) }
+	is.Equal(len(Plan(snapshot)), 0)
+	is.Equal(reasons, []WaitReason{WaitReserved})
+	waiting.Waited = maxReservedWait
+	is.Equal(Plan(snapshot), []Decision{Start{Item: 1, Engine: 0}})
+}
