replica: failures of an engine between complete streams do not add up

A replica is avoided for 0.2 s after a failure, doubling with each consecutive one to 3 s. Only plain answers reset the count. An engine serves streams, so all failures of its life counted as consecutive: from the fifth on each single one kept all items of this daemon from it for 3 s.

A stream that was received to its end resets the count.

--- a/internal/replicas/replica/experience.go
+++ b/internal/replicas/replica/experience.go
@@ -105,6 +105,14 @@
 	s.latency = movingAverage(s.latency, latency)
 }
 
+// StreamCompleted records a stream that was received to its end. It resets the failure count, so that
+// failures which are not consecutive do not add up to maxFailureBackoff.
+func (t *Table) StreamCompleted(i Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statsOf(i).failures = 0
+}
+
 // ReportLoad records the number of requests of all callers that a replica has, as reported by
 // its answer.
 func (t *Table) ReportLoad(i Incarnation, requests int) {
--- a/internal/replicas/replica/table_test.go
+++ b/internal/replicas/replica/table_test.go
@@ -246,3 +246,20 @@
 	is.Equal(logs.FilterMessage("replica state changed").Len(), 1)
 	is.Equal(logs.FilterMessage("replica gone from the list").Len(), 1)
 }
+
+// Guards against an engine that is avoided for seconds after each failure, since failures of its whole life
+// added up: streams that are complete come between them.
+func TestACompleteStreamResetsTheFailureBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := NewTable(drainBound, zap.NewNop())
+		table.Replace([]Entry{entry("a")})
+		engine := func() Replica { return table.Replicas("s")[0] }
+		for range 10 {
+			table.RequestFailed(engine().Incarnation())
+			is.Equal(time.Until(engine().AvoidUntil), minFailureBackoff)
+			time.Sleep(maxFailureBackoff)
+			table.StreamCompleted(engine().Incarnation())
+		}
+	})
+}
--- a/internal/requests/forward/failed.go
+++ b/internal/requests/forward/failed.go
@@ -31,6 +31,7 @@
 func (f *Forwarder) recordEnd(ctx context.Context, attempt failedAttempt) {
 	if attempt.err == nil {
 		f.Quarantine.Answered(attempt.content)
+		f.Table.StreamCompleted(attempt.chosen.Incarnation())
 		return
 	}
 	attempt.outcome = outcomeOf(ctx, attempt.err)
