runner: a reward call waits for room for 2 s at most

A reward call waited, without an end and without a line, while requests filled over 0.6 of its service's slots. Clients may fill a service for good, and the result of a finished text was then never listed.

--- a/internal/batches/runner/reward.go
+++ b/internal/batches/runner/reward.go
@@ -26,9 +26,11 @@
 	maxRewardBackoff = time.Second
 	// rewardSlotFraction is the fraction of a service's slots that reward calls may fill: they come
 	// in bursts and must leave room for requests of clients. rewardRoomDelay is the delay before
-	// room is checked again.
+	// room is checked again, and maxRewardRoomWait how long a call waits for room: clients may fill a
+	// service for good.
 	rewardSlotFraction = 0.6
 	rewardRoomDelay    = 8 * time.Millisecond
+	maxRewardRoomWait  = 2 * time.Second
 )
 
 // errRewardFailed says that replicas reported a failure of the reward call at every attempt that
@@ -84,7 +86,7 @@
 // errRewardFailed if replicas reported as many failures as the call's route allows, or the error
 // of the job's context.
 func (j *job) reward(it *item) (string, error) {
-	backoff := rewardBackoff
+	backoff, waitUntil := rewardBackoff, time.Now().Add(maxRewardRoomWait)
 	for j.ctx.Err() == nil {
 		configuration := j.r.operator.Configuration()
 		rewardRoute, ok := configuration.Find(it.Reward.Host, it.Reward.Path)
@@ -92,7 +94,7 @@
 		case !ok:
 			j.logger.Info("reward call has no route", zap.String("item", it.ID),
 				zap.Int64("configuration", configuration.Version))
-		case !j.r.hasRewardRoom(rewardRoute):
+		case time.Now().Before(waitUntil) && !j.r.hasRewardRoom(rewardRoute):
 			periodic.Pause(j.ctx, rewardRoomDelay)
 			continue
 		default:
@@ -101,7 +103,7 @@
 			}
 		}
 		periodic.Pause(j.ctx, backoff)
-		backoff = min(2*backoff, maxRewardBackoff)
+		backoff, waitUntil = min(2*backoff, maxRewardBackoff), time.Now().Add(maxRewardRoomWait)
 	}
 	return "", j.ctx.Err()
 }
