runner: a failed attempt is logged before its records are written

The line of a failed attempt came after up to 2 s in which its records were written: with a store that answers slowly the item stood at no replica and nothing said so. The time for which an owed content is held back counts from the end of its last isolated run, so that these records don't add to it.

--- a/internal/batches/runner/attempt.go
+++ b/internal/batches/runner/attempt.go
@@ -94,6 +94,7 @@
 	if err == nil {
 		j.score(it)
 	} else {
+		a.logFailure(err)
 		j.recordSuspicion(it, a.content())
 		a.handleFailure(err)
 		j.returnItems(j.r.ctx)
@@ -184,6 +185,16 @@
 	a.job.r.firstEventLatency.Observe(serviceOf(a.route, a.item), time.Since(a.item.startedAt))
 }
 
+// logFailure logs the failure of the attempt, before the records that the next one waits for.
+func (a *attempt) logFailure(cause error) {
+	j, it := a.job, a.item
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.logger.Info("item attempt failed", zap.String("item", it.ID), zap.String("replica", a.replica.ID),
+		zap.Int("attempt", it.attempt), zap.Int64("events", it.lastEvent),
+		zap.Duration("after", time.Since(it.startedAt)), zap.Error(cause))
+}
+
 // handleFailure schedules another attempt at the item or gives the item up.
 func (a *attempt) handleFailure(cause error) {
 	j, it := a.job, a.item
@@ -199,9 +210,6 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.r.recordFault(a.replica.Incarnation(), next.fault)
-	j.logger.Info("item attempt failed", zap.String("item", it.ID), zap.String("replica", a.replica.ID),
-		zap.Int("attempt", it.attempt), zap.Int64("events", it.lastEvent),
-		zap.Duration("after", time.Since(it.startedAt)), zap.Error(cause))
 	if it.state != itemRunning {
 		return
 	}
--- a/internal/requests/quarantine/verdict.go
+++ b/internal/requests/quarantine/verdict.go
@@ -322,6 +322,7 @@
 	s.isolatedRunEndedAt = t.now()
 	if s.isolatedRun == done {
 		s.isolatedRun = nil
+		s.held(s.isolatedRunEndedAt)
 	}
 	close(done)
 	t.isolatedRuns[replica]--
