--- a/internal/batches/runner/waiting.go
+++ b/internal/batches/runner/waiting.go
@@ -134,7 +134,7 @@
 			reason = waitHeldBack
 		}
 		routed.job.mu.Lock()
-		if routed.item.state == itemWaiting {
+		if routed.item.state == itemWaiting && routed.job.ctx.Err() == nil && !routed.job.release.begun {
 			routed.job.r.noteWait(routed.job, routed.item, reason, now)
 		}
 		routed.job.mu.Unlock()
