runner: items of an earlier incarnation on this machine are started at once

A daemon that comes back after a planned stop may take over the batch that its predecessor has released. It left the items that this one finishes to it for seconds, although two incarnations never run on a machine at a time.

--- a/internal/batches/batch/batch.go
+++ b/internal/batches/batch/batch.go
@@ -127,8 +127,8 @@
 	// HandOffSignals counts the heartbeats of the owner that released the batch last: it still finishes
 	// HandedOffItems. Earlier versions of this program send none after a release.
 	HandOffSignals int64
-	// handedOffBy is the owner that released the batch last, or "" if no items are handed off.
-	handedOffBy string
+	// HandedOffBy is the owner that released the batch last, or "" if no items are handed off.
+	HandedOffBy string
 	// Results are only appended: the index of a result is its position and never changes.
 	Results []Result
 	// HasResult reports, by index of the item, whether Results includes the item.
--- a/internal/batches/batch/fold.go
+++ b/internal/batches/batch/fold.go
@@ -132,7 +132,7 @@
 	switch rec.Kind {
 	case kindHeartbeat:
 		b.countLivenessSignal(rec)
-		if b.handedOffBy != "" && rec.Owner == b.handedOffBy {
+		if b.HandedOffBy != "" && rec.Owner == b.HandedOffBy {
 			b.HandOffSignals++
 		}
 	case kindCheckpoint:
@@ -155,7 +155,7 @@
 			b.release(rec)
 		}
 	case kindItemsReturned:
-		if rec.From == b.handedOffBy {
+		if rec.From == b.HandedOffBy {
 			b.returnItems(rec.HandedOff)
 		}
 	case kindContentSuspected:
@@ -174,7 +174,7 @@
 // waits for them again.
 func (b *Batch) takeOver(rec record) {
 	if b.Owner != "" {
-		b.HandedOffItems, b.handedOffBy = nil, ""
+		b.HandedOffItems, b.HandedOffBy = nil, ""
 	}
 	b.Owner, b.lastHeartbeat = rec.Owner, 0
 	b.LivenessSignals++
@@ -182,7 +182,7 @@
 
 // release removes the owner, which still finishes the items that the record names.
 func (b *Batch) release(rec record) {
-	b.Owner, b.lastHeartbeat, b.handedOffBy, b.HandOffSignals = "", 0, rec.From, 0
+	b.Owner, b.lastHeartbeat, b.HandedOffBy, b.HandOffSignals = "", 0, rec.From, 0
 	b.HandedOffItems = make(map[int]bool, len(rec.HandedOff))
 	for _, item := range rec.HandedOff {
 		b.HandedOffItems[item] = true
--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -11,6 +11,7 @@
 	"woodworks/internal/batches/batch"
 	"woodworks/internal/batches/ledger"
 	"woodworks/internal/batches/scheduling"
+	"woodworks/internal/membership/identity"
 	"woodworks/internal/replicas/replica"
 	"woodworks/internal/requests/route"
 )
@@ -78,7 +79,7 @@
 		it.resumeFrom(b.Partials[i])
 		it.failures = b.Failures[i]
 		it.timing.since = j.adoptedAt
-		if b.HandedOffItems[i] {
+		if b.HandedOffItems[i] && !replacedHere(b.HandedOffBy, r.self) {
 			it.handedOff, it.notBefore = true, j.adoptedAt.Add(unsignalledHandOff)
 		}
 	}
@@ -86,6 +87,11 @@
 	return j
 }
 
+// replacedHere reports whether an owner is another incarnation on the machine of this one, and has ended.
+func replacedHere(owner, self string) bool {
+	return owner != self && identity.Machine(owner) == identity.Machine(self)
+}
+
 // logOwned logs the state in which the job starts. It is called before other goroutines see the
 // job.
 func (j *job) logOwned() {
--- a/internal/batches/runner/release_test.go
+++ b/internal/batches/runner/release_test.go
@@ -182,3 +182,16 @@
 		is.Equal(startable(second), 2)
 	})
 }
+
+// Guards against items that are left to an incarnation on the same machine that must have ended.
+func TestItemsOfAnEarlierIncarnationHereAreStarted(t *testing.T) {
+	withJournal(t, func(ctx context.Context, t *testing.T, is *is.I, log *journaltest.Journal) {
+		life, end := context.WithCancel(ctx)
+		stoppingOwnerOfTwo(life, t, log)
+		end()
+		again := newOwner(ctx, t, log, "a/2")
+		is.NoErr(again.TakeOver(ctx, "x", ""))
+		synctest.Wait()
+		is.Equal(startable(again), 2)
+	})
+}
