runner: a stopping owner runs its batches on until there is a successor

What callers saw: steps whose items stood at no replica for 6.5 to 7.7 s with no line on any of them, while replicas had room.

Cause: at SIGTERM a daemon releases its batches at once and starts nothing more, on the belief that another one takes them over. Where daemons are stopped in series that overlap, the one that takes them over is stopped in turn, and then all are stopping for up to the grace of 8 s.

Now a stopping owner looks for a successor first: 0.25 s after the stop began, so that daemons that stop together see each other leave, then each 0.3 s. Until one is there, or the end is 1 s away, it goes on as the owner: items start, heartbeats are sent. Cost: one read of the group's owners each 0.3 s of a stop without a successor, one in a stop with one.

TestABatchIsRunOnWhileThereIsNoSuccessor uses SetGroup and does not build before.

--- a/internal/batches/runner/dispatch.go
+++ b/internal/batches/runner/dispatch.go
@@ -26,14 +26,12 @@
 	}
 }
 
-// Run dispatches items until ctx ends: whenever the replica table changes, WakeDispatcher is called
+// Run dispatches items, but those of batches that are released, until ctx ends: whenever the replica table changes, WakeDispatcher is called
 // or wakeInterval has passed.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := r.table.Changed()
-		if !r.stopping.Load() {
-			r.dispatch(time.Now())
-		}
+		r.dispatch(time.Now())
 		wait := wakeInterval
 		if r.idle() {
 			wait, changed = time.Hour, nil
--- a/internal/batches/runner/release.go
+++ b/internal/batches/runner/release.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"woodworks/internal/batches/batch"
 	"woodworks/internal/batches/ledger"
+	"woodworks/internal/daemon/periodic"
 )
 
 const (
@@ -16,6 +18,12 @@
 	handOffTimeout = 5 * time.Second
 	// handOffSilence is how long that owner may send none: it has ended, and the item is at no replica.
 	handOffSilence = 2 * time.Second
+	// successorDelay is how long a stopping owner runs its batches on before it looks for a successor: of
+	// daemons that stop together each must see that the others are leaving. It looks again each
+	// successorInterval, until releaseMargin before the end of the stop.
+	successorDelay    = 250 * time.Millisecond
+	successorInterval = 300 * time.Millisecond
+	releaseMargin     = time.Second
 	// unsignalledHandOff applies in place of both while it has sent none: it may be of an earlier version.
 	unsignalledHandOff = 4 * time.Second
 )
@@ -128,12 +136,42 @@
 	r.logger.Info("batch released unstarted", zap.String("batch", batchID), zap.Error(err))
 }
 
-// Release stops the runner: it starts no more items, records the release of each batch and waits
-// until the items in progress are finished or ctx ends.
+// SetGroup sets the group that tells which daemons are alive. It is called before Run. Without a group,
+// Release looks for no successor.
+func (r *Runner) SetGroup(group Group) { r.group = group }
+
+// awaitSuccessor returns once another daemon is there that can take batches over, or time is short.
+// Meanwhile the batches are run on: nobody else would run them until a daemon starts.
+func (r *Runner) awaitSuccessor(ctx context.Context) {
+	if r.group == nil || r.idle() {
+		return
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		bounded, cancel := context.WithDeadline(ctx, deadline.Add(-releaseMargin))
+		defer cancel()
+		ctx = bounded
+	}
+	began := time.Now()
+	for pause := successorDelay; ctx.Err() == nil && !r.idle(); pause = successorInterval {
+		periodic.Pause(ctx, pause)
+		alive, err := r.group.Alive(ctx)
+		if err != nil || slices.ContainsFunc(alive, func(owner string) bool { return owner != r.self }) {
+			r.logger.Info("successors looked for", zap.Int("alive", len(alive)),
+				zap.Duration("after", time.Since(began)), zap.Error(err))
+			return
+		}
+	}
+	r.logger.Info("no successor found", zap.Duration("after", time.Since(began)))
+}
+
+// Release stops the runner: it accepts no more batches, records the release of each one once there is a
+// successor, starts no more items from then on and waits until those in progress are finished or ctx
+// ends.
 func (r *Runner) Release(ctx context.Context) {
 	r.mu.Lock()
 	r.stopping.Store(true)
 	r.mu.Unlock()
+	r.awaitSuccessor(ctx)
 	for _, j := range r.jobList() {
 		// Counted as work: the job of a batch without items in progress ends at once, but its
 		// record must be in the journal before the daemon ends.
--- a/internal/batches/runner/runner.go
+++ b/internal/batches/runner/runner.go
@@ -92,6 +92,8 @@
 	assigner  *Assigner
 	locator   Locator
 	observe   PhaseObserver
+	// group is nil unless SetGroup was called.
+	group Group
 	// sharing is nil if no address for calls between daemons is configured; the runner then
 	// ignores the requests of other owners.
 	sharing *engineSharing
--- a/internal/batches/runner/stop_test.go
+++ b/internal/batches/runner/stop_test.go
@@ -120,3 +120,40 @@
 		})
 	}
 }
+
+// changingGroup is a group in which other daemons come and go.
+type changingGroup struct {
+	fakeGroup
+	others atomic.Pointer[[]string]
+}
+
+func (g *changingGroup) Alive(context.Context) ([]string, error) { return *g.others.Load(), nil }
+
+// Guards against items that stay at no replica for as long as all daemons stop together, each of which has
+// released its batches.
+func TestABatchIsRunOnWhileThereIsNoSuccessor(t *testing.T) {
+	const grace = 8 * time.Second
+	for name, comes := range map[string]bool{"one comes": true, "none comes": false} {
+		t.Run(name, func(t *testing.T) {
+			withJournal(t, func(ctx context.Context, t *testing.T, is *is.I, log *journaltest.Journal) {
+				owner, group := newOwnerOfTwo(ctx, t, log), &changingGroup{}
+				group.others.Store(&[]string{"a/1"})
+				owner.SetGroup(group)
+				bounded, cancel := context.WithTimeout(ctx, grace)
+				defer cancel()
+				go owner.Release(bounded)
+				time.Sleep(grace / 2)
+				is.Equal(ownerInJournal(ctx, t, log, "x"), "a/1")
+				is.Equal(startable(owner), 2)
+				if comes {
+					group.others.Store(&[]string{"a/1", "b/1"})
+					time.Sleep(2 * successorInterval)
+				} else {
+					time.Sleep(grace/2 - releaseMargin/2)
+				}
+				is.Equal(ownerInJournal(ctx, t, log, "x"), "")
+				is.Equal(startable(owner), 0)
+			})
+		})
+	}
+}
--- a/internal/daemon/node/build.go
+++ b/internal/daemon/node/build.go
@@ -104,6 +104,7 @@
 	n.runner = runner.New(n.context, n.identity, n.ledger, forwarder, n.operator, demand.NewPublisher(log, n.logger),
 		n.assigner, n.results, n.logger)
 	n.runner.SetPhaseObserver(n.metrics.BatchPart)
+	n.runner.SetGroup(n.member)
 	n.watcher = runner.NewWatcher(n.runner, n.member)
 }
 
