quarantine: the next owner of an item holds it back for the rest of the time only

An item under which replicas ended waited for 3 s at its owner, for the takeover, and for 3 s anew at the next owner, which counted the ends from when it learned of them: more than the users' 5 s in all. Of the time at the next owner 1.5 s now count as spent. Ends, epochs and refusals are merged as before. TestTheNextOwnerOfAContentHoldsItBackForTheRestOnly; the crash tests pass with the race detector, unchanged.

--- a/internal/batches/runner/adopt.go
+++ b/internal/batches/runner/adopt.go
@@ -80,7 +80,7 @@
 	if j == nil {
 		return
 	}
-	j.mergeSuspicions(suspected)
+	j.mergeSuspicions(suspected, takeoverWait)
 	j.logOwned()
 	r.jobs[batchID] = j
 	r.work.Go(func() {
--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -148,7 +148,7 @@
 			suspected = j.markReturned(b)
 		}
 	})
-	j.mergeSuspicions(suspected)
+	j.mergeSuspicions(suspected, 0)
 	if reason == "" && j.release.begun && j.noneInProgress() {
 		reason = "released"
 	}
--- a/internal/batches/runner/suspicion.go
+++ b/internal/batches/runner/suspicion.go
@@ -16,6 +16,10 @@
 // answer, the item goes on.
 const itemRecordTimeout = time.Second
 
+// takeoverWait is how much of the time for which an item may be held back counts as spent when the next
+// owner adopts its batch: the owner before held the item back too, and then stopped or fell silent.
+const takeoverWait = heartbeatTimeout
+
 // recordSuspicion records in the batch's partition what the quarantine knows of a content of the item,
 // its request or its reward call, after a failed attempt. Gossip and the quarantine's own partition
 // are not ordered with the records by which the batch changes its owner, who would start the item
@@ -45,10 +49,11 @@
 	return it.recordedSuspicion
 }
 
-// mergeSuspicions merges the entries that earlier owners recorded into this daemon's quarantine.
-func (j *job) mergeSuspicions(entries [][]byte) {
+// mergeSuspicions merges the entries that earlier owners recorded into this daemon's quarantine. heldFor
+// is how much of the time for which the items may be held back counts as spent.
+func (j *job) mergeSuspicions(entries [][]byte, heldFor time.Duration) {
 	for _, entry := range entries {
-		if err := j.r.forwarder.Quarantine.MergeEncoded(entry, "batch "+j.submission.ID); err != nil {
+		if err := j.r.forwarder.Quarantine.MergeEncoded(entry, "batch "+j.submission.ID, heldFor); err != nil {
 			j.logger.Warn("recorded suspicion not decoded", zap.Error(err))
 		}
 	}
--- a/internal/requests/quarantine/owed_test.go
+++ b/internal/requests/quarantine/owed_test.go
@@ -133,3 +133,19 @@
 	is.True(!table.Blocked(owed))
 	is.Equal(decisionOn(table, owed, "x", "y"), "isolated")
 }
+
+// Guards against an item that waits as long again at each owner of its batch.
+func TestTheNextOwnerOfAContentHoldsItBackForTheRestOnly(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	before, next, owed := clock.table("before"), clock.table("next"), &Content{Target: "x", Owed: true}
+	endAt(before, owed, minEndsToRefuse)
+	encoded, err := before.EncodedEntry(owed)
+	is.NoErr(err)
+	const heldFor = owedRetryDelay / 2
+	is.NoErr(next.MergeEncoded(encoded, "before", heldFor))
+	is.True(next.Blocked(owed))
+	clock.advance(owedRetryDelay - heldFor)
+	is.True(!next.Blocked(owed))
+	is.Equal(decisionOn(next, owed, "x", "y"), "isolated")
+}
--- a/internal/requests/quarantine/quarantine.go
+++ b/internal/requests/quarantine/quarantine.go
@@ -49,6 +49,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -170,13 +171,16 @@
 }
 
 // MergeEncoded merges an entry that EncodedEntry returned at another daemon. from names its source
-// in the log.
-func (t *Table) MergeEncoded(encoded []byte, from string) error {
+// in the log. heldFor is how long owed runs of the content have been held back elsewhere already.
+func (t *Table) MergeEncoded(encoded []byte, from string, heldFor time.Duration) error {
 	var entry Entry
 	if err := cbor.Unmarshal(encoded, &entry); err != nil {
 		return errors.Wrap(err, "quarantine: decode entry")
 	}
 	t.Merge([]Entry{entry}, from)
+	if heldFor > 0 {
+		t.inheritHold(entry.Digest, heldFor)
+	}
 	return nil
 }
 
--- a/internal/requests/quarantine/verdict.go
+++ b/internal/requests/quarantine/verdict.go
@@ -281,6 +281,21 @@
 	s.lastHeldAt = now
 }
 
+// inheritHold counts the time for which owed runs of a content were held back elsewhere.
+func (t *Table) inheritHold(digest Digest, heldFor time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.entries[digest]
+	if s == nil || s.isolatedRun != nil {
+		return
+	}
+	now := t.now()
+	s.held(now)
+	if since := now.Add(-heldFor); since.Before(s.heldSince) {
+		s.heldSince = since
+	}
+}
+
 // holdLeft returns for how long owed runs of the content may still be held back, for all reasons together
 // and whatever is learned meanwhile. It is 0 or less if the next one must start. t.mu must be held.
 func (t *Table) holdLeft(s *suspect, now time.Time) time.Duration {
