--- a/Makefile
+++ b/Makefile
@@ -75,18 +75,20 @@
 	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
 	./target/woodworks-soak --seed $(SEED) $(RESTART) --daemons 84 --batches 52 --least-items 136 --most-items 160 --safety-only $(SOAKFLAGS)
 
-# Four short soaks at once with a fixed seed, of all faults, of planned work in series,
-# of requests that end their replicas, and of a start of all daemons, that assert safety
-# only.
+# Five short soaks at once with a fixed seed, of all faults, of planned work in series,
+# of requests that end their replicas, of engines that end in a burst, and of a start of all
+# daemons, that assert safety only.
 soak-smoke:
 	go build -o target/ ./cmd/woodworks ./cmd/woodworks-soak
 	@mkdir -p out
 	@./target/woodworks-soak --seed 1 --duration 8s --safety-only > out/soak-mixed.log 2>&1 & mixed=$$!; \
 	./target/woodworks-soak --seed 1 --duration 12s --schedule planned --crashing all --safety-only --folder out/soak-crashing > out/soak-crashing.log 2>&1 & crashing=$$!; \
 	./target/woodworks-soak --seed 1 $(RESTART) --daemons 8 --batches 6 --least-items 30 --most-items 40 --start calm --safety-only --folder out/soak-restart > out/soak-restart.log 2>&1 & restart=$$!; \
+	./target/woodworks-soak --seed 3 --duration 1s --schedule bursts --callers 8 --safety-only --folder out/soak-bursts > out/soak-bursts.log 2>&1 & bursts=$$!; \
 	./target/woodworks-soak --seed 1 --duration 6s --schedule series --safety-only --folder out/soak-series; series=$$?; \
-	wait $$mixed; mixed=$$?; wait $$crashing; crashing=$$?; wait $$restart; restart=$$?; cat out/soak-mixed.log out/soak-crashing.log out/soak-restart.log; \
-	exit $$((mixed + series + crashing + restart))
+	wait $$mixed; mixed=$$?; wait $$crashing; crashing=$$?; wait $$restart; restart=$$?; wait $$bursts; bursts=$$?; \
+	cat out/soak-mixed.log out/soak-crashing.log out/soak-restart.log out/soak-bursts.log; \
+	exit $$((mixed + series + crashing + restart + bursts))
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
