runner: a released batch that nobody takes over is taken back

A stopping owner keeps the job of a batch that it has released until the fold shows another owner. After 1 s without one it appends a takeover from nobody, which has an effect only if nobody else's came first, goes on as the owner and looks for a successor again. Nothing is loosened: who owns the batch is what the fold says, as before. Cost: one append in a second for a batch that nobody takes; a stop waits up to 0.35 s longer for the job to notice its successor.

TestAReleasedBatchThatNobodyTakesOverIsTakenBack.

--- a/internal/batches/runner/job.go
+++ b/internal/batches/runner/job.go
@@ -149,7 +149,7 @@
 		}
 	})
 	j.mergeSuspicions(suspected, 0)
-	if reason == "" && j.release.begun && j.noneInProgress() {
+	if reason == "" && j.release.begun && !j.release.waits && j.noneInProgress() {
 		reason = "released"
 	}
 	if reason == "" {
--- a/internal/batches/runner/release.go
+++ b/internal/batches/runner/release.go
@@ -24,19 +24,22 @@
 	successorDelay    = 250 * time.Millisecond
 	successorInterval = 300 * time.Millisecond
 	releaseMargin     = time.Second
+	// takeBackDelay is how long a released batch may be without an owner before the owner that released
+	// it takes it back: its successor may have been asked to stop too.
+	takeBackDelay = time.Second
 	// unsignalledHandOff applies in place of both while it has sent none: it may be of an earlier version.
 	unsignalledHandOff = 4 * time.Second
 )
 
-// releaseState says whether the release of a job's batch has begun, and whether it is recorded in
-// the journal.
-type releaseState struct{ begun, recorded bool }
+// releaseState says whether the release of a job's batch has begun, whether it is recorded in the journal,
+// and whether the job waits for the next owner, so that it can take the batch back.
+type releaseState struct{ begun, recorded, waits bool }
 
 // startRelease releases the batch: no more items start, and those in progress continue. It returns
 // once the release is recorded or ctx ends.
 func (j *job) startRelease(ctx context.Context) {
 	j.mu.Lock()
-	j.release.begun = true
+	j.release.begun, j.release.waits = true, j.r.group != nil
 	var handedOff []int
 	for _, it := range j.items {
 		it.handedOff = it.inProgress()
@@ -58,6 +61,55 @@
 	j.returnItems(ctx)
 }
 
+// takeBack makes this daemon the owner again of a batch that it has released and that nobody has taken over
+// for takeBackDelay. It returns false once another daemon owns the batch, the batch needs no owner or time
+// is short.
+func (j *job) takeBack(ctx context.Context) bool {
+	defer func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.release.waits = false
+	}()
+	ctx, cancel := withMargin(ctx)
+	defer cancel()
+	for j.staysUnowned(ctx) {
+		err := j.partition.Append(ctx, batch.TakenOver(j.submission.ID, "", j.r.self))
+		back := j.isOwnedBy(j.r.self)
+		j.logger.Info("released batch has no owner", zap.Bool("taken_back", back), zap.Error(err))
+		if back {
+			j.resume()
+			return true
+		}
+	}
+	return false
+}
+
+// staysUnowned waits for takeBackDelay and reports whether nobody has taken the released batch over. It
+// returns false if ctx or the job ends first.
+func (j *job) staysUnowned(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, takeBackDelay)
+	defer cancel()
+	taken := j.partition.Await(bounded.Done(), func() bool { return !j.isOwnedBy("") })
+	return !taken && ctx.Err() == nil && j.ctx.Err() == nil
+}
+
+// isOwnedBy reports whether the batch is open and has the given owner, "" after a release.
+func (j *job) isOwnedBy(owner string) (owned bool) {
+	j.partition.ViewBatch(j.submission.ID, func(b *batch.Batch) { owned = b.IsOpen() && b.Owner == owner })
+	return owned
+}
+
+// resume lets the job go on as that of an owner that has released nothing.
+func (j *job) resume() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.release = releaseState{}
+	for _, it := range j.items {
+		it.handedOff = false
+	}
+	j.r.WakeDispatcher()
+}
+
 // returnItems tells the next owner which handed-off items have failed here, so that the next owner
 // does not wait for handOffTimeout before it starts them. It does nothing before the release is
 // recorded, since the fold would ignore the record of the returned items.
@@ -146,11 +198,8 @@
 	if r.group == nil || r.idle() {
 		return
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		bounded, cancel := context.WithDeadline(ctx, deadline.Add(-releaseMargin))
-		defer cancel()
-		ctx = bounded
-	}
+	ctx, cancel := withMargin(ctx)
+	defer cancel()
 	began := time.Now()
 	for pause := successorDelay; ctx.Err() == nil && !r.idle(); pause = successorInterval {
 		periodic.Pause(ctx, pause)
@@ -164,6 +213,25 @@
 	r.logger.Info("no successor found", zap.Duration("after", time.Since(began)))
 }
 
+// withMargin returns a context that ends releaseMargin before ctx.
+func withMargin(ctx context.Context) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(ctx, deadline.Add(-releaseMargin))
+	}
+	return context.WithCancel(ctx)
+}
+
+// releaseJob releases a job's batch, again each time that nobody has taken it over.
+func (r *Runner) releaseJob(ctx context.Context, j *job) {
+	for {
+		j.startRelease(ctx)
+		if r.group == nil || !j.takeBack(ctx) {
+			return
+		}
+		r.awaitSuccessor(ctx)
+	}
+}
+
 // Release stops the runner: it accepts no more batches, records the release of each one once there is a
 // successor, starts no more items from then on and waits until those in progress are finished or ctx
 // ends.
@@ -175,7 +243,7 @@
 	for _, j := range r.jobList() {
 		// Counted as work: the job of a batch without items in progress ends at once, but its
 		// record must be in the journal before the daemon ends.
-		r.work.Go(func() { j.startRelease(ctx) })
+		r.work.Go(func() { r.releaseJob(ctx, j) })
 	}
 	done := make(chan struct{})
 	go func() {
--- a/internal/batches/runner/stop_test.go
+++ b/internal/batches/runner/stop_test.go
@@ -157,3 +157,29 @@
 		})
 	}
 }
+
+// Guards against a batch that is released to a daemon which is asked to stop before it has taken the batch
+// over: all daemons stop, and none runs the batch.
+func TestAReleasedBatchThatNobodyTakesOverIsTakenBack(t *testing.T) {
+	withJournal(t, func(ctx context.Context, t *testing.T, is *is.I, log *journaltest.Journal) {
+		owner, group := newOwnerOfTwo(ctx, t, log), &changingGroup{}
+		group.others.Store(&[]string{"a/1", "b/1"})
+		owner.SetGroup(group)
+		bounded, cancel := context.WithTimeout(ctx, 8*time.Second)
+		defer cancel()
+		go owner.Release(bounded)
+		time.Sleep(2 * successorDelay)
+		is.Equal(ownerInJournal(ctx, t, log, "x"), "")
+		group.others.Store(&[]string{}) // all have left
+		time.Sleep(takeBackDelay)
+		is.Equal(ownerInJournal(ctx, t, log, "x"), "a/1")
+		is.Equal(startable(owner), 2)
+		group.others.Store(&[]string{"c/1"}) // one has started
+		time.Sleep(2 * successorInterval)
+		next := newOwner(ctx, t, log, "c/1")
+		is.NoErr(next.TakeOver(ctx, "x", ""))
+		time.Sleep(2 * takeBackDelay)
+		is.Equal(ownerInJournal(ctx, t, log, "x"), "c/1")
+		is.Equal(len(owner.jobList()), 0)
+	})
+}
