--- a/internal/daemon/explain/explain.go
+++ b/internal/daemon/explain/explain.go
@@ -41,7 +41,7 @@
 	batchEvents = map[string]bool{"batch owned": true, "batch job ended": true, "batch time breakdown": true, "batch released": true,
 		"batch taken over": true, "batch not taken over": true, "batch takeover outcome unknown": true,
 		"results not listed yet": true, "results listed": true,
-		"items given back": true, "batch released unstarted": true, "release not recorded": true, "batch ended before its acceptance": true, "batch submitted after its end": true,
+		"items given back": true, "released batch has no owner": true, "batch released unstarted": true, "release not recorded": true, "batch ended before its acceptance": true, "batch submitted after its end": true,
 		"heartbeat not recorded": true, "heartbeats recorded again": true, "silence of the owner not confirmed": true}
 	replicaEvents = map[string]bool{"replica listed": true, "replica state changed": true, "replica started again": true,
 		"replica entry rejected": true, "replica gone from the list": true, "replica failed": true, "weight change ordered": true, "weight change ended": true}
