--- a/internal/batches/runner/runner.go
+++ b/internal/batches/runner/runner.go
@@ -19,8 +19,8 @@
 // the owner) and takeover.go (the reads that confirm that an owner is silent).
 //
 // Execution: dispatch.go and snapshot.go for all batches; attempt.go, handover.go, listing.go and
-// heartbeat.go for one item or batch; adopt.go, fold.go, standby.go and release.go for a batch that
-// changes its owner; waiting.go logs why items wait.
+// heartbeat.go for one item or batch; adopt.go, fold.go, standby.go, release.go and successor.go for a
+// batch that changes its owner; waiting.go logs why items wait.
 //
 // # Usage
 //
