--- a/internal/requests/quarantine/quarantine.go
+++ b/internal/requests/quarantine/quarantine.go
@@ -24,7 +24,7 @@
 // While no content is suspected, checking a request costs one atomic load.
 //
 // The package owns the table of suspected contents of this daemon and the rules for them
-// (verdict.go). Package forward reports the outcome of attempts; peers (Gossiper) and the
+// (verdict.go; owed.go and burst.go for owed contents). Package forward reports the outcome of attempts; peers (Gossiper) and the
 // journal (Recorder) supply the entries of other daemons.
 //
 // Invariants: an entry with a higher epoch replaces one with a lower epoch; within an epoch,
--- a/internal/requests/quarantine/verdict.go
+++ b/internal/requests/quarantine/verdict.go
@@ -31,17 +31,6 @@
 	// retryDelay is how long after its last end a refused content may run once more at its
 	// keeper.
 	retryDelay = 15 * time.Second
-	// owedRetryDelay is how long an owed content waits for its next run after the end with which
-	// other contents are refused, and after further ones in a burst of ends. A harmless one must not
-	// miss its step. maxOwedRetryDelay applies after a further end if no replica ended of late that did
-	// not run the content: one that does end replicas thereby ends one at a time.
-	owedRetryDelay    = 3 * time.Second
-	maxOwedRetryDelay = 8 * time.Second
-	// burstWindow is how long an end counts as part of a burst.
-	burstWindow = 10 * time.Second
-	// holdGap is how long after a content was last held back it counts as no longer waiting. Owners
-	// ask again within about a second.
-	holdGap = 2 * time.Second
 )
 
 // Suspicion is the degree to which a content is suspected of ending replicas.
@@ -142,41 +131,6 @@
 	}
 }
 
-// NeedsIsolation reports whether the content, which is owed, must run at a replica without another
-// isolated run.
-func (t *Table) NeedsIsolation(content *Content) bool {
-	if t.NoneSuspected() {
-		return false
-	}
-	digest := content.Digest()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.entries[digest]
-	return s != nil && s.ends() >= minEndsToIsolate && t.holdLeft(s, t.now()) > 0
-}
-
-// RunsIsolated reports whether this daemon has an isolated run in progress at a replica, which is an
-// incarnation.
-func (t *Table) RunsIsolated(replica string) bool {
-	if t.NoneSuspected() {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.isolatedRuns[replica] > 0
-}
-
-// HeldBack notes that an owed content was not sent to Decide, as no replica without an isolated run has
-// room.
-func (t *Table) HeldBack(content *Content) {
-	digest := content.Digest()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.entries[digest]; s != nil {
-		s.held(t.now())
-	}
-}
-
 // Decide returns whether the content may run now at replica, which is an incarnation. If the
 // result is Isolated, the run counts as started until its End is called. others returns the
 // incarnations of the other listed replicas of the service. Decide calls others only for
@@ -254,58 +208,6 @@
 	return s.Keeper == t.machine && !s.Retried && now.Sub(s.lastEndAt) >= retryDelay
 }
 
-// owedDelay returns how long an owed content waits between two runs. t.mu must be held.
-func (t *Table) owedDelay(s *suspect, now time.Time) time.Duration {
-	if s.ends() > minEndsToRefuse && !t.inBurst(s, now) {
-		return maxOwedRetryDelay
-	}
-	return owedRetryDelay
-}
-
-// owedRetryAfter returns how long a refused content that is owed waits for its next run, 0 or less if
-// it may run. Once the entry is full, and further ends leave no trace in it, the delay counts from the
-// last isolated run here. t.mu must be held.
-func (t *Table) owedRetryAfter(s *suspect, now time.Time) time.Duration {
-	last := s.lastEndAt
-	if len(s.Ended) >= maxEndedReplicas && s.isolatedRunEndedAt.After(last) {
-		last = s.isolatedRunEndedAt
-	}
-	return last.Add(t.owedDelay(s, now)).Sub(now)
-}
-
-// held notes that an owed run of the content is held back. t.mu must be held.
-func (s *suspect) held(now time.Time) {
-	if s.heldSince.IsZero() || now.Sub(s.lastHeldAt) > holdGap {
-		s.heldSince = now
-	}
-	s.lastHeldAt = now
-}
-
-// inheritHold counts the time for which owed runs of a content were held back elsewhere.
-func (t *Table) inheritHold(digest Digest, heldFor time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.entries[digest]
-	if s == nil || s.isolatedRun != nil {
-		return
-	}
-	now := t.now()
-	s.held(now)
-	if since := now.Add(-heldFor); since.Before(s.heldSince) {
-		s.heldSince = since
-	}
-}
-
-// holdLeft returns for how long owed runs of the content may still be held back, for all reasons together
-// and whatever is learned meanwhile. It is 0 or less if the next one must start. t.mu must be held.
-func (t *Table) holdLeft(s *suspect, now time.Time) time.Duration {
-	delay := t.owedDelay(s, now)
-	if s.heldSince.IsZero() || now.Sub(s.lastHeldAt) > holdGap {
-		return delay
-	}
-	return s.heldSince.Add(delay).Sub(now)
-}
-
 // anyAvailable reports whether at least one of the replicas has not recently ended under the
 // content.
 func (s *suspect) anyAvailable(replicas []string, now time.Time) bool {
