--- a/internal/batches/runner/dispatch.go
+++ b/internal/batches/runner/dispatch.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// Run dispatches items, but those of batches that are released, until ctx ends: whenever the replica table changes, WakeDispatcher is called
-// or wakeInterval has passed.
+// Run dispatches the items of batches that are not released, until ctx ends: whenever the replica table
+// changes, WakeDispatcher is called or wakeInterval has passed.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := r.table.Changed()
--- a/internal/batches/runner/waiting.go
+++ b/internal/batches/runner/waiting.go
@@ -114,7 +114,7 @@
 	v.waits[item] = reason
 }
 
-// noteHeldBack bounds the time for which the item waits for an isolated run.
+// noteHeldBack tells the quarantine that the item waits for an isolated run, which bounds that wait.
 func (routed routedItem) noteHeldBack() {
 	routed.job.mu.Lock()
 	content := routed.job.contentOf(routed.item)
@@ -122,8 +122,8 @@
 	routed.job.r.forwarder.Quarantine.HeldBack(content)
 }
 
-// logWaits logs the waits of the items that were not started. Those that are waiting still, and for
-// which the plan had no reason, were held back.
+// logWaits logs the waits of the items that were not started. If the plan gave no reason, it did start the
+// item, and the start was held back.
 func (v *view) logWaits(now time.Time) {
 	for i, routed := range v.routed {
 		if v.Items[i].Engine != "" || v.Items[i].Waited < firstWaitLine {
@@ -155,7 +155,7 @@
 	}
 }
 
-// LongestWait returns how long the item has waited that has waited longest for a replica, 0 if none
+// LongestWait returns the longest time for which an item has been waiting for a replica by now, 0 if none
 // waits.
 func (r *Runner) LongestWait() (longest time.Duration) {
 	now := time.Now()
--- a/internal/batches/scheduling/planner.go
+++ b/internal/batches/scheduling/planner.go
@@ -154,7 +154,8 @@
 	return !e.Avoided && !probed && e.inFlight < e.Capacity()
 }
 
-// hasRoomFor reports whether an engine may get one more request, which is an isolated run or not.
+// hasRoomFor reports whether an engine may get one more request. An isolated run needs an engine without
+// another one.
 func (e *engineState) hasRoomFor(isolated bool) bool {
 	return e.hasRoom() && !(isolated && e.runsIsolated)
 }
--- a/internal/requests/quarantine/burst.go
+++ b/internal/requests/quarantine/burst.go
@@ -21,7 +21,7 @@
 // recentEnds holds ends by incarnation. Those older than burstWindow don't count.
 type recentEnds map[string]recentEnd
 
-// note adds an end unless most are remembered that count still: they suffice to see a burst.
+// note adds an end, unless as many as most are remembered that still count. These suffice to see a burst.
 func (r *recentEnds) note(name, service string, now time.Time, most int) {
 	if *r == nil {
 		*r = recentEnds{}
@@ -40,7 +40,7 @@
 	t.recentEnds.note(name, s.Label.Service, now, maxRecentEnds)
 }
 
-// inBurst reports whether a replica of the content's service ended of late that did not run the content.
+// inBurst reports whether a replica of the content's service ended within burstWindow that did not run the content.
 // Replicas then end for another reason, so that an end under the content says little about it. t.mu must be
 // held.
 func (t *Table) inBurst(s *suspect, now time.Time) bool {
--- a/internal/requests/quarantine/entry.go
+++ b/internal/requests/quarantine/entry.go
@@ -79,7 +79,8 @@
 	// turnedAway counts the attempts that this daemon refused.
 	turnedAway uint64
 	// isolatedRun is not nil while an isolated run of the content, started by this daemon, is in
-	// progress. The channel is closed when the run ends. Of several it is the last one.
+	// progress. The channel is closed when the run ends. If several are in progress, it belongs to the one that
+	// started last.
 	isolatedRun chan struct{}
 	// ownEnds are the recent ends under the content, also some that the entry has no room for.
 	ownEnds recentEnds
--- a/internal/requests/quarantine/owed.go
+++ b/internal/requests/quarantine/owed.go
@@ -7,8 +7,8 @@
 const (
 	// owedRetryDelay is how long an owed content waits for its next run after the end with which
 	// other contents are refused, and after further ones in a burst of ends. A harmless one must not
-	// miss its step. maxOwedRetryDelay applies after a further end if no replica ended of late that did
-	// not run the content: one that does end replicas thereby ends one at a time.
+	// miss its step. maxOwedRetryDelay applies after a further end if no other replica ended within
+	// burstWindow, that is, one that did not run the content: one that does end replicas thereby ends one at a time.
 	owedRetryDelay    = 3 * time.Second
 	maxOwedRetryDelay = 8 * time.Second
 	// burstWindow is how long an end counts as part of a burst.
