review/4: parts of refused batches bring every daemon over its memory

Cause: the fragments of a record whose append was given up stay in the fold for good, and in each fold that is read anew. The cases are put in the order of their gravity: the requests that wait for a connection are review/5 now, the item that is held back review/6.

--- a/review/standin-2/drainwait/main.go
+++ b/review/standin-2/drainwait/main.go
@@ -1,5 +1,5 @@
 // Command drainwait replaces one of two replicas while requests wait at the daemons for a connection
-// to it, and checks when the last of them reach it. See review/4/claim.txt.
+// to it, and checks when the last of them reach it. See review/5/claim.txt.
 package main
 
 import (
--- a/review/standin-2/heldback/main.go
+++ b/review/standin-2/heldback/main.go
@@ -1,5 +1,5 @@
 // Command heldback crashes the replica that runs one item of a step four times, and checks that the
-// item is not left at no replica afterwards. See review/5/claim.txt.
+// item is not left at no replica afterwards. See review/6/claim.txt.
 package main
 
 import (
--- a/review/standin-2/lab/lab.go
+++ b/review/standin-2/lab/lab.go
@@ -258,3 +258,17 @@
 	}
 	return 0
 }
+
+// PID returns the id of the daemon's process.
+func (d *Daemon) PID() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process.Pid
+}
+
+// Wait waits until the daemon's process has ended.
+func (d *Daemon) Wait() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.cmd.Wait()
+}
