--- a/review/standin-2/lab/engine.go
+++ b/review/standin-2/lab/engine.go
@@ -71,6 +71,19 @@
 	time.AfterFunc(heartbeats, func() { e.Lab.List(e.ID, nil) })
 }
 
+// Leave takes the engine's entry off the list without stating that it is draining, serves on for a time and
+// ends the process.
+func (e *Engine) Leave(serveOn time.Duration) {
+	at := e.Lab.List(e.ID, nil)
+	e.Lab.NoteAt(at, "%s leaves: its entry is removed", e.ID)
+	time.Sleep(serveOn)
+	e.mu.Lock()
+	e.dead = true
+	e.mu.Unlock()
+	_ = e.server.Close()
+	e.Lab.Note("%s ends, as planned", e.ID)
+}
+
 // Running returns how many requests the engine works on.
 func (e *Engine) Running() int {
 	e.mu.Lock()
