quarantine: an owed content is held back for 4.3 s at most

Cause: after the fourth end that no other end explains, an item counted as one that ends its replicas and waited for maxOwedRetryDelay, 8 s, longer than a step may have an item at no replica. The delay followed three runs in quick succession, and had to make up for them: the crash tests allow four ends in 11 s.

The delays are now spread over the ends: 2.5 s after the second (secondEndDelay), 4.3 s after each further one. None reaches 5 s, and four of them still take over 11 s. In a burst, where replicas end that did not run the item, all is as before. A refused owner asks again after 1 s at most: a longer delay exceeded holdGap, so that a hold that followed it was counted anew. At a next owner 2 s count as spent, as a silent owner is replaced after that long.

The crash tests are unchanged and pass.

Changed tests: TestRunsOfAnOwedContentAreSpacedOut now also checks that each hold is below 5 s and that five ends take over 11 s; before it only compared the gaps with the constants. The property test ends with and without a burst. TestAnOwedContentLeavesOthersRefused and TestTheNextOwnerOfAContentHoldsItBackForTheRestOnly use the delay after a third end by its new name; their checks are the same.

--- a/internal/batches/runner/suspicion.go
+++ b/internal/batches/runner/suspicion.go
@@ -18,7 +18,7 @@
 
 // takeoverWait is how much of the time for which an item may be held back counts as spent when the next
 // owner adopts its batch: the owner before held the item back too, and then stopped or fell silent.
-const takeoverWait = heartbeatTimeout
+const takeoverWait = heartbeatTimeout + suspectTimeout
 
 // recordSuspicion records in the batch's partition what the quarantine knows of a content of the item,
 // its request or its reward call, after a failed attempt. Gossip and the quarantine's own partition
--- a/internal/requests/quarantine/owed.go
+++ b/internal/requests/quarantine/owed.go
@@ -5,17 +5,25 @@
 // The rules for contents that are owed: they are never refused, and held back for a bounded time.
 
 const (
-	// owedRetryDelay is how long an owed content waits for its next run after the end with which
-	// other contents are refused, and after further ones in a burst of ends. A harmless one must not
-	// miss its step. maxOwedRetryDelay applies after a further end if no other replica ended within
-	// burstWindow, that is, one that did not run the content: one that does end replicas thereby ends one at a time.
-	owedRetryDelay    = 3 * time.Second
-	maxOwedRetryDelay = 8 * time.Second
-	// burstWindow is how long an end counts as part of a burst.
+	// In a burst of ends, an owed content waits for owedRetryDelay after the end with which other contents
+	// are refused, and after each further one. It waits that long at most after fewer ends, whatever
+	// holds it back.
+	owedRetryDelay = 3 * time.Second
+	// Outside a burst, secondEndDelay follows the end with which its runs become isolated, and
+	// maxOwedRetryDelay each further one. The item may be harmless, so that each delay stays below the
+	// time that a step may have an item at no replica; in sum they bound how fast a content that
+	// does end replicas ends the next ones.
+	secondEndDelay    = 2500 * time.Millisecond
+	maxOwedRetryDelay = 4300 * time.Millisecond
+	// burstWindow is how long an end counts as part of a burst: replicas then end that did not run the
+	// content.
 	burstWindow = 10 * time.Second
 	// holdGap is how long after a content was last held back it counts as no longer waiting. Owners
 	// ask again within about a second.
 	holdGap = 2 * time.Second
+	// owedAskInterval bounds the delay after which a refused owner asks again. It is below holdGap, so that
+	// all reasons for which the content is held back count as one wait.
+	owedAskInterval = time.Second
 )
 
 // NeedsIsolation reports whether the content, which is owed, must run at a replica without another
@@ -53,15 +61,28 @@
 	}
 }
 
-// owedDelay returns how long an owed content waits between two runs. t.mu must be held.
+// owedDelay returns how long after the last end an owed content waits for its next run. t.mu must be held.
 func (t *Table) owedDelay(s *suspect, now time.Time) time.Duration {
-	if s.ends() > minEndsToRefuse && !t.inBurst(s, now) {
+	inBurst := t.inBurst(s, now)
+	switch {
+	case s.ends() < minEndsToIsolate, s.ends() < minEndsToRefuse && inBurst:
+		return 0
+	case inBurst:
+		return owedRetryDelay
+	case s.ends() < minEndsToRefuse:
+		return secondEndDelay
+	default:
 		return maxOwedRetryDelay
 	}
-	return owedRetryDelay
 }
 
-// owedRetryAfter returns how long a refused content that is owed waits for its next run, 0 or less if
+// maxHold returns how long an owed content may be held back between two runs, for all reasons together.
+// t.mu must be held.
+func (t *Table) maxHold(s *suspect, now time.Time) time.Duration {
+	return max(t.owedDelay(s, now), owedRetryDelay)
+}
+
+// owedRetryAfter returns how long an owed content waits for its next run after the last end, 0 or less if
 // it may run. Once the entry is full, and further ends leave no trace in it, the delay counts from the
 // last isolated run here. t.mu must be held.
 func (t *Table) owedRetryAfter(s *suspect, now time.Time) time.Duration {
@@ -98,9 +119,9 @@
 // holdLeft returns for how long owed runs of the content may still be held back, for all reasons together
 // and whatever is learned meanwhile. It is 0 or less if the next one must start. t.mu must be held.
 func (t *Table) holdLeft(s *suspect, now time.Time) time.Duration {
-	delay := t.owedDelay(s, now)
+	most := t.maxHold(s, now)
 	if s.heldSince.IsZero() || now.Sub(s.lastHeldAt) > holdGap {
-		return delay
+		return most
 	}
-	return s.heldSince.Add(delay).Sub(now)
+	return s.heldSince.Add(most).Sub(now)
 }
--- a/internal/requests/quarantine/owed_test.go
+++ b/internal/requests/quarantine/owed_test.go
@@ -39,29 +39,42 @@
 	}
 }
 
-// The third end costs an owed content owedRetryDelay and each further one more, so that a content that
-// does end its replicas ends one at a time.
+// Guards against an owed content that is held back for longer than a step bears, and against one that does
+// end its replicas and ends them faster than four in ratePeriod.
 func TestRunsOfAnOwedContentAreSpacedOut(t *testing.T) {
+	const (
+		longestHold = 5 * time.Second
+		ratePeriod  = 11 * time.Second
+		mostEnds    = 4
+	)
 	is := is.New(t)
 	clock := newTestClock()
 	table, owed := clock.table("m"), &Content{Target: "x", Owed: true}
-	began := clock.now
-	var runs []time.Duration
-	for end := 0; len(runs) < 20; {
-		if run, ok := table.Decide(owed, fmt.Sprint("replica", end), listed).(Isolated); ok {
-			runs = append(runs, clock.now.Sub(began))
-			table.ReplicaEnded(owed, fmt.Sprint("replica", end), "s")
-			run.End()
-			end++
-		} else if end < 2 {
-			endAt(table, owed, 1)
-			end++
+	var ends []time.Time
+	for len(ends) < 20 {
+		replica := fmt.Sprint("replica", len(ends))
+		if !table.Blocked(owed) {
+			switch run := table.Decide(owed, replica, listed).(type) {
+			case Allowed:
+				table.ReplicaEnded(owed, replica, "s")
+				ends = append(ends, clock.now)
+			case Isolated:
+				table.ReplicaEnded(owed, replica, "s")
+				run.End()
+				ends = append(ends, clock.now)
+			}
 		}
 		clock.advance(100 * time.Millisecond)
 	}
-	is.Equal(runs[1]-runs[0], owedRetryDelay) // the first of these runs saw the third end
-	for i := range runs[2:] {
-		is.Equal(runs[i+2]-runs[i+1], maxOwedRetryDelay)
+	is.Equal(ends[2].Sub(ends[1]), secondEndDelay)
+	for i := range ends[3:] {
+		is.Equal(ends[i+3].Sub(ends[i+2]), maxOwedRetryDelay)
+	}
+	for i := range ends[1:] {
+		is.True(ends[i+1].Sub(ends[i]) < longestHold)
+	}
+	for i := range ends[mostEnds:] {
+		is.True(ends[i+mostEnds].Sub(ends[i]) > ratePeriod)
 	}
 }
 
@@ -72,7 +85,7 @@
 	clock := newTestClock()
 	table, owed, plain := clock.table("m"), &Content{Target: "x", Owed: true}, contentNamed("x")
 	endAt(table, plain, minEndsToRefuse)
-	clock.advance(owedRetryDelay)
+	clock.advance(maxOwedRetryDelay)
 	is.Equal(decisionOn(table, plain, "x", "y"), "refused")
 	is.True(table.Blocked(plain))
 	is.Equal(decisionOn(table, owed, "x", "y"), "isolated")
@@ -142,10 +155,11 @@
 	endAt(before, owed, minEndsToRefuse)
 	encoded, err := before.EncodedEntry(owed)
 	is.NoErr(err)
-	const heldFor = owedRetryDelay / 2
+	const rest = holdGap - owedAskInterval/2
+	const heldFor = maxOwedRetryDelay - rest
 	is.NoErr(next.MergeEncoded(encoded, "before", heldFor))
 	is.True(next.Blocked(owed))
-	clock.advance(owedRetryDelay - heldFor)
+	clock.advance(rest)
 	is.True(!next.Blocked(owed))
 	is.Equal(decisionOn(next, owed, "x", "y"), "isolated")
 }
--- a/internal/requests/quarantine/owedwait_test.go
+++ b/internal/requests/quarantine/owedwait_test.go
@@ -61,7 +61,7 @@
 	case 6: // the batch changes its owner
 		next := w.clock.table(name)
 		if encoded, err := w.table.EncodedEntry(w.owed); err == nil && encoded != nil {
-			_ = next.MergeEncoded(encoded, "before", owedRetryDelay/2) // it was just encoded
+			_ = next.MergeEncoded(encoded, "before", maxOwedRetryDelay/2) // it was just encoded
 		}
 		w.table = next
 	}
@@ -77,7 +77,11 @@
 		for range rapid.IntRange(1, 25).Draw(t, "troubles") {
 			w.trouble(t)
 		}
-		w.table.ReplicaEnded(contentNamed("burst"), "elsewhere", "s")
+		longest := maxOwedRetryDelay
+		if rapid.Bool().Draw(t, "burst") {
+			w.table.ReplicaEnded(contentNamed("burst"), "elsewhere", "s")
+			longest = owedRetryDelay
+		}
 		calm := clock.now
 		for {
 			if run, ok := w.ask(); ok {
@@ -85,7 +89,7 @@
 				return
 			}
 			clock.advance(askInterval)
-			if waited := clock.now.Sub(calm); waited > owedRetryDelay+askInterval {
+			if waited := clock.now.Sub(calm); waited > longest+askInterval {
 				t.Fatalf("held back for %v after the last trouble", waited)
 			}
 		}
--- a/internal/requests/quarantine/verdict.go
+++ b/internal/requests/quarantine/verdict.go
@@ -117,7 +117,7 @@
 	defer t.mu.Unlock()
 	s := t.entries[digest]
 	switch {
-	case s == nil || !s.refused():
+	case s == nil || s.ends() < minEndsToIsolate:
 		return false
 	case content.Owed:
 		now := t.now()
@@ -127,7 +127,7 @@
 		}
 		return blocked
 	default:
-		return !t.mayRetry(s, t.now())
+		return s.refused() && !t.mayRetry(s, t.now())
 	}
 }
 
@@ -189,7 +189,7 @@
 		refused.RetryAfter, refused.Final = refusal.Quarantined.RetryAfter, true
 	case final && since < retryDelay:
 		refused.RetryAfter = retryDelay - since
-	case s.refused() && owed && t.owedRetryAfter(s, now) > 0:
+	case owed && t.owedRetryAfter(s, now) > 0:
 		refused.RetryAfter = t.owedRetryAfter(s, now)
 	case s.isolatedRun == nil && since < recentEndMaxAge && !s.anyAvailable(others(), now):
 		refused.RetryAfter = min(refusal.IsolatedRunPending.RetryAfter, recentEndMaxAge-since)
@@ -197,7 +197,7 @@
 		return Refused{}, false
 	}
 	if owed {
-		refused.RetryAfter = min(refused.RetryAfter, t.holdLeft(s, now))
+		refused.RetryAfter = min(refused.RetryAfter, t.holdLeft(s, now), owedAskInterval)
 	}
 	return refused, true
 }
