forward: a planned end without draining is no evidence against a content

Cause: the quarantine leaves out the ends of replicas that are draining. One that is taken off the list without stating it serves on for the drain bound and then ends. It isn't listed any more by then, and its end counted as a crash.

A crashed replica ends before its entry goes. An end counts as planned now if the entry had been gone for over half the drain bound (Table.LeftBefore) and no later incarnation is known; half, as the daemon learns of the removal late. The same cause elsewhere: a connection that broke for another reason counted as an end once the replica, draining by then, left the list (Table.SoundIncarnations). A connection that breaks up to 8 s before a replica leaves without draining still counts: it can't be told from a crash that a proxy hides.

The line 'attempt failed' has leaves_as_planned.

--- a/internal/daemon/node/node.go
+++ b/internal/daemon/node/node.go
@@ -254,8 +254,8 @@
 		n.ledger.Sweep(now)
 		n.table.Sweep()
 		n.occupancy.sweep()
-		present := sync.OnceValue(n.table.ListedIncarnations) // called at most once, and only if there is an entry to check
-		n.quarantine.table.Sweep(func(start string) bool { return present()[replica.Incarnation(start)] })
+		sound := sync.OnceValue(n.table.SoundIncarnations) // called at most once, and only if there is an entry to check
+		n.quarantine.table.Sweep(func(start string) bool { return sound()[replica.Incarnation(start)] })
 		n.lease.SetCandidate(isCandidate(n.member.Partitions(), n.partitions))
 	})
 }
--- a/internal/replicas/replica/incarnation.go
+++ b/internal/replicas/replica/incarnation.go
@@ -76,16 +76,21 @@
 	return false
 }
 
-// ListedIncarnations returns the incarnations in the list, including replicas that are draining
-// or unusable.
-func (t *Table) ListedIncarnations() map[Incarnation]bool {
+// SoundIncarnations returns the incarnations of which the list shows no crash: those in it, including replicas
+// that are draining or unusable, and those that were draining when they left it.
+func (t *Table) SoundIncarnations() map[Incarnation]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	present := make(map[Incarnation]bool, len(t.entries))
+	sound := make(map[Incarnation]bool, len(t.entries))
 	for _, l := range t.entries {
-		present[l.Incarnation()] = true
+		sound[l.Incarnation()] = true
 	}
-	return present
+	for i, s := range t.stats {
+		if s.lastEntry.Draining && !s.removedAt.IsZero() {
+			sound[i] = true
+		}
+	}
+	return sound
 }
 
 // acceptEntry reports whether the entry is of the newest known incarnation of its replica or of a
--- a/internal/replicas/replica/table.go
+++ b/internal/replicas/replica/table.go
@@ -268,6 +268,19 @@
 	return found
 }
 
+// LeftBefore reports whether an incarnation was taken off the list for longer than half of the table's
+// drainBound and has no later incarnation. Its process has outlived its entry, as one does that is taken
+// away as planned without stating that it is draining: a crashed one ends before its entry goes.
+func (t *Table) LeftBefore(i Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stats[i]
+	if s == nil || s.removedAt.IsZero() || t.newest[i.ID()].Incarnation() != i {
+		return false
+	}
+	return t.now().Sub(s.removedAt) > t.removedGrace
+}
+
 // All returns all listed replicas, including those that are draining or unusable.
 func (t *Table) All() []Replica {
 	t.mu.Lock()
--- a/internal/replicas/replica/table_test.go
+++ b/internal/replicas/replica/table_test.go
@@ -263,3 +263,25 @@
 		}
 	})
 }
+
+// Guards against taking a replica that left as planned for a crashed one, and the other way round.
+func TestIncarnationsThatLeftAsPlanned(t *testing.T) {
+	is := is.New(t)
+	clock := clocktest.New()
+	table := NewTable(drainBound, zap.NewNop())
+	table.now = clock.Now
+	draining := entry("draining")
+	draining.Draining = true
+	table.Replace([]Entry{entry("removed"), entry("stays"), draining})
+	table.Replace([]Entry{entry("stays")})
+	is.True(!table.LeftBefore("removed")) // a crashed one loses its entry soon after its end
+	clock.Suspend(drainBound)
+	is.True(table.LeftBefore("removed"))
+	is.True(!table.LeftBefore("stays"))
+	is.True(!table.LeftBefore("unknown"))
+	is.Equal(table.SoundIncarnations(), map[Incarnation]bool{"stays": true, "draining": true})
+	again := entry("removed")
+	again.StartedAt = time.UnixMilli(1000)
+	table.Set(again)
+	is.True(!table.LeftBefore("removed")) // it has started again
+}
--- a/internal/requests/forward/failed.go
+++ b/internal/requests/forward/failed.go
@@ -45,27 +45,36 @@
 	if failed.outcome == outcomeDeclined || failed.outcome == outcomeCancelled {
 		return // neither says anything of the replica's soundness, and both are frequent
 	}
-	liveness := upstream.LivenessUnknown
+	liveness, planned := upstream.LivenessUnknown, f.leavesAsPlanned(failed.chosen)
 	if errors.Is(failed.err, upstream.ErrNoAnswer) || errors.Is(failed.err, eventstream.ErrTruncated) {
 		// The connection broke after the request had been sent.
 		liveness = f.Pool.Probe(ctx, failed.chosen.Address)
-		f.recordReplicaEnd(failed, liveness)
+		if !planned {
+			f.recordReplicaEnd(failed, liveness)
+		}
 	}
 	f.Logger.Info("attempt failed", zap.String("request", failed.requestID), zap.String("outcome", failed.outcome),
 		zap.String("content", failed.content.Digest().Short()), zap.String("replica", failed.chosen.ID),
 		zap.String("service", failed.chosen.Service),
-		zap.Stringer("address", failed.chosen.Address), zap.Stringer("process", liveness), zap.Bool("may_have_run", failed.mayHaveRun),
+		zap.Stringer("address", failed.chosen.Address), zap.Stringer("process", liveness),
+		zap.Bool("leaves_as_planned", planned), zap.Bool("may_have_run", failed.mayHaveRun),
 		zap.Duration("after", failed.took), zap.Error(failed.err))
 }
 
+// leavesAsPlanned reports whether a replica has stated that it is draining, or was taken off the list and
+// served on: its end says nothing of what it ran.
+func (f *Forwarder) leavesAsPlanned(rep replica.Replica) bool {
+	current, listed := f.Table.Get(rep.ID)
+	if listed && current.Incarnation() == rep.Incarnation() {
+		return current.Draining
+	}
+	return f.Table.LeftBefore(rep.Incarnation())
+}
+
 // recordReplicaEnd reports to the quarantine that a replica ended, or may have ended, while it
-// ran a content. The end of a draining replica is planned, so it is not reported. Bytes that are not
-// an answer are no sign of an end: this daemon closed the connection.
+// ran a content. Bytes that are not an answer are no sign of an end: this daemon closed the connection.
 func (f *Forwarder) recordReplicaEnd(failed failedAttempt, liveness upstream.Liveness) {
 	rep := failed.chosen
-	if current, listed := f.Table.Get(rep.ID); listed && current.Draining && current.Incarnation() == rep.Incarnation() {
-		return
-	}
 	switch {
 	case liveness == upstream.Gone:
 		f.Quarantine.ReplicaEnded(failed.content, string(rep.Incarnation()), rep.Service)
--- a/internal/requests/forward/failed_test.go
+++ b/internal/requests/forward/failed_test.go
@@ -64,3 +64,51 @@
 	is.True(ok)
 	is.Equal(f.forwarder.otherIncarnations(rep), []string{"b"})
 }
+
+// Guards against a planned end that counts against the content that ran then: the replica was taken off the
+// list without stating that it is draining, served on, and ended. A crashed one ends first.
+func TestPlannedEndIsNoEvidenceAgainstContent(t *testing.T) {
+	const servesOn = 20 * time.Millisecond
+	remove := func(table *replica.Table) {
+		table.Replace(nil)
+		time.Sleep(servesOn)
+	}
+	for name, c := range map[string]struct {
+		drainBound time.Duration
+		before     func(table *replica.Table)
+		want       quarantine.Suspicion
+	}{
+		"crashes":               {servesOn, func(*replica.Table) {}, quarantine.Suspected},
+		"crashes as it leaves":  {time.Hour, remove, quarantine.Suspected},
+		"leaves":                {servesOn, remove, quarantine.Unsuspected},
+		"starts again under it": {servesOn, startAgain, quarantine.Suspected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := replica.NewTable(c.drainBound, zap.NewNop())
+			server := httptest.NewUnstartedServer(nil)
+			server.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				_ = server.Listener.Close()
+				c.before(table)
+				panic(http.ErrAbortHandler)
+			})
+			server.Start()
+			t.Cleanup(server.Close)
+			table.Set(replica.Entry{ID: "a", Service: "s", Slots: 4, StartedAt: time.UnixMilli(1000),
+				Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+			f := newTestService(t, 0)
+			f.forwarder.Table = table
+			var asked *Call
+			_, err := f.call(t, func(call *Call) { asked = call })
+			is.True(err != nil)
+			is.Equal(f.forwarder.Quarantine.Suspicion(asked.content), c.want)
+		})
+	}
+}
+
+// startAgain lists a later incarnation of the only replica.
+func startAgain(table *replica.Table) {
+	entry := table.All()[0].Entry
+	entry.StartedAt = entry.StartedAt.Add(time.Second)
+	table.Replace([]replica.Entry{entry})
+}
--- a/internal/requests/quarantine/forget.go
+++ b/internal/requests/quarantine/forget.go
@@ -59,15 +59,15 @@
 }
 
 // Sweep resolves broken connections, clears suspicions after suspicionTTL and removes cleared
-// entries after clearedTTL. listed reports whether the replica list has an incarnation. An
-// incarnation that is not listed has ended; this includes that of a restarted replica. Sweep
-// calls listed with t.mu held, so listed must not call the table.
-func (t *Table) Sweep(listed func(replica string) bool) {
+// entries after clearedTTL. sound reports whether the replica list shows no crash of an incarnation: it is
+// listed, or was draining when it left. Another one has crashed; this includes that of a restarted replica. Sweep
+// calls sound with t.mu held, so sound must not call the table.
+func (t *Table) Sweep(sound func(replica string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	for _, s := range t.entries {
-		t.resolveBroken(s, now, listed)
+		t.resolveBroken(s, now, sound)
 		switch {
 		case s.isolatedRun != nil:
 		case len(s.Ended) > 0 && now.Sub(s.lastEndAt) > suspicionTTL:
@@ -79,12 +79,12 @@
 }
 
 // resolveBroken counts a broken connection of an entry as an end if its replica is no longer
-// listed. A broken connection to a replica that stays listed is discarded after
+// sound. A broken connection to a replica that stays so is discarded after
 // brokenConnectionTTL. t.mu must be held.
-func (t *Table) resolveBroken(s *suspect, now time.Time, listed func(replica string) bool) {
+func (t *Table) resolveBroken(s *suspect, now time.Time, sound func(replica string) bool) {
 	for replica, at := range s.brokenAt {
 		switch {
-		case !listed(replica):
+		case !sound(replica):
 			t.addEnd(s, replica)
 		case now.Sub(at) > brokenConnectionTTL:
 			t.update(s, func() { delete(s.brokenAt, replica) })
