runner: a batch accepted as all daemons stop is run

Cause: a stopping daemon released what it came to own at once, and one that had accepted a batch for another owner looked for that owner's first heartbeat but could not take the batch over. An acceptance that was under way as the stop began wasn't waited for. Where other daemons stay, their watchers take over; where all stop, nobody does.

A batch that a stopping daemon comes to own now runs there until there is a successor, as one that it owned before (adopt). Acceptances are work that a stop waits for; the work group takes more while it is waited for, which a sync.WaitGroup may not. A stopping watcher takes nothing over, as before.

--- a/internal/batches/runner/adopt.go
+++ b/internal/batches/runner/adopt.go
@@ -19,16 +19,16 @@
 const closedBatchTTL = 2 * heartbeatTimeout
 
 // AdoptAssigned starts a batch if this daemon owns it according to the batch's fold, after reading
-// the fold's partition to its end. It retries while the journal can't be read. If the runner is
-// stopping, AdoptAssigned releases the batch instead.
+// the fold's partition to its end. It retries while the journal can't be read. If the runner has
+// stopped, AdoptAssigned releases the batch instead.
 func (r *Runner) AdoptAssigned(batchID string) {
 	whole := r.ledger.PartitionOf(batchID)
-	if !r.beginWork() {
-		// The daemon that assigned the batch did not know that this one is stopping.
+	if !r.work.begin() {
+		// The daemon that assigned the batch did not know that this one has stopped.
 		r.releaseUnstarted(whole, batchID)
 		return
 	}
-	defer r.work.Done()
+	defer r.work.end()
 	defer r.releaseUnstarted(whole, batchID)
 	for r.ctx.Err() == nil {
 		if partition, err := r.readBatch(r.ctx, batchID); err == nil {
@@ -43,10 +43,19 @@
 // batch if from is "", and starts the batch. If from is no longer the owner, TakeOver has no
 // effect and returns nil. The error is ErrStopping or wraps ErrUnknown.
 func (r *Runner) TakeOver(ctx context.Context, batchID, from string) error {
-	if !r.beginWork() {
+	if r.stopping.Load() {
 		return ErrStopping
 	}
-	defer r.work.Done()
+	return r.takeOver(ctx, batchID, from)
+}
+
+// takeOver is TakeOver, also while the runner is stopping: the batch is then released once there is a
+// successor.
+func (r *Runner) takeOver(ctx context.Context, batchID, from string) error {
+	if !r.work.begin() {
+		return ErrStopping
+	}
+	defer r.work.end()
 	whole := r.ledger.PartitionOf(batchID)
 	defer r.releaseUnstarted(whole, batchID)
 	if err := whole.Append(ctx, batch.TakenOver(batchID, from, r.self)); err != nil {
@@ -62,13 +71,15 @@
 
 // adopt starts a batch if the fold says that it is open and owned by this daemon, unless the batch
 // runs here or was recently closed here. The job follows the batch by the same fold, and Release
-// waits for the job.
+// waits for the job. A job that begins while the runner is stopping is released once there is a
+// successor: where all daemons stop, nobody else would run it.
 func (r *Runner) adopt(partition *ledger.Partition, batchID string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.jobs[batchID] != nil || r.closedBatches[batchID] || r.ctx.Err() != nil || r.stopping.Load() {
+	if r.jobs[batchID] != nil || r.closedBatches[batchID] || r.ctx.Err() != nil || !r.work.begin() {
 		return
 	}
+	defer r.work.end()
 	var j *job
 	var suspected [][]byte
 	partition.ViewBatch(batchID, func(b *batch.Batch) {
@@ -83,13 +94,19 @@
 	j.mergeSuspicions(suspected, takeoverWait)
 	j.logOwned()
 	r.jobs[batchID] = j
-	r.work.Go(func() {
+	r.work.start(func() {
 		j.run()
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.jobs, batchID)
 		r.recordClosed(j)
 	})
+	if r.stopping.Load() {
+		r.work.start(func() {
+			r.awaitSuccessor(r.stopCtx)
+			r.releaseJob(r.stopCtx, j)
+		})
+	}
 	r.WakeDispatcher()
 }
 
--- a/internal/batches/runner/dispatch.go
+++ b/internal/batches/runner/dispatch.go
@@ -97,5 +97,5 @@
 func (r *Runner) launch(rep replica.Replica, attempt func()) {
 	r.table.RequestStarted(rep.Incarnation())
 	r.started.Add(1)
-	r.work.Go(attempt)
+	r.work.start(attempt)
 }
--- a/internal/batches/runner/release.go
+++ b/internal/batches/runner/release.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -113,8 +115,8 @@
 	return b
 }
 
-// releaseUnstarted releases a batch that this daemon came to own while it was stopping and
-// therefore does not run; Release itself releases the batches that run. The record has no effect if
+// releaseUnstarted releases a batch that this daemon came to own as it stopped and
+// therefore does not run; those that run are released by Release or as they begin. The record has no effect if
 // the batch has another owner.
 func (r *Runner) releaseUnstarted(partition *ledger.Partition, batchID string) {
 	r.mu.Lock()
@@ -133,21 +135,20 @@
 // ends.
 func (r *Runner) Release(ctx context.Context) {
 	r.mu.Lock()
+	r.stopCtx = ctx
 	r.stopping.Store(true)
+	jobs := slices.Collect(maps.Values(r.jobs))
 	r.mu.Unlock()
-	r.awaitSuccessor(ctx)
-	for _, j := range r.jobList() {
+	if len(jobs) > 0 {
+		r.awaitSuccessor(ctx)
+	}
+	for _, j := range jobs {
 		// Counted as work: the job of a batch without items in progress ends at once, but its
 		// record must be in the journal before the daemon ends.
-		r.work.Go(func() { r.releaseJob(ctx, j) })
+		r.work.start(func() { r.releaseJob(ctx, j) })
 	}
-	done := make(chan struct{})
-	go func() {
-		r.work.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-r.work.drain():
 	case <-ctx.Done():
 	}
 }
--- a/internal/batches/runner/runner.go
+++ b/internal/batches/runner/runner.go
@@ -112,13 +112,15 @@
 	// waitLines bounds the log lines about waiting items.
 	waitLines lineBudget
 	// work counts the work that Release waits for.
-	work sync.WaitGroup
+	work workGroup
 
-	// mu guards jobs and closedBatches. It also ensures that no work is added after stopping is
-	// set.
+	// mu guards jobs, closedBatches and stopCtx. It also ensures that Release releases each job: one that
+	// begins after stopping is set releases itself.
 	mu       sync.Mutex
 	jobs     map[string]*job
 	stopping atomic.Bool
+	// stopCtx is the context of Release; nil before.
+	stopCtx context.Context
 	// closedBatches holds the ids of the batches that a job of this daemon found closed less than
 	// closedBatchTTL ago. adopt ignores these batches.
 	closedBatches map[string]bool
@@ -153,9 +155,10 @@
 // that its caller has ended already is not run. If Accept returns nil, the batch exists; if the error
 // is ErrNotDone, this call did not create it; if it is ErrUnknown, the batch may exist.
 func (r *Runner) Accept(ctx context.Context, submission *batch.Submission) error {
-	if r.stopping.Load() {
+	if r.stopping.Load() || !r.work.begin() {
 		return ErrStopping
 	}
+	defer r.work.end()
 	if ctx.Err() != nil {
 		// The caller has left: nobody waits for the outcome.
 		return errors.Wrap(ErrNotDone, ctx.Err().Error())
@@ -172,7 +175,8 @@
 	}
 	if owner != r.self {
 		go r.assigner.Assign(r.ctx, submission, owner)
-		go r.standBy(submission.ID, owner, time.Since(began))
+		accepting := time.Since(began)
+		r.work.start(func() { r.standBy(submission.ID, owner, accepting) })
 	}
 	if submission.Model != "" {
 		go r.demands.Publish(r.ctx, submission.Model, demand.Demand{
@@ -181,7 +185,7 @@
 		})
 	}
 	if owner == r.self {
-		go r.AdoptAssigned(submission.ID)
+		r.work.start(func() { r.AdoptAssigned(submission.ID) })
 	}
 	return nil
 }
@@ -206,18 +210,6 @@
 	}
 }
 
-// beginWork registers work that Release waits for, and reports false if Release has been called.
-// The caller calls r.work.Done when the work has ended.
-func (r *Runner) beginWork() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stopping.Load() {
-		return false
-	}
-	r.work.Add(1)
-	return true
-}
-
 // hasEnded reports whether a fold knows that a batch has ended.
 func hasEnded(partition *ledger.Partition, batchID string) (ended bool) {
 	partition.ViewBatch(batchID, func(b *batch.Batch) { ended = b.HasEnded() })
--- a/internal/batches/runner/takeover.go
+++ b/internal/batches/runner/takeover.go
@@ -122,7 +122,7 @@
 func (r *Runner) replaceOwner(ctx context.Context, suspect observation, reason string) {
 	bounded, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
-	err := r.TakeOver(bounded, suspect.batch, suspect.owner)
+	err := r.takeOver(bounded, suspect.batch, suspect.owner)
 	event := "batch taken over"
 	switch {
 	case errors.Is(err, ErrNotDone):
--- a/internal/batches/runner/watcher.go
+++ b/internal/batches/runner/watcher.go
@@ -224,7 +224,7 @@
 	// This daemon is alive whatever the group reports.
 	alive = append(alive, w.runner.self)
 	for _, suspect := range suspects {
-		if reason := suspect.reasonToReplace(alive); reason != "" {
+		if reason := suspect.reasonToReplace(alive); reason != "" && !w.runner.stopping.Load() {
 			go w.runner.replaceOwner(ctx, suspect, reason)
 		}
 	}
