forward: a request that waited is not sent to a replica that is leaving

Cause: between the choice of the replica and the send lies a wait of up to a quarter of the route's target latency. Only whether the client had left was asked after it. Exchange now also asks whether the replica may still get work (Table.MayGetWork); if not, the request counts as not sent and goes to another.

--- a/internal/replicas/replica/table.go
+++ b/internal/replicas/replica/table.go
@@ -251,6 +251,22 @@
 	return found
 }
 
+// MayGetWork reports whether a replica, as it was picked, may still get new work. After its removal from
+// the list it may for half of the table's drainBound, also if its service has other replicas meanwhile. A
+// replica of which nothing is known may get work.
+func (t *Table) MayGetWork(picked Entry) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.entries[picked.ID]; l != nil {
+		return !l.Draining && !l.Unusable
+	}
+	s := t.stats[picked.Incarnation()]
+	if s == nil || s.removedAt.IsZero() {
+		return true
+	}
+	return !s.lastEntry.Draining && t.now().Sub(s.removedAt) <= t.removedGrace
+}
+
 // recentlyRemoved returns the replicas of a service that were removed within removedGrace and
 // were neither draining nor unusable. After an outage of the platform all entries may be missing
 // until the replicas have written them again. The mutex must be held.
--- a/internal/requests/forward/attempt.go
+++ b/internal/requests/forward/attempt.go
@@ -165,7 +165,7 @@
 	out.Method, out.Target, out.Host, out.Body = req.Method, req.Target, req.Host, req.Body
 	out.Header[http.CanonicalHeaderKey(f.Names.ExpectReplica)] = []string{rep.ID}
 	out.EchoHeader, out.EchoValue, out.MaxOpen = f.Names.RequestID, req.RequestID, f.MaxConnections(rep)
-	out.Abandoned = req.clientLeft
+	out.Abandoned, out.Withdrawn = req.clientLeft, func() bool { return !f.Table.MayGetWork(rep.Entry) }
 	answer, err := f.Pool.Exchange(ctx, rep.Address, out)
 	if err == nil {
 		f.recordLoad(rep, answer.Header)
--- a/internal/requests/forward/forward_test.go
+++ b/internal/requests/forward/forward_test.go
@@ -60,10 +60,13 @@
 	attempts   int
 }
 
+// removedGrace is how long replicas of a testService may get work after their removal.
+const removedGrace = 500 * time.Millisecond
+
 func newTestService(t *testing.T, replicas int, behaviours ...behaviour) *testService {
 	t.Helper()
 	f := &testService{behaviours: behaviours}
-	table := replica.NewTable(time.Second, zap.NewNop())
+	table := replica.NewTable(2*removedGrace, zap.NewNop())
 	for i := range replicas {
 		server := httptest.NewServer(http.HandlerFunc(f.serve))
 		t.Cleanup(func() {
@@ -385,3 +388,53 @@
 		is.True(<-first != nil)
 	}
 }
+
+// Guards against a request that has waited for a connection and is then sent to a replica that is leaving.
+func TestRequestThatWaitedIsNotSentToALeavingReplica(t *testing.T) {
+	for name, leave := range map[string]func(table *replica.Table, entry replica.Entry){
+		"draining": func(table *replica.Table, entry replica.Entry) {
+			entry.Draining = true
+			table.Set(entry)
+		},
+		"removed": func(table *replica.Table, entry replica.Entry) { table.Remove(entry.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			busy := make(chan struct{})
+			f := newTestService(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				<-busy
+				answers(w, r)
+			}, answers)
+			f.forwarder.MaxConnections = func(replica.Replica) int { return 1 }
+			other := newTestService(t, 1, answers).forwarder.Table.All()[0].Entry
+			other.ID = "other"
+			waits := func(call *Call) { call.ConnectionDeadline = time.Now().Add(5 * time.Second) }
+			var calls sync.WaitGroup
+			calls.Go(func() { _, _ = f.call(t, waits) }) // holds the connection
+			for f.attemptCount() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			calls.Go(func() {
+				answer, err := f.call(t, func(call *Call) {
+					waits(call)
+					call.RequestID = "waited"
+				})
+				is.NoErr(err)
+				is.Equal(answer.Replica, "other")
+			})
+			leaving := f.forwarder.Table.All()[0].Entry
+			for {
+				if seen, _ := f.forwarder.Table.Get(leaving.ID); seen.InFlight == 2 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			f.forwarder.Table.Set(other)
+			leave(f.forwarder.Table, leaving)
+			time.Sleep(removedGrace)
+			close(busy)
+			calls.Wait()
+			is.Equal(f.attemptCount(), 1)
+		})
+	}
+}
--- a/internal/requests/upstream/limit.go
+++ b/internal/requests/upstream/limit.go
@@ -13,6 +13,10 @@
 // wraps ErrNotSent.
 var ErrPoolExhausted = errors.WithMessage(ErrNotSent, "upstream: no connection is free")
 
+// ErrWithdrawn means that the peer was Withdrawn by the time there was a connection to it. It wraps
+// ErrNotSent.
+var ErrWithdrawn = errors.WithMessage(ErrNotSent, "upstream: the peer gets no new requests")
+
 // reserveDivisor sets how much of a peer's connection limit ConnectionShare leaves unassigned:
 // limit/reserveDivisor connections. They are left for probes, for connections of ended daemons
 // that the peer still counts, and for daemons that have just started.
--- a/internal/requests/upstream/upstream.go
+++ b/internal/requests/upstream/upstream.go
@@ -90,6 +90,9 @@
 	// Abandoned reports whether nobody waits for the answer any more, although the context may not
 	// have ended yet. Exchange calls it just before it sends. Nil means never.
 	Abandoned func() bool
+	// Withdrawn reports whether the peer must get no new request any more. Exchange calls it just before
+	// it sends, as it may have taken long to get a connection. Nil means never.
+	Withdrawn func() bool
 	// SentAt is set by Exchange to the time, by bootclock, at which the first byte of the
 	// request was about to be written. Exchange leaves it unchanged if no connection was
 	// available.
@@ -250,8 +253,8 @@
 
 // Exchange sends a request and returns its answer once the head of the answer has been read. The
 // caller must Close the answer. If ctx ends before Close, the connection is closed. A request whose
-// ctx has ended, or that is Abandoned, by the time it has a connection is not sent. Errors wrap
-// ErrNotSent or ErrNoAnswer, or are ErrForeignAnswer.
+// ctx has ended, or that is Abandoned or whose peer is Withdrawn, by the time it has a connection is not
+// sent. Errors wrap ErrNotSent or ErrNoAnswer, or are ErrForeignAnswer.
 func (p *Pool) Exchange(ctx context.Context, address netip.AddrPort, req *Request) (*Answer, error) {
 	if ctx.Err() != nil {
 		// Without this check, a request could be sent on an idle connection before the end of
@@ -268,11 +271,15 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	// It may have taken long to get the connection.
 	if ctx.Err() != nil || req.Abandoned != nil && req.Abandoned() {
-		// It may have taken long to get the connection.
 		p.putBack(conn)
 		return nil, errors.Wrap(ErrNotSent, "abandoned")
 	}
+	if req.Withdrawn != nil && req.Withdrawn() {
+		p.putBack(conn)
+		return nil, ErrWithdrawn
+	}
 	return conn.exchange(ctx, req)
 }
 
