batch, ledger: fragments of a record that was given up are abandoned

Cause: an append of a record in several parts that fails leaves the fragments that were appended, and the next try uses another key. Each fold kept them without a bound.

--- a/internal/batches/batch/fold.go
+++ b/internal/batches/batch/fold.go
@@ -10,6 +10,8 @@
 type State struct {
 	batches   map[string]*Batch
 	fragments map[string]*fragments
+	// abandoned are the keys of the last maxAbandoned records that were given up, oldest first.
+	abandoned []string
 	// next is the offset of the first record that is not applied yet.
 	next int64
 	// endCount counts the records that end a batch.
@@ -18,14 +20,6 @@
 	earlyEnds []earlyEnd
 }
 
-// fragments collects the fragments of one record, in order.
-type fragments struct {
-	// offset is the partition offset of the first fragment.
-	offset int64
-	next   int
-	bytes  []byte
-}
-
 // NewStateAt returns an empty state whose first record will be the one at an offset. Its view of
 // a batch is complete if that offset is not after Batch.Offset.
 func NewStateAt(offset int64) *State {
@@ -71,6 +65,8 @@
 		if whole, begins := s.joinFragment(rec, offset); whole != nil {
 			return s.apply(whole, begins)
 		}
+	case kindFragmentsAbandoned:
+		s.abandonFragments(rec.Key)
 	case kindAccepted:
 		s.accept(rec, offset)
 	case kindEnded:
@@ -83,27 +79,6 @@
 	return nil
 }
 
-// joinFragment adds a fragment. Once all fragments of a record are there it returns the record and
-// the offset of its first fragment. Fragments of one key arrive in order, as an append is atomic
-// and contiguous and those of one record follow one another. A fragment out of order is ignored.
-func (s *State) joinFragment(rec record, offset int64) (whole []byte, begins int64) {
-	parts := s.fragments[rec.Key]
-	if parts == nil {
-		parts = &fragments{offset: offset}
-		s.fragments[rec.Key] = parts
-	}
-	if rec.Index != parts.next {
-		return nil, 0
-	}
-	parts.bytes = append(parts.bytes, rec.Part...)
-	parts.next++
-	if parts.next < rec.Count {
-		return nil, 0
-	}
-	delete(s.fragments, rec.Key)
-	return parts.bytes, parts.offset
-}
-
 // accept creates a batch. An id that exists already marks a repeated append, which is ignored. A
 // batch that ended before its acceptance begins at that end, so that a state that begins at its
 // offset has the end too.
--- a/internal/batches/batch/golden_test.go
+++ b/internal/batches/batch/golden_test.go
@@ -22,6 +22,7 @@
 		"beat":      Heartbeat("batch", "owner", 3),
 		"suspected": ContentSuspected("batch", 2, []byte("entry")),
 		"failed":    ItemFailed("batch", 2, Failures{Item: 3, Reward: 1}),
+		"abandoned": FragmentsAbandoned("key"),
 		"advanced":  Checkpoint("batch", "owner", 4, *progress),
 	}
 	for name, encoded := range records {
--- a/internal/batches/batch/record.go
+++ b/internal/batches/batch/record.go
@@ -22,6 +22,7 @@
 	kindItemsReturned
 	kindContentSuspected
 	kindItemFailed
+	kindFragmentsAbandoned
 )
 
 // record is one entry of a journal partition. Which fields are set depends on Kind.
@@ -40,7 +41,7 @@
 	HandedOff []int `cbor:"7,keyasint,omitempty"`
 	// Key, Index, Count and Part are those of a fragment of a record that exceeds the journal's
 	// limit. Key is random and new for each append, so that fragments of two appends are never
-	// joined. In kindContentSuspected, Index is that of an item, and Part what the quarantine knows of
+	// joined; kindFragmentsAbandoned has the Key of those that will never be complete. In kindContentSuspected, Index is that of an item, and Part what the quarantine knows of
 	// the content of the item or of its reward call. In kindItemFailed, Index is that of an item, and
 	// Count how often its reward call has failed.
 	Key   string `cbor:"8,keyasint,omitempty"`
@@ -134,6 +135,12 @@
 	return encode(record{Kind: kindItemFailed, BatchID: batchID, Index: item, Number: int64(failures.Item), Count: failures.Reward})
 }
 
+// FragmentsAbandoned returns the encoded record that gives up the record with fragments of a key: not all of
+// them were appended. Fragments that arrive after it are ignored.
+func FragmentsAbandoned(key string) []byte {
+	return encode(record{Kind: kindFragmentsAbandoned, Key: key})
+}
+
 // Fragment splits a record longer than limit bytes into records of at most limit bytes, and returns
 // a shorter one unchanged. The fold joins the fragments into the original record, at the offset of
 // the first one. The key must be unique to this append.
--- a/internal/batches/ledger/append.go
+++ b/internal/batches/ledger/append.go
@@ -4,11 +4,14 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"woodworks/internal/batches/batch"
+	"woodworks/internal/daemon/periodic"
 	"woodworks/internal/journal"
 )
 
@@ -17,6 +20,11 @@
 	appendTimeout = 1500 * time.Millisecond
 	// recordOverheadBytes is what the journal adds to each record of an append.
 	recordOverheadBytes = 4
+	// abandonRetryDelay is the delay before a failed append of abandoned fragments is repeated, and
+	// maxAbandonedPerAppend how many records one such append has at most, which is far below the journal's
+	// limits.
+	abandonRetryDelay     = 500 * time.Millisecond
+	maxAbandonedPerAppend = 64
 )
 
 // appendCall holds records that must go into one append, and the channel for its outcome.
@@ -31,24 +39,77 @@
 // Concurrent calls share appends.
 //
 // A record too long for one append is split into several, made one after the other. The record takes
-// effect with its last fragment: if an earlier append fails, the outcome is certain (ErrNotDone).
+// effect with its last fragment: if an earlier append fails, the outcome is certain (ErrNotDone), and the
+// fragments are abandoned.
 func (p *Partition) Append(ctx context.Context, record []byte) error {
-	appends := p.splitAppends(record)
+	key := newFragmentKey()
+	appends := p.splitAppends(record, key)
 	last := len(appends) - 1
-	for _, part := range appends[:last] {
-		if err := p.appendAndWait(ctx, part); err != nil {
+	for i, part := range appends {
+		err := p.appendAndWait(ctx, part)
+		switch {
+		case err == nil:
+			continue
+		case last == 0:
+			return err
+		case i > 0 || !errors.Is(err, ErrNotDone):
+			p.abandon(key)
+		}
+		if i < last {
 			return errors.Wrap(ErrNotDone, err.Error())
 		}
+		return err
+	}
+	return nil
+}
+
+// abandon records that fragments will never be complete, as soon as the journal takes it. Otherwise each fold
+// would keep them.
+func (p *Partition) abandon(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.abandoned = append(p.abandoned, key)
+	if len(p.abandoned) == 1 {
+		go p.recordAbandoned()
+	}
+}
+
+// recordAbandoned appends the records of abandoned fragments until all are acknowledged.
+func (p *Partition) recordAbandoned() {
+	ctx := p.ledger.ctx
+	for ctx.Err() == nil {
+		call := &appendCall{done: make(chan error, 1)}
+		p.mu.Lock()
+		keys := slices.Clone(p.abandoned[:min(len(p.abandoned), maxAbandonedPerAppend)])
+		p.mu.Unlock()
+		for _, key := range keys {
+			record := batch.FragmentsAbandoned(key)
+			call.records = append(call.records, record)
+			call.size += len(record) + recordOverheadBytes
+		}
+		err := p.appendAndWait(ctx, call)
+		p.ledger.logger.Info("fragments abandoned", zap.Inline(p), zap.Strings("keys", keys), zap.Error(err))
+		if err != nil {
+			periodic.Pause(ctx, abandonRetryDelay)
+			continue
+		}
+		p.mu.Lock()
+		p.abandoned = slices.Delete(p.abandoned, 0, len(keys))
+		left := len(p.abandoned)
+		p.mu.Unlock()
+		if left == 0 {
+			return
+		}
 	}
-	return p.appendAndWait(ctx, appends[last])
 }
 
-// splitAppends splits a record into as few appends as the journal's limits allow.
-func (p *Partition) splitAppends(record []byte) []*appendCall {
+// splitAppends splits a record into as few appends as the journal's limits allow. The key is that of its
+// fragments.
+func (p *Partition) splitAppends(record []byte, key string) []*appendCall {
 	limit := p.ledger.journal.MaxAppendBytes()
 	current := &appendCall{done: make(chan error, 1)}
 	appends := []*appendCall{current}
-	for _, fragment := range batch.Fragment(record, p.ledger.journal.MaxRecordBytes(), newFragmentKey()) {
+	for _, fragment := range batch.Fragment(record, p.ledger.journal.MaxRecordBytes(), key) {
 		size := len(fragment) + recordOverheadBytes
 		if current.size > 0 && current.size+size > limit {
 			current = &appendCall{done: make(chan error, 1)}
--- a/internal/batches/ledger/ledger_test.go
+++ b/internal/batches/ledger/ledger_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -224,6 +226,50 @@
 	})
 }
 
+// Guards against fragments of a record that stay in each fold for good: the record was given up after some
+// of its appends, and once the journal takes appends again that is recorded.
+func TestFragmentsOfARefusedRecordAreAbandoned(t *testing.T) {
+	for name, fault := range map[string]journaltest.Fault{"refused": journaltest.Refuse, "no answer": journaltest.Hang} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log := journaltest.New()
+				log.RecordBytes, log.AppendBytes = 600, 2_000
+				long := submission("long")
+				long.Items[0].Body = make([]byte, 10_000)
+				batches, calls := New(t.Context(), log, zap.NewNop()), 0
+				var away atomic.Bool
+				away.Store(true)
+				log.SetFault(func(call journaltest.Call) journaltest.Fault {
+					if call != journaltest.Append {
+						return journaltest.None
+					}
+					if calls++; calls > 2 && away.Load() {
+						return fault
+					}
+					return journaltest.None
+				})
+				partition := batches.PartitionOf("long")
+				is.True(errors.Is(partition.Append(t.Context(), batch.Accepted(long, "one")), ErrNotDone))
+				time.Sleep(3 * appendTimeout)
+				before := len(log.Records(partition.Name()))
+				away.Store(false)
+				time.Sleep(2 * appendTimeout)
+				records := log.Records(partition.Name())
+				is.Equal(len(records), before+1)
+				var first, last struct {
+					Kind int    `cbor:"1,keyasint"`
+					Key  string `cbor:"8,keyasint"`
+				}
+				is.NoErr(cbor.Unmarshal(records[0], &first))
+				is.NoErr(cbor.Unmarshal(records[before], &last))
+				is.Equal(last.Key, first.Key)
+				is.Equal(records[before], batch.FragmentsAbandoned(first.Key))
+			})
+		})
+	}
+}
+
 // After a trim, a new fold must continue at the first record left, and an old one keep its batches.
 func TestFoldsContinueAfterTrim(t *testing.T) {
 	is := is.New(t)
--- a/internal/batches/ledger/partition.go
+++ b/internal/batches/ledger/partition.go
@@ -58,6 +58,9 @@
 	// pending is the queue of appends. appending is set while appendPending runs.
 	pending   []*appendCall
 	appending bool
+	// abandoned are the keys of fragments that are abandoned and not recorded as such yet. recordAbandoned
+	// runs while there are any.
+	abandoned []string
 }
 
 func newPartition(ledger *Ledger, name journal.Partition, from int64) *Partition {
@@ -80,11 +83,11 @@
 // Name returns the name of the journal partition.
 func (p *Partition) Name() journal.Partition { return p.name }
 
-// isIdle reports whether the partition has no followers, queued appends or reads in progress.
+// isIdle reports whether the partition has no followers, appends to be made or reads in progress.
 func (p *Partition) isIdle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.followers == 0 && len(p.pending) == 0 && !p.reading
+	return p.followers == 0 && len(p.pending) == 0 && len(p.abandoned) == 0 && !p.reading
 }
 
 // View calls visit with the fold while the mutex is held: visit must not block or call methods of the
