quarantine: a test of an owner that asks again only when told

The new test fails without the bound: the content is held back twice. In record.go a comment is wrapped.

--- a/internal/batches/batch/record.go
+++ b/internal/batches/batch/record.go
@@ -41,7 +41,8 @@
 	HandedOff []int `cbor:"7,keyasint,omitempty"`
 	// Key, Index, Count and Part are those of a fragment of a record that exceeds the journal's
 	// limit. Key is random and new for each append, so that fragments of two appends are never
-	// joined; kindFragmentsAbandoned has the Key of those that will never be complete. In kindContentSuspected, Index is that of an item, and Part what the quarantine knows of
+	// joined; kindFragmentsAbandoned has the Key of those that will never be complete. In
+	// kindContentSuspected, Index is that of an item, and Part what the quarantine knows of
 	// the content of the item or of its reward call. In kindItemFailed, Index is that of an item, and
 	// Count how often its reward call has failed.
 	Key   string `cbor:"8,keyasint,omitempty"`
--- a/internal/requests/quarantine/owed_test.go
+++ b/internal/requests/quarantine/owed_test.go
@@ -132,6 +132,29 @@
 	}
 }
 
+// Guards against an owner that asks again only after the whole delay: what holds the content back then would
+// count as a new wait.
+func TestAnOwnerThatAsksWhenToldHoldsAContentBackOnce(t *testing.T) {
+	is := is.New(t)
+	clock := newTestClock()
+	table, owed := clock.table("m"), &Content{Target: "owed", Owed: true}
+	endAt(table, owed, minEndsToRefuse)
+	other := contentNamed("other")
+	endAt(table, other, minEndsToIsolate)
+	table.Decide(other, "x", listed) // runs in isolation at the replica, and goes on
+	for began := clock.now; ; {
+		switch decision := table.Decide(owed, "x", listed).(type) {
+		case Isolated:
+			is.True(clock.now.Sub(began) <= maxOwedRetryDelay+askInterval)
+			return
+		case Refused:
+			clock.advance(decision.RetryAfter)
+		case OtherReplica:
+			clock.advance(askInterval)
+		}
+	}
+}
+
 // Guards against a harmless content that misses its step, as it waits like one that ends its replicas.
 func TestABurstOfEndsSaysLittleOfAContent(t *testing.T) {
 	is := is.New(t)
