upstream: a reset that the write of the request took is no end of an answer

Callers got part of a body as a complete answer: a replica answered a long upload early with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: a socket reports a reset to one call only. The write of the request's body, in a goroutine of its own, took it, and the read that followed met an end of file, the regular end of a body without a length.

The end of such a body counts now only if the peer closed the connection and did not reset it, which the kernel's state of the connection and the error of the write tell: CLOSE_WAIT after a close; otherwise EPIPE if the close came first and ECONNRESET if it did not. Where they can't be told apart the answer is incomplete.

--- a/internal/requests/upstream/answer.go
+++ b/internal/requests/upstream/answer.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // maxDiscardBytes and maxDiscardTime bound what Answer.Discard reads to keep a connection.
@@ -31,6 +33,9 @@
 func (a *Answer) Read(buf []byte) (int, error) {
 	count, err := a.response.Body.Read(buf)
 	switch {
+	case err == io.EOF && a.endsWithConnection() && !a.conn.peerClosed():
+		a.failed = true
+		return count, errors.Wrap(ErrNoAnswer, "connection reset")
 	case err == io.EOF:
 		if a.bodyEndAt.IsZero() {
 			a.bodyEndAt = a.conn.pool.now()
@@ -42,6 +47,12 @@
 	return count, err
 }
 
+// endsWithConnection reports whether the body has neither a length nor chunks, so that only the close of
+// the connection ends it.
+func (a *Answer) endsWithConnection() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
+}
+
 // Length returns the length of the body in bytes, or -1 if the peer has not announced it.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
@@ -90,5 +101,5 @@
 			return false
 		}
 	}
-	return !a.failed && !a.response.Close && !conn.tainted && !conn.writeErr.Load() && conn.reader.Buffered() == 0
+	return !a.failed && !a.response.Close && !conn.tainted && conn.writeErr == nil && conn.reader.Buffered() == 0
 }
--- a/internal/requests/upstream/connection.go
+++ b/internal/requests/upstream/connection.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,8 +48,9 @@
 	// bodyWritten is closed once the request's body has been written. It is nil if the body was
 	// written together with the head.
 	bodyWritten chan struct{}
-	// writeErr is set if the request's body could not be written whole.
-	writeErr atomic.Bool
+	// writeErr says why the request's body could not be written whole. It may be read once bodyWritten is
+	// closed.
+	writeErr error
 	// tainted means that an answer to an earlier request, or one without an id, was received:
 	// answers may be out of step with requests, so the connection is not reused.
 	tainted bool
@@ -148,9 +148,7 @@
 	c.bodyWritten = done
 	go func() {
 		defer close(done)
-		if _, err := c.raw.Write(body); err != nil {
-			c.writeErr.Store(true)
-		}
+		_, c.writeErr = c.raw.Write(body)
 	}()
 }
 
