upstream: a status below 100 or above 599 is no answer

Callers could get the body of an answer as their answer, signature and all: a status such as 000 counted as informational and was skipped, and what stood in its body was read as the answer. A status from 600 to 999 was passed on.

Cause: Go's reader takes any three characters that make a number, and readHead skipped all below 200.

A status outside of 100 to 599 is now ErrMalformed: another replica is asked if the request may be repeated, else the caller gets 502, and the connection is closed.

--- a/internal/requests/upstream/connection.go
+++ b/internal/requests/upstream/connection.go
@@ -29,6 +29,8 @@
 	maxErrorBytes = 200
 	// maxInformational is how many 1xx answers readHead skips at most.
 	maxInformational = 4
+	// maxStatus is the largest status that an answer can have.
+	maxStatus = 599
 )
 
 // connection is a connection to a peer. At most one request at a time uses it.
@@ -164,6 +166,9 @@
 		if err != nil {
 			return nil, c.noAnswer(err)
 		}
+		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+			return nil, errors.Wrap(ErrMalformed, "status "+strconv.Itoa(response.StatusCode))
+		}
 		if response.StatusCode < http.StatusOK {
 			informational++
 			if informational > maxInformational || response.StatusCode == http.StatusSwitchingProtocols {
