http1, upstream: a head that the grammar does not allow is no answer

Callers got an answer in whose head the name of a field held a blank: the line was missing, and where it was the length or the coding, the body was not the replica's: it ran to the end of the connection or had the chunks in it. The same with a folded line, a line feed in a value, a length beside chunks, and a malformed trailer, which were guessed at.

Cause: net/http's reader accepts more than the grammar has, and the daemon acted on what it made of the bytes.

Package http1 reads responses by the grammar of RFC 9112 and is the one place that decides what is one; upstream uses it for requests, streams, items, reward calls, reports, orders, the store and the log service. Names and values are checked by x/net's httpguts, chunks decoded by net/http/httputil. What is no answer is ErrMalformed as before: it may have run, and counts as no end of the replica. x/net was an indirect dependency.

TestFieldThatIsNoneIsNoAnswer failed for 10 of 14 heads before, and passes now. Control bytes and tabs were refused before as well. TestHeadThatStopsIsNoAnswer, which passed before too, shows that a head that stops in the middle is no answer here.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZ) ./internal/batches/batch
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ) ./internal/daemon/explain
 	go test -run '^$$' -fuzz FuzzNext -fuzztime $(FUZZ) ./internal/requests/eventstream
+	go test -run '^$$' -fuzz FuzzReadResponse -fuzztime $(FUZZ) ./internal/requests/http1
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ) ./platform
 	go test -run '^$$' -fuzz FuzzReplica -fuzztime $(FUZZ) ./platform
 
--- a/internal/requests/upstream/answer.go
+++ b/internal/requests/upstream/answer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"woodworks/internal/requests/http1"
 )
 
 // maxDiscardBytes and maxDiscardTime bound what Answer.Discard reads to keep a connection.
@@ -19,7 +21,7 @@
 type Answer struct {
 	Status   int
 	Header   http.Header
-	response *http.Response
+	response *http1.Response
 	conn     *connection
 	stop     func() bool
 	// bodyEndAt is the time by the pool's clock at which Read reached the end of the body. It is
@@ -33,7 +35,7 @@
 func (a *Answer) Read(buf []byte) (int, error) {
 	count, err := a.response.Body.Read(buf)
 	switch {
-	case err == io.EOF && a.endsWithConnection() && !a.conn.peerClosed():
+	case err == io.EOF && a.response.Body.UntilClose() && !a.conn.peerClosed():
 		a.failed = true
 		return count, errors.Wrap(ErrNoAnswer, "connection reset")
 	case err == io.EOF:
@@ -47,14 +49,8 @@
 	return count, err
 }
 
-// endsWithConnection reports whether the body has neither a length nor chunks, so that only the close of
-// the connection ends it.
-func (a *Answer) endsWithConnection() bool {
-	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
-}
-
 // Length returns the length of the body in bytes, or -1 if the peer has not announced it.
-func (a *Answer) Length() int64 { return a.response.ContentLength }
+func (a *Answer) Length() int64 { return a.response.Body.Length() }
 
 // Discard reads the rest of a short body, so that Close keeps the connection, and closes the answer.
 // If the body does not end soon, the connection is closed instead.
--- a/internal/requests/upstream/connection.go
+++ b/internal/requests/upstream/connection.go
@@ -15,12 +15,11 @@
 	"github.com/pkg/errors"
 
 	"woodworks/internal/daemon/recvbuf"
+	"woodworks/internal/requests/http1"
 )
 
 const (
 	readBufferBytes = 4 << 10
-	// maxHeadBytes bounds what readHead reads for one answer, without the bodies that it skips.
-	maxHeadBytes = 64 << 10
 	// maxForeignAnswers is how many answers to earlier requests readHead skips at most, and
 	// maxForeignBytes bounds each of their bodies.
 	maxForeignAnswers = 2
@@ -29,8 +28,6 @@
 	maxErrorBytes = 200
 	// maxInformational is how many 1xx answers readHead skips at most.
 	maxInformational = 4
-	// maxStatus is the largest status that an answer can have.
-	maxStatus = 599
 )
 
 // connection is a connection to a peer. At most one request at a time uses it.
@@ -38,9 +35,9 @@
 	pool    *Pool
 	address netip.AddrPort
 	raw     net.Conn
-	// limited is what reader reads from.
-	limited *limitedReader
-	reader  *bufio.Reader
+	// source is what reader reads from.
+	source *source
+	reader *bufio.Reader
 	// carried holds the ids of the requests that were sent on the connection.
 	carried carriedIDs
 	// reusableUntil is the time until which any request may reuse the connection. A Repeatable
@@ -61,8 +58,8 @@
 }
 
 func newConnection(p *Pool, address netip.AddrPort, raw net.Conn) *connection {
-	limited := &limitedReader{source: raw}
-	return &connection{pool: p, address: address, raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
+	from := &source{Reader: raw}
+	return &connection{pool: p, address: address, raw: raw, source: from, reader: bufio.NewReaderSize(from, readBufferBytes)}
 }
 
 func (c *connection) close() {
@@ -111,10 +108,10 @@
 		c.close()
 		return nil, err
 	}
-	return &Answer{Status: response.StatusCode, Header: response.Header, response: response, conn: c, stop: stop}, nil
+	return &Answer{Status: response.Status, Header: response.Header, response: response, conn: c, stop: stop}, nil
 }
 
-func (c *connection) roundTrip(req *Request) (*http.Response, error) {
+func (c *connection) roundTrip(req *Request) (*http1.Response, error) {
 	if err := c.send(req); err != nil {
 		return nil, err
 	}
@@ -156,23 +153,17 @@
 
 // readHead reads the head of the answer to req. It skips 1xx answers and late answers to earlier
 // requests. Its errors wrap ErrNoAnswer or are ErrForeignAnswer.
-func (c *connection) readHead(req *Request) (*http.Response, error) {
-	sent := &http.Request{Method: req.Method}
+func (c *connection) readHead(req *Request) (*http1.Response, error) {
 	informational := 0
 	for foreign := 0; ; {
-		c.limited.left = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, sent)
-		c.limited.left = unlimited
+		response, err := http1.ReadResponse(c.reader, req.Method)
 		if err != nil {
 			return nil, c.noAnswer(err)
 		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
-			return nil, errors.Wrap(ErrMalformed, "status "+strconv.Itoa(response.StatusCode))
-		}
-		if response.StatusCode < http.StatusOK {
+		if response.Status < http.StatusOK {
 			informational++
-			if informational > maxInformational || response.StatusCode == http.StatusSwitchingProtocols {
-				return nil, errors.Wrap(ErrMalformed, "unexpected status "+strconv.Itoa(response.StatusCode))
+			if informational > maxInformational || response.Status == http.StatusSwitchingProtocols {
+				return nil, errors.Wrap(ErrMalformed, "unexpected status "+strconv.Itoa(response.Status))
 			}
 			continue
 		}
@@ -201,7 +192,7 @@
 
 // ownerOf returns to which request an answer belongs. An answer without an id belongs to req only if
 // no other request has used the connection.
-func (c *connection) ownerOf(response *http.Response, req *Request) owner {
+func (c *connection) ownerOf(response *http1.Response, req *Request) owner {
 	if req.EchoHeader == "" {
 		return ownerRequest
 	}
@@ -222,7 +213,7 @@
 
 // skipBody reads the body of an answer to an earlier request, and reports whether another answer may
 // follow.
-func (c *connection) skipBody(response *http.Response) bool {
+func (c *connection) skipBody(response *http1.Response) bool {
 	body := io.LimitReader(response.Body, maxForeignBytes+1)
 	skipped, err := io.Copy(io.Discard, body)
 	return err == nil && skipped <= maxForeignBytes && !response.Close
@@ -233,7 +224,7 @@
 func (c *connection) noAnswer(err error) error {
 	text := err.Error()
 	text = text[:min(len(text), maxErrorBytes)]
-	if c.limited.err == nil {
+	if c.source.err == nil {
 		return errors.Wrap(ErrMalformed, text)
 	}
 	return errors.Wrap(ErrNoAnswer, text)
--- a/internal/requests/upstream/endless_test.go
+++ b/internal/requests/upstream/endless_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"woodworks/internal/requests/http1"
 )
 
 // endlessPeer returns a connection to a peer that answers the first request with begin, followed by
@@ -50,19 +52,19 @@
 		want            error
 		most            int64
 	}{
-		"status line":          {"HTTP/1.1 200 ", "x", ErrMalformed, maxHeadBytes},
-		"no answer":            {"", "x", ErrMalformed, maxHeadBytes},
-		"header line":          {"HTTP/1.1 200 OK\r\nX-Id: ", "a", ErrMalformed, maxHeadBytes},
-		"headers":              {"HTTP/1.1 200 OK\r\n", "X-Id: a\r\n", ErrMalformed, maxHeadBytes},
-		"informational":        {"", "HTTP/1.1 100 Continue\r\n\r\n", ErrMalformed, maxHeadBytes},
-		"informational header": {"HTTP/1.1 100 Continue\r\n", "X-Id: a\r\n", ErrMalformed, maxHeadBytes},
-		"other's answers":      {"", "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n", ErrForeignAnswer, maxHeadBytes},
+		"status line":          {"HTTP/1.1 200 ", "x", ErrMalformed, http1.MaxSectionBytes},
+		"no answer":            {"", "x", ErrMalformed, http1.MaxSectionBytes},
+		"header line":          {"HTTP/1.1 200 OK\r\nX-Id: ", "a", ErrMalformed, http1.MaxSectionBytes},
+		"headers":              {"HTTP/1.1 200 OK\r\n", "X-Id: a\r\n", ErrMalformed, http1.MaxSectionBytes},
+		"informational":        {"", "HTTP/1.1 100 Continue\r\n\r\n", ErrMalformed, http1.MaxSectionBytes},
+		"informational header": {"HTTP/1.1 100 Continue\r\n", "X-Id: a\r\n", ErrMalformed, http1.MaxSectionBytes},
+		"other's answers":      {"", "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n", ErrForeignAnswer, http1.MaxSectionBytes},
 		"other's body":         {"HTTP/1.1 200 OK\r\nX-Id: b\r\n\r\n", "x", ErrForeignAnswer, maxForeignBytes},
 		"other's chunks":       {"HTTP/1.1 200 OK\r\nX-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", ErrForeignAnswer, 6 * maxForeignBytes},
-		"chunk extension":      {chunked + "1;", "x", ErrMalformed, maxHeadBytes},
-		"chunk extensions":     {chunked, "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n", ErrMalformed, maxHeadBytes},
-		"trailer line":         {chunked + "0\r\n", "x", ErrMalformed, maxHeadBytes},
-		"trailers":             {chunked + "0\r\n", "X-Id: a\r\n", ErrMalformed, maxHeadBytes},
+		"chunk extension":      {chunked + "1;", "x", ErrMalformed, http1.MaxSectionBytes},
+		"chunk extensions":     {chunked, "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n", ErrMalformed, http1.MaxSectionBytes},
+		"trailer line":         {chunked + "0\r\n", "x", ErrMalformed, http1.MaxSectionBytes},
+		"trailers":             {chunked + "0\r\n", "X-Id: a\r\n", ErrMalformed, http1.MaxSectionBytes},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
