--- a/internal/api/standalone/engines.go
+++ b/internal/api/standalone/engines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -13,7 +12,7 @@
 	"woodworks/internal/requests/upstream"
 )
 
-// maxEngineAnswerBytes bounds what is read of an engine's answer.
+// maxEngineAnswerBytes bounds an engine's answer.
 const maxEngineAnswerBytes = 1 << 20
 
 // engines speaks the product's engine protocol over the pool's connections.
@@ -66,7 +65,7 @@
 		return 0, nil, err
 	}
 	defer answer.Close()
-	content, err := io.ReadAll(io.LimitReader(answer, maxEngineAnswerBytes))
+	content, err := answer.ReadWhole(maxEngineAnswerBytes)
 	if err == nil && isEngineState(content) != reads {
 		answer.Abort() // It may be the answer to an earlier call, sent once more.
 		return 0, nil, errors.Errorf("unexpected answer with status %d", answer.Status)
--- a/internal/journal/logservice/client.go
+++ b/internal/journal/logservice/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -19,7 +18,7 @@
 	// data may stay unacknowledged by the peer.
 	connectTimeout = time.Second
 	unackedTimeout = 1500 * time.Millisecond
-	// maxAnswerBytes bounds what is read of an answer. A longer one does not decode then.
+	// maxAnswerBytes bounds an answer.
 	maxAnswerBytes = 64 << 20
 )
 
@@ -60,7 +59,7 @@
 		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
 	}
 	defer resp.Close()
-	content, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+	content, err := resp.ReadWhole(maxAnswerBytes)
 	if err != nil {
 		return answer, errors.Wrap(journal.ErrUnknown, err.Error())
 	}
--- a/internal/requests/upstream/answer.go
+++ b/internal/requests/upstream/answer.go
@@ -49,6 +49,16 @@
 	return count, err
 }
 
+// ReadWhole reads the whole body of a short answer. The error wraps ErrNoAnswer if the body is incomplete or
+// longer than limit; the returned bytes are then only part of it.
+func (a *Answer) ReadWhole(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return body[:limit], errors.Wrapf(ErrMalformed, "body of more than %d bytes", limit)
+	}
+	return body, err
+}
+
 // Length returns the length of the body in bytes, or -1 if the peer has not announced it.
 func (a *Answer) Length() int64 { return a.response.Body.Length() }
 
