node: an answer that is broken off resets the connection of HTTP/1.0

A client of HTTP/1.0 took part of an answer for the whole one when its replica broke it off: nobody has reported it, the users' clients speak HTTP/1.1.

Cause: an answer that can't be completed is aborted by closing the connection. HTTP/1.0 has no chunks, so that the close is the regular end of a body without a length.

The connection of such a request is now reset if its handler aborts. HTTP/1.1 is as before.

--- a/internal/daemon/node/clientconn.go
+++ b/internal/daemon/node/clientconn.go
@@ -75,6 +75,14 @@
 	c.handling = true
 }
 
+// resetOnClose makes Close reset the connection, so that the client does not take what it has received for a
+// whole answer. Bytes that have not been sent are dropped.
+func (c *clientConn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection has ended already
+	}
+}
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
--- a/internal/daemon/node/listener.go
+++ b/internal/daemon/node/listener.go
@@ -66,6 +66,9 @@
 		c.markHandling()
 		watched, cancel := ingress.WithClientLeft(r.Context(), c.clientLeft)
 		defer cancel()
+		if !r.ProtoAtLeast(1, 1) {
+			defer resetIfAborted(c)
+		}
 		r = r.WithContext(watched)
 	}
 	// A write deadline set for the previous request must not apply to this one.
@@ -79,6 +82,15 @@
 	a.prepareHeader()
 }
 
+// resetIfAborted is deferred by the handler of a request. If the handler aborts the answer, the connection is
+// reset: in HTTP/1.0 only the close of the connection ends a body of unknown length.
+func resetIfAborted(c *clientConn) {
+	if aborted := recover(); aborted != nil {
+		c.resetOnClose()
+		panic(aborted)
+	}
+}
+
 // listen binds the address and serves it in the background.
 func (l *clientListener) listen(address string) error {
 	listener, err := net.Listen("tcp4", address)
--- a/internal/daemon/node/listener_test.go
+++ b/internal/daemon/node/listener_test.go
@@ -81,6 +81,29 @@
 	<-done
 }
 
+// Guards against an answer that was broken off looking whole to a client of HTTP/1.0, to which only the close
+// of the connection ends a body.
+func TestAbortedAnswerIsIncompleteInEachVersion(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) {
+			is := is.New(t)
+			_, address := startListener(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte("part"))
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}))
+			client := dialPersistent(t, address)
+			_, err := io.WriteString(client, "GET / HTTP/"+version+"\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			response, err := http.ReadResponse(client.r, nil)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			is.True(err != nil)
+		})
+	}
+}
+
 // A metrics address that is in use must not prevent a daemon from serving clients.
 func TestAMetricsAddressInUseIsNotFatal(t *testing.T) {
 	is := is.New(t)
