client: what no daemon sends is no response

A caller of the API could take for a response what no daemon sends: a status above 599, a head with a blank in a name, and a body of unknown length, whose end net/http can't tell from a reset while it writes the request.

The client checks heads by package http1, and takes no body without a length or chunks: daemons send none.

--- a/internal/api/client/client.go
+++ b/internal/api/client/client.go
@@ -24,6 +24,7 @@
 
 	"woodworks/internal/api/gateway"
 	"woodworks/internal/api/rollout"
+	"woodworks/internal/requests/http1"
 )
 
 // serviceName is the name of all clients of this package in httpc.
@@ -85,6 +86,9 @@
 		return Response{}, errors.Wrap(ErrNoResponse, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := checkHead(response); err != nil {
+		return Response{}, errors.Wrap(ErrNoResponse, err.Error())
+	}
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return Response{}, errors.Wrap(ErrNoResponse, err.Error())
@@ -92,6 +96,19 @@
 	return Response{Status: response.StatusCode, Header: response.Header, Body: content}, nil
 }
 
+// checkHead returns an error if a response cannot come from a daemon whole. A daemon announces the length of a
+// body or sends it in chunks. The end of another body cannot be told from a reset of the connection, as
+// net/http writes a request while it reads the response.
+func checkHead(response *http.Response) error {
+	if err := http1.Check(response.StatusCode, response.Header); err != nil {
+		return err
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed {
+		return errors.New("client: body of unknown length")
+	}
+	return nil
+}
+
 // DoJSON sends body as JSON (nil for no body) and decodes a 2xx response into answer, unless that
 // is nil. A response with another status is returned as a *ProblemError.
 func (c *Client) DoJSON(ctx context.Context, method, path string, body, answer any) error {
