--- a/internal/daemon/recvbuf/recvbuf.go
+++ b/internal/daemon/recvbuf/recvbuf.go
@@ -1,5 +1,6 @@
 // Package recvbuf looks into the receive buffer that the kernel keeps for a connection,
-// without waiting for bytes and whatever the connection's deadlines are.
+// without waiting for bytes and whatever the connection's deadlines are, and tells how a
+// connection has ended.
 //
 // # Usage
 //
--- a/internal/daemon/recvbuf/recvbuf_test.go
+++ b/internal/daemon/recvbuf/recvbuf_test.go
@@ -43,3 +43,38 @@
 	is.Equal(Look(far), Unknown)
 	is.Equal(Take(far, make([]byte, 1)), 0)
 }
+
+// A write takes the reset of a connection, so that a read meets an end of file as after a close.
+func TestEndings(t *testing.T) {
+	for want, end := range map[Ending]func(conn *net.TCPConn) error{
+		Closed: func(conn *net.TCPConn) error { return conn.CloseWrite() },
+		Over: func(conn *net.TCPConn) error {
+			_ = conn.SetLinger(0)
+			return conn.Close()
+		},
+	} {
+		is := is.New(t)
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		near, err := net.Dial("tcp4", listener.Addr().String())
+		is.NoErr(err)
+		far, err := listener.Accept()
+		is.NoErr(err)
+		is.Equal(EndingOf(near), EndUnknown) // it is open
+		is.NoErr(end(far.(*net.TCPConn)))
+		for EndingOf(near) == EndUnknown {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(EndingOf(near), want)
+		_, written := io.WriteString(near, "x")
+		is.Equal(written != nil, want == Over)
+		_, err = near.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		is.NoErr(near.Close())
+		is.Equal(EndingOf(near), EndUnknown)
+		_ = far.Close()
+		_ = listener.Close()
+	}
+	near, _ := net.Pipe()
+	is.New(t).Equal(EndingOf(near), EndUnknown)
+}
