--- a/internal/requests/http1/fuzz_test.go
+++ b/internal/requests/http1/fuzz_test.go
@@ -78,7 +78,7 @@
 // checkAgainstLibrary checks that net/http reads the same response.
 func checkAgainstLibrary(t *testing.T, method string, sent []byte, resp *Response, body []byte) {
 	if len(resp.Header["Trailer"]) > 0 {
-		return // net/http has an opinion on which trailers may be announced
+		return // net/http refuses some names there
 	}
 	theirs, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(sent)), &http.Request{Method: method})
 	if err != nil {
--- a/internal/requests/http1/http1_test.go
+++ b/internal/requests/http1/http1_test.go
@@ -64,7 +64,7 @@
 
 const length4 = "Content-Length: 4\r\n"
 
-// Heads that are none: those on the left of a status line, those of a status line, and those of fields.
+// Heads that the grammar does not allow, without the empty line that ends them.
 var malformedHeads = map[string]string{
 	"nothing":                       "\r\n",
 	"blank before":                  " HTTP/1.1 200 OK\r\n" + length4,
--- a/internal/requests/upstream/answer.go
+++ b/internal/requests/upstream/answer.go
@@ -50,7 +50,7 @@
 }
 
 // ReadWhole reads the whole body of a short answer. The error wraps ErrNoAnswer if the body is incomplete or
-// longer than limit; the returned bytes are then only part of it.
+// longer than limit; the bytes that are returned with it are only part of the body.
 func (a *Answer) ReadWhole(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a, limit+1))
 	if err == nil && int64(len(body)) > limit {
