--- a/internal/daemon/recvbuf/ending.go
+++ b/internal/daemon/recvbuf/ending.go
@@ -13,7 +13,7 @@
 
 // Endings of a connection.
 const (
-	// EndUnknown: the kernel has no state of the connection, or it cannot be seen.
+	// EndUnknown: the connection is open, or the kernel's state of it cannot be seen.
 	EndUnknown Ending = iota
 	// Closed: the peer has sent all and closed its side. This side is open.
 	Closed
